Start the workspace: domain types, protocols, house style

Cause: nothing stands yet; every part needs the same types and the same protocols of the outside systems before it can be built beside the others.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The services of the daemon.
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: state in, event in, actions out.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon's micro-kernel: named services, joined tasks, signals.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small specification of the core protocol, explored exhaustively.
--- /dev/null
+++ b/crates/trefoildyked/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/crates/types/src/id/request_id.rs
@@ -0,0 +1,110 @@
+//! Identifiers of requests, chosen by a caller or issued by a daemon.
+
+use std::{fmt, str};
+
+use crate::id;
+
+/// Names one request of one client account.
+///
+/// The identifier is a UUIDv7, so it carries its creation time. One that a daemon issued also
+/// names the incarnation of its coordinator: `<uuid>.<incarnation>`. Another host never dispatches
+/// an issued identifier on its own.
+///
+/// ```
+/// use trefoildyke_types::id::RequestId;
+///
+/// let id: RequestId = "0192d3a4-0000-7000-8000-000000000001".parse()?;
+/// assert_eq!(id.issuer(), None);
+/// # Ok::<(), trefoildyke_types::id::IdError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId {
+    uuid: uuid::Uuid,
+    issuer: Option<id::Incarnation>,
+}
+
+/// Says why a text is not a request identifier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum IdError {
+    /// The text is not a UUID.
+    #[error("the request id is not a UUID; send a UUIDv7, or none to have one issued")]
+    NotUuid,
+    /// The UUID has another version and so carries no time.
+    #[error(
+        "the request id is not a UUIDv7; its time decides how long answers are kept, so send version 7"
+    )]
+    NotVersion7,
+    /// The part after the dot is not an incarnation.
+    #[error(
+        "the request id's part after the dot is not an incarnation; send the issued id unchanged"
+    )]
+    BadIssuer,
+}
+
+impl RequestId {
+    /// Creates an identifier that a caller chose.
+    pub const fn chosen(uuid: uuid::Uuid) -> Self {
+        Self { uuid, issuer: None }
+    }
+
+    /// Creates an identifier that the daemon with incarnation `issuer` issues.
+    pub const fn issued(uuid: uuid::Uuid, issuer: id::Incarnation) -> Self {
+        Self { uuid, issuer: Some(issuer) }
+    }
+
+    /// Returns the UUID.
+    pub const fn uuid(&self) -> uuid::Uuid {
+        self.uuid
+    }
+
+    /// Returns the incarnation of the daemon that issued the identifier, if one did.
+    pub const fn issuer(&self) -> Option<id::Incarnation> {
+        self.issuer
+    }
+
+    /// Returns the creation time, in milliseconds since the Unix epoch.
+    pub fn created_ms(&self) -> u64 {
+        let bytes = self.uuid.as_bytes();
+        bytes[..6].iter().fold(0, |ms, byte| (ms << 8) | u64::from(*byte))
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.uuid)?;
+        match self.issuer {
+            Some(issuer) => write!(f, ".{issuer}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl str::FromStr for RequestId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (uuid, issuer) = match text.split_once('.') {
+            Some((uuid, issuer)) => (uuid, Some(issuer)),
+            None => (text, None),
+        };
+        let uuid = uuid::Uuid::try_parse(uuid).map_err(|_| IdError::NotUuid)?;
+        if uuid.get_version_num() != 7 {
+            return Err(IdError::NotVersion7);
+        }
+        let issuer = issuer.map(str::parse).transpose().map_err(|_| IdError::BadIssuer)?;
+        Ok(Self { uuid, issuer })
+    }
+}
+
+impl serde::Serialize for RequestId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for RequestId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/types/src/resource/resource_key.rs
@@ -0,0 +1,23 @@
+//! The identity of a resource.
+
+use std::fmt;
+
+use crate::resource;
+
+/// Names one resource.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct ResourceKey {
+    /// The kind.
+    pub kind: resource::Kind,
+    /// The name, unique within the kind.
+    pub name: String,
+}
+
+impl fmt::Display for ResourceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients and servers for the platform, endpoints and peers.
--- /dev/null
+++ b/testbed/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems, a load tool and experiments.
