Mark unrecorded ids and put the body's fingerprint into intents

A coordinator that dispatches while the key-value service is down leaves no record, so a missing record proves nothing about such an id. The id itself now says so (suffix 'u'): no other host ever dispatches it. An intent names the body's fingerprint, so that a second attempt with another body is refused and never given the first body's answer.

--- a/crates/types/src/id/request_id.rs
+++ b/crates/types/src/id/request_id.rs
@@ -7,8 +7,9 @@
 /// Names one request of one client account.
 ///
 /// The identifier is a UUIDv7, so it carries its creation time. One that a daemon issued also
-/// names the incarnation of its coordinator: `<uuid>.<incarnation>`. Another host never dispatches
-/// an issued identifier on its own.
+/// names the incarnation of its coordinator: `<uuid>.<incarnation>`. Another host dispatches it
+/// only if no record exists for it. One that was issued while no record could be written ends in
+/// `u` for unrecorded, `<uuid>.<incarnation>u`, and no other host ever dispatches it.
 ///
 /// ```
 /// use trefoildyke_types::id::RequestId;
@@ -21,8 +22,12 @@
 pub struct RequestId {
     uuid: uuid::Uuid,
     issuer: Option<id::Incarnation>,
+    /// Set only if there is an issuer.
+    unrecorded: bool,
 }
 
+const UNRECORDED_MARK: char = 'u';
+
 /// Says why a text is not a request identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IdError {
@@ -44,12 +49,19 @@
 impl RequestId {
     /// Creates an identifier that a caller chose.
     pub const fn chosen(uuid: uuid::Uuid) -> Self {
-        Self { uuid, issuer: None }
+        Self { uuid, issuer: None, unrecorded: false }
     }
 
     /// Creates an identifier that the daemon with incarnation `issuer` issues.
     pub const fn issued(uuid: uuid::Uuid, issuer: id::Incarnation) -> Self {
-        Self { uuid, issuer: Some(issuer) }
+        Self { uuid, issuer: Some(issuer), unrecorded: false }
+    }
+
+    /// Creates an identifier that only the daemon with incarnation `issuer` may ever dispatch.
+    ///
+    /// It is issued while the key-value service is down, so its dispatch leaves no record.
+    pub const fn unrecorded(uuid: uuid::Uuid, issuer: id::Incarnation) -> Self {
+        Self { uuid, issuer: Some(issuer), unrecorded: true }
     }
 
     /// Returns the UUID.
@@ -62,6 +74,11 @@
         self.issuer
     }
 
+    /// Returns whether the identifier is dispatched without a record, and by its issuer only.
+    pub const fn is_unrecorded(&self) -> bool {
+        self.unrecorded
+    }
+
     /// Returns the creation time, in milliseconds since the Unix epoch.
     pub fn created_ms(&self) -> u64 {
         let bytes = self.uuid.as_bytes();
@@ -73,6 +90,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.uuid)?;
         match self.issuer {
+            Some(issuer) if self.unrecorded => write!(f, ".{issuer}{UNRECORDED_MARK}"),
             Some(issuer) => write!(f, ".{issuer}"),
             None => Ok(()),
         }
@@ -91,8 +109,13 @@
         if uuid.get_version_num() != 7 {
             return Err(IdError::NotVersion7);
         }
-        let issuer = issuer.map(str::parse).transpose().map_err(|_| IdError::BadIssuer)?;
-        Ok(Self { uuid, issuer })
+        let Some(issuer) = issuer else {
+            return Ok(Self::chosen(uuid));
+        };
+        let recorded = issuer.strip_suffix(UNRECORDED_MARK);
+        let unrecorded = recorded.is_some();
+        let issuer = recorded.unwrap_or(issuer).parse().map_err(|_| IdError::BadIssuer)?;
+        Ok(Self { uuid, issuer: Some(issuer), unrecorded })
     }
 }
 
--- a/crates/types/src/request/chunk.rs
+++ b/crates/types/src/request/chunk.rs
@@ -5,7 +5,7 @@
 /// Holds one piece of an answer.
 ///
 /// Every chunk names its request, so an answer that comes on the wrong connection is recognised.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Chunk {
     /// The request that the chunk answers.
@@ -20,7 +20,7 @@
 }
 
 /// Says how an answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Finish {
     /// The answer is whole.
--- a/crates/types/src/request/intent.rs
+++ b/crates/types/src/request/intent.rs
@@ -3,7 +3,7 @@
 use crate::id;
 
 /// Records that a coordinator is about to dispatch; written before the dispatch.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Intent {
     /// The coordinator that will dispatch.
@@ -12,10 +12,12 @@
     pub nonce: id::Nonce,
     /// Where the coordinator will dispatch, for resuming the stream.
     pub endpoint: id::EndpointName,
+    /// The fingerprint of the request's body; another body under the same identifier is refused.
+    pub fingerprint: u64,
 }
 
 /// Holds what the key-value service knows of one request; created once and never changed.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Record {
     /// The request is dispatched by the named coordinator and by nobody else.
--- a/crates/types/src/request/permit.rs
+++ b/crates/types/src/request/permit.rs
@@ -6,7 +6,7 @@
 ///
 /// A permit orders and places; it does not make a dispatch safe. That is what the coordinator's
 /// own state and the intent are for. An expired permit is handed back unused.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Permit {
     /// The request.
--- a/crates/types/src/request/refusal.rs
+++ b/crates/types/src/request/refusal.rs
@@ -21,7 +21,7 @@
 }
 
 /// Refuses a request, with the remedy and when to come back.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Refusal {
     /// What is certain.
--- /dev/null
+++ b/crates/types/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the shared domain types.
+
+mod request_id;
