--- /dev/null
+++ b/crates/wire/src/http/client.rs
@@ -0,0 +1,164 @@
+//! A pooled client with a deadline on every call.
+
+use std::{sync, time};
+
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body;
+use hyper_util::{client::legacy, rt};
+
+use crate::http;
+use crate::http::executor;
+
+type Pool = legacy::Client<legacy::connect::HttpConnector, Full<bytes::Bytes>>;
+
+/// Sends requests over pooled connections.
+///
+/// A call that meets its deadline gives up its connection, and the whole pool is replaced: when
+/// one connection has gone silent, its unused neighbours may have as well. Clones share the pool.
+#[derive(Clone, Debug)]
+pub struct Client {
+    shared: sync::Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    limits: http::ClientLimits,
+    executor: executor::Executor,
+    current: sync::RwLock<Generation>,
+}
+
+/// One pool. `number` rises with each replacement, so that calls which fail together replace it
+/// once.
+#[derive(Clone, Debug)]
+struct Generation {
+    number: u64,
+    pool: Pool,
+}
+
+impl Client {
+    /// Creates a client without connections.
+    pub fn new(limits: http::ClientLimits) -> Self {
+        let executor = executor::Executor::default();
+        let current = Generation { number: 0, pool: new_pool(&limits, &executor) };
+        let shared = Shared { limits, executor, current: sync::RwLock::new(current) };
+        Self { shared: sync::Arc::new(shared) }
+    }
+
+    /// Sends a request and reads the whole answer within `deadline`.
+    pub async fn call(
+        &self,
+        request: hyper::Request<bytes::Bytes>,
+        deadline: time::Duration,
+    ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
+        let generation = self.generation();
+        let whole = self.exchange(&generation, request);
+        self.bounded(&generation, deadline, whole).await
+    }
+
+    /// Sends a request and returns once the answer's head has come, within `deadline`.
+    ///
+    /// The reader of the body bounds its own waits; see [`http::EventReader`].
+    pub async fn open(
+        &self,
+        request: hyper::Request<bytes::Bytes>,
+        deadline: time::Duration,
+    ) -> Result<hyper::Response<body::Incoming>, http::CallError> {
+        let generation = self.generation();
+        let head = send(&generation, request);
+        self.bounded(&generation, deadline, head).await
+    }
+
+    /// Gives up all pooled connections, so that the next calls open new ones.
+    pub fn replace_connections(&self) {
+        self.replace(self.generation().number);
+    }
+
+    /// Closes unused connections and waits until all connections have ended.
+    ///
+    /// Calls in progress hold their connections, so end those first.
+    pub async fn close(self) {
+        self.replace_connections();
+        self.shared.executor.join().await;
+    }
+
+    async fn exchange(
+        &self,
+        generation: &Generation,
+        request: hyper::Request<bytes::Bytes>,
+    ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
+        let (head, body) = send(generation, request).await?.into_parts();
+        let body = Limited::new(body, self.shared.limits.body)
+            .collect()
+            .await
+            .map_err(|error| http::CallError::Lost(error.to_string()))?;
+        Ok(hyper::Response::from_parts(head, body.to_bytes()))
+    }
+
+    async fn bounded<T>(
+        &self,
+        generation: &Generation,
+        deadline: time::Duration,
+        call: impl Future<Output = Result<T, http::CallError>>,
+    ) -> Result<T, http::CallError> {
+        match tokio::time::timeout(deadline, call).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.replace(generation.number);
+                let detail = format!("nothing came within {} ms", deadline.as_millis());
+                Err(http::CallError::Lost(detail))
+            }
+        }
+    }
+
+    fn generation(&self) -> Generation {
+        let current = self.shared.current.read();
+        current.unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+
+    fn replace(&self, number: u64) {
+        let current = self.shared.current.write();
+        let mut current = current.unwrap_or_else(sync::PoisonError::into_inner);
+        if current.number == number {
+            let pool = new_pool(&self.shared.limits, &self.shared.executor);
+            *current = Generation { number: number + 1, pool };
+        }
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(http::ClientLimits::default())
+    }
+}
+
+async fn send(
+    generation: &Generation,
+    request: hyper::Request<bytes::Bytes>,
+) -> Result<hyper::Response<body::Incoming>, http::CallError> {
+    generation.pool.request(request.map(Full::new)).await.map_err(|error| {
+        let detail = describe(&error);
+        if error.is_connect() {
+            http::CallError::NotSent(detail)
+        } else {
+            http::CallError::Lost(detail)
+        }
+    })
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {}", describe(source)),
+        None => error.to_string(),
+    }
+}
+
+fn new_pool(limits: &http::ClientLimits, executor: &executor::Executor) -> Pool {
+    let mut connector = legacy::connect::HttpConnector::new();
+    connector.set_connect_timeout(Some(limits.connect));
+    connector.set_nodelay(true);
+    legacy::Client::builder(executor.clone())
+        .pool_timer(rt::TokioTimer::new())
+        .pool_idle_timeout(limits.idle)
+        .pool_max_idle_per_host(limits.pooled)
+        .build(connector)
+}
--- /dev/null
+++ b/crates/wire/src/http/event_reader.rs
@@ -0,0 +1,94 @@
+//! Reads server-sent events.
+
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper::body;
+
+use crate::http;
+
+/// Reads server-sent events from the body of an answer.
+#[derive(Debug)]
+pub struct EventReader {
+    body: body::Incoming,
+    /// What has come and is not yet a whole item; never longer than `limit` plus one frame.
+    buffer: bytes::BytesMut,
+    limit: usize,
+}
+
+impl EventReader {
+    /// Creates a reader that refuses an item longer than `limit` bytes.
+    pub fn new(body: body::Incoming, limit: usize) -> Self {
+        Self { body, buffer: bytes::BytesMut::new(), limit }
+    }
+
+    /// Returns the next item, or `None` at the proper end of the stream.
+    ///
+    /// Fails with [`http::CallError::Lost`] if nothing came for `silence` or the stream broke off.
+    pub async fn next(
+        &mut self,
+        silence: time::Duration,
+    ) -> Result<Option<http::Event>, http::CallError> {
+        loop {
+            if let Some(item) = self.take_item() {
+                return parse(&item).map(Some);
+            }
+            if self.buffer.len() > self.limit {
+                let detail = format!("an event is longer than {} bytes", self.limit);
+                return Err(http::CallError::Unusable(detail));
+            }
+            if !self.fill(silence).await? {
+                return self.finish();
+            }
+        }
+    }
+
+    async fn fill(&mut self, silence: time::Duration) -> Result<bool, http::CallError> {
+        let frame = tokio::time::timeout(silence, self.body.frame()).await.map_err(|_| {
+            http::CallError::Lost(format!("nothing came for {} ms", silence.as_millis()))
+        })?;
+        let Some(frame) = frame else {
+            return Ok(false);
+        };
+        let frame = frame.map_err(|error| http::CallError::Lost(error.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            self.buffer.extend_from_slice(data);
+        }
+        Ok(true)
+    }
+
+    fn finish(&self) -> Result<Option<http::Event>, http::CallError> {
+        if self.buffer.is_empty() {
+            return Ok(None);
+        }
+        Err(http::CallError::Lost("the stream ended within an event".to_owned()))
+    }
+
+    fn take_item(&mut self) -> Option<bytes::Bytes> {
+        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+        Some(self.buffer.split_to(end + 2).freeze())
+    }
+}
+
+fn parse(item: &[u8]) -> Result<http::Event, http::CallError> {
+    let text = std::str::from_utf8(item)
+        .map_err(|_| http::CallError::Unusable("an event is not UTF-8".to_owned()))?;
+    let mut name = String::new();
+    let mut data = Vec::new();
+    for line in text.lines() {
+        if let Some(value) = field(line, "data:") {
+            data.push(value);
+        } else if let Some(value) = field(line, "event:") {
+            value.clone_into(&mut name);
+        }
+    }
+    if data.is_empty() {
+        return Ok(http::Event::Comment);
+    }
+    Ok(http::Event::Message { name, data: data.join("\n") })
+}
+
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let value = line.strip_prefix(name)?;
+    Some(value.strip_prefix(' ').unwrap_or(value))
+}
--- /dev/null
+++ b/crates/wire/src/http/executor.rs
@@ -0,0 +1,26 @@
+//! Runs the connection tasks of a client where they can be joined.
+
+use hyper::rt;
+use tokio_util::task;
+
+/// Spawns futures that its owner can wait for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Executor(task::TaskTracker);
+
+impl Executor {
+    /// Waits until every future has ended.
+    pub(crate) async fn join(&self) {
+        self.0.close();
+        self.0.wait().await;
+    }
+}
+
+impl<F> rt::Executor<F> for Executor
+where
+    F: Future + Send + 'static,
+    F::Output: Send + 'static,
+{
+    fn execute(&self, future: F) {
+        self.0.spawn(future);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http/mod.rs
@@ -0,0 +1,29 @@
+//! Small helpers over `hyper` that all clients and servers share.
+//!
+//! - [`Client`] sends requests with a deadline on every call and replaces connections that have
+//!   gone silent.
+//! - [`Server`] accepts connections within limits and joins the task of each one.
+//! - [`EventSender`] and [`EventReader`] write and read server-sent events.
+
+mod body;
+mod call_error;
+mod client;
+mod client_limits;
+mod event;
+mod event_reader;
+mod event_sender;
+mod executor;
+mod reply;
+mod server;
+mod server_limits;
+
+pub use body::{Aborted, Body, BodySender};
+pub use call_error::CallError;
+pub use client::Client;
+pub use client_limits::ClientLimits;
+pub use event::Event;
+pub use event_reader::EventReader;
+pub use event_sender::EventSender;
+pub use reply::{json, json_request, parse, read_body, read_json};
+pub use server::{Call, Server};
+pub use server_limits::ServerLimits;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,3 @@
 //! Clients and servers for the platform, endpoints and peers.
+
+pub mod http;
--- /dev/null
+++ b/crates/wire/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the clients and servers.
+
+#![allow(clippy::unwrap_used)]
+
+mod http;
