wire: calls between daemons over an authenticated, upgraded connection

One tarpc trait, `Peer`, with MessagePack frames over `GET /peer`. Keys are a list: the first signs and all verify.

Heartbeats are empty frames, sent only by a side that has nothing else to send: a ping call was ruled out, since it costs a whole tarpc call each way. Silence ends the connection on both sides.

Each method of the server is one closure in a plain struct.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,3 +1,4 @@
 //! Clients and servers for the platform, endpoints and peers.
 
 pub mod http;
+pub mod peer;
--- /dev/null
+++ b/crates/wire/src/peer/error.rs
@@ -0,0 +1,76 @@
+//! Errors of peer connections.
+
+use std::{io, net};
+
+use trefoildyke_types::{error, id};
+
+/// Says why a peer connection could not be made or has ended.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address does not take connections.
+    #[error(
+        "cannot connect to peer {address}: {source}; check that its daemon runs and listens there"
+    )]
+    Connect {
+        /// The peer's address.
+        address: net::SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The handshake took too long.
+    #[error(
+        "the peer handshake took too long; the peer is overloaded or the path is cut, try again"
+    )]
+    HandshakeTimeout,
+    /// The HTTP part of the handshake failed.
+    #[error("the peer handshake failed: {0}; check that the address is a daemon's peer address")]
+    Handshake(String),
+    /// The other side does not hold the shared key.
+    #[error(
+        "the peer does not prove the shared key; give both daemons a common key in `peer.keys`"
+    )]
+    WrongKey,
+    /// The address belongs to another life of a daemon.
+    #[error("the peer is incarnation {found}, not {wanted}; use the current member view")]
+    WrongIncarnation {
+        /// The incarnation that was asked for.
+        wanted: id::Incarnation,
+        /// The incarnation that answered.
+        found: id::Incarnation,
+    },
+    /// No heartbeat came in time.
+    #[error("the peer connection went silent; open a new one")]
+    Silent,
+    /// The other side closed the connection.
+    #[error("the peer closed the connection; open a new one")]
+    Closed,
+    /// The connection failed.
+    #[error("the peer connection failed: {0}; open a new one")]
+    Io(#[from] io::Error),
+    /// A frame could not be read or written.
+    #[error(
+        "the peer sent or was sent a frame of the wrong form: {0}; check that both daemons run compatible versions"
+    )]
+    Frame(String),
+    /// No usable key is set.
+    #[error("no shared key is set; list at least one key of 16 bytes or more in `peer.keys`")]
+    NoKey,
+}
+
+impl From<hyper::Error> for Error {
+    fn from(source: hyper::Error) -> Self {
+        Self::Handshake(source.to_string())
+    }
+}
+
+impl From<Error> for error::Error {
+    fn from(source: Error) -> Self {
+        let kind = match source {
+            Error::WrongKey => error::ErrorKind::Unauthorized,
+            Error::NoKey => error::ErrorKind::Invalid,
+            Error::Frame(_) | Error::Handshake(_) => error::ErrorKind::Protocol,
+            _ => error::ErrorKind::Unavailable,
+        };
+        Self::new(kind, source.to_string())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer/methods.rs
@@ -0,0 +1,144 @@
+//! What a daemon does when a peer calls it.
+
+use std::{future, sync};
+
+use futures::future::BoxFuture;
+use trefoildyke_types::{error, id, request};
+
+use crate::peer;
+
+/// Says who calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The caller's incarnation, as its proof states it.
+    pub incarnation: id::Incarnation,
+}
+
+/// Answers one kind of call.
+pub type Method<Request, Answer> =
+    sync::Arc<dyn Fn(Caller, Request) -> BoxFuture<'static, Answer> + Send + Sync>;
+
+/// Holds one closure for each call of [`peer::Peer`].
+///
+/// The default answers every call as unavailable; a service replaces the calls that it serves.
+#[derive(Clone)]
+pub struct Methods {
+    /// Serves [`peer::Peer::exchange`].
+    pub exchange: Method<peer::Payload, Result<peer::Payload, error::Error>>,
+    /// Serves [`peer::Peer::ask`].
+    pub ask: Method<peer::AskRequest, Result<request::Permit, request::Refusal>>,
+    /// Serves [`peer::Peer::report`].
+    pub report: Method<peer::ReportRequest, Result<(), error::Error>>,
+    /// Serves [`peer::Peer::read`].
+    pub read: Method<peer::ReadRequest, Result<peer::ReadAnswer, error::Error>>,
+    /// Serves [`peer::Peer::commit`].
+    pub commit: Method<peer::CommitRequest, Result<Vec<peer::Settled>, error::Error>>,
+    /// Serves [`peer::Peer::look_up`].
+    pub look_up: Method<id::RequestKey, Result<Option<request::Record>, error::Error>>,
+    /// Serves [`peer::Peer::changes`].
+    pub changes: Method<u64, Result<peer::Changes, error::Error>>,
+}
+
+impl Methods {
+    /// Wraps an async function as a method.
+    pub fn method<Request, Answer, F, Fut>(serve: F) -> Method<Request, Answer>
+    where
+        F: Fn(Caller, Request) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = Answer> + Send + 'static,
+    {
+        sync::Arc::new(move |caller, request| Box::pin(serve(caller, request)))
+    }
+}
+
+impl Default for Methods {
+    fn default() -> Self {
+        Self {
+            exchange: unavailable("exchange"),
+            ask: Self::method(|_, _| future::ready(Err(no_scheduler()))),
+            report: unavailable("report"),
+            read: unavailable("read"),
+            commit: unavailable("commit"),
+            look_up: unavailable("look_up"),
+            changes: unavailable("changes"),
+        }
+    }
+}
+
+fn unavailable<Request: 'static, Answer: Send + 'static>(
+    call: &'static str,
+) -> Method<Request, Result<Answer, error::Error>> {
+    Methods::method(move |_, _| {
+        let message = format!("this daemon does not serve `{call}` yet");
+        future::ready(Err(error::Error::new(error::ErrorKind::Unavailable, message)))
+    })
+}
+
+fn no_scheduler() -> request::Refusal {
+    let remedy = "the daemon has no scheduler yet; send the request again";
+    request::Refusal::new(request::RefusalKind::NotRun, "no_scheduler", remedy).retry_after(1_000)
+}
+
+/// Serves the calls of one connection.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) caller: Caller,
+    pub(crate) methods: sync::Arc<Methods>,
+}
+
+impl peer::Peer for Server {
+    async fn exchange(
+        self,
+        _: tarpc::context::Context,
+        digest: peer::Payload,
+    ) -> Result<peer::Payload, error::Error> {
+        (self.methods.exchange)(self.caller, digest).await
+    }
+
+    async fn ask(
+        self,
+        _: tarpc::context::Context,
+        ask: peer::AskRequest,
+    ) -> Result<request::Permit, request::Refusal> {
+        (self.methods.ask)(self.caller, ask).await
+    }
+
+    async fn report(
+        self,
+        _: tarpc::context::Context,
+        report: peer::ReportRequest,
+    ) -> Result<(), error::Error> {
+        (self.methods.report)(self.caller, report).await
+    }
+
+    async fn read(
+        self,
+        _: tarpc::context::Context,
+        read: peer::ReadRequest,
+    ) -> Result<peer::ReadAnswer, error::Error> {
+        (self.methods.read)(self.caller, read).await
+    }
+
+    async fn commit(
+        self,
+        _: tarpc::context::Context,
+        commit: peer::CommitRequest,
+    ) -> Result<Vec<peer::Settled>, error::Error> {
+        (self.methods.commit)(self.caller, commit).await
+    }
+
+    async fn look_up(
+        self,
+        _: tarpc::context::Context,
+        key: id::RequestKey,
+    ) -> Result<Option<request::Record>, error::Error> {
+        (self.methods.look_up)(self.caller, key).await
+    }
+
+    async fn changes(
+        self,
+        _: tarpc::context::Context,
+        from: u64,
+    ) -> Result<peer::Changes, error::Error> {
+        (self.methods.changes)(self.caller, from).await
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,32 @@
+//! Calls between daemons: tarpc with MessagePack over an upgraded HTTP/1.1 connection.
+//!
+//! A connection starts with `GET /peer` and `Upgrade: trefoildyke-peer`. Both sides prove that
+//! they hold the shared key before a call is sent or served. Each side sends a heartbeat when it has
+//! nothing else to send; a side that hears nothing for [`Limits::silence`] gives the connection up.
+//!
+//! The connection is authenticated but not encrypted: the key keeps strangers out, and the network
+//! between the hosts is trusted not to alter what passes.
+
+mod connect;
+mod error;
+mod handshake;
+mod headers;
+mod keys;
+mod limits;
+mod message;
+mod methods;
+mod pump;
+mod serve;
+mod service;
+
+pub use connect::{Connection, connect};
+pub use error::Error;
+pub use handshake::{PROTOCOL, Proof, Role, Transcript};
+pub use keys::Keys;
+pub use limits::Limits;
+pub use message::{
+    AskRequest, Changes, CommitRequest, Payload, ReadAnswer, ReadRequest, ReportRequest, Settled,
+};
+pub use methods::{Caller, Method, Methods};
+pub use serve::{Identity, serve};
+pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, within};
--- a/crates/wire/tests/testsuite/main.rs
+++ b/crates/wire/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 #![allow(clippy::unwrap_used)]
 
 mod http;
+mod peer;
