--- /dev/null
+++ b/crates/decide/src/config/apply.rs
@@ -0,0 +1,76 @@
+//! The step from one version to the next.
+
+use std::{collections, sync};
+
+use trefoildyke_types::{error, resource};
+
+use crate::config::{ChangeSet, Deletion, Snapshot, check};
+
+/// Applies a change as a whole and returns the next version.
+///
+/// # Errors
+///
+/// Fails with `Conflict` and the version that stands if another writer was first, `NotFound` if a
+/// resource to delete does not exist, and `Invalid` with the field's path if a resource, or the
+/// whole that the change would lead to, is not valid. Nothing is applied then.
+pub fn apply(snapshot: &Snapshot, change: &ChangeSet) -> Result<Snapshot, error::Error> {
+    check::change(change)?;
+    let version = snapshot.version() + 1;
+    let mut resources = snapshot.resources().clone();
+    for deletion in &change.deletions {
+        delete(&mut resources, deletion)?;
+    }
+    for resource in &change.puts {
+        check::resource(resource)?;
+        put(&mut resources, resource, version)?;
+    }
+    check::whole(&resources, change)?;
+    Ok(Snapshot::new(version, resources))
+}
+
+type Resources = collections::BTreeMap<resource::ResourceKey, sync::Arc<resource::Resource>>;
+
+fn delete(resources: &mut Resources, deletion: &Deletion) -> Result<(), error::Error> {
+    let key = &deletion.key;
+    let Some(standing) = resources.get(key) else {
+        return Err(error::Error::new(error::ErrorKind::NotFound, "does not exist")
+            .about(key)
+            .remedy("correct the name; if it was deleted before, nothing is left to do"));
+    };
+    if let Some(expected) = deletion.resource_version {
+        expect(key, standing.resource_version, expected)?;
+    }
+    resources.remove(key);
+    Ok(())
+}
+
+fn put(
+    resources: &mut Resources,
+    resource: &resource::Resource,
+    version: u64,
+) -> Result<(), error::Error> {
+    let key = resource.key();
+    let standing = resources.get(&key).map_or((0, 0), |r| (r.resource_version, r.generation));
+    expect(&key, standing.0, resource.resource_version)?;
+    let accepted = resource::Resource {
+        name: resource.name.clone(),
+        spec: resource.spec.clone(),
+        generation: standing.1 + 1,
+        resource_version: version,
+        status: None,
+    };
+    resources.insert(key, sync::Arc::new(accepted));
+    Ok(())
+}
+
+fn expect(key: &resource::ResourceKey, standing: u64, expected: u64) -> Result<(), error::Error> {
+    if standing == expected {
+        return Ok(());
+    }
+    let message = match (standing, expected) {
+        (0, _) => format!("version {expected} was to be replaced, but it does not exist"),
+        (_, 0) => "was to be created, but it exists".to_owned(),
+        _ => format!("version {expected} was to be replaced, but another one stands"),
+    };
+    Err(error::Error::new(error::ErrorKind::Conflict, message).about(key).current(standing))
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,3 @@
 //! Pure decisions: state in, event in, actions out.
+
+pub mod config;
