Add the pure engine model

Experiments and the engine stand-in need the same engine: continuous batching with chunked prefill, a limited prefix cache, late and gappy cache events and stale load reports, in virtual time.

--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The crate holds plain data: no clock, no I/O and no decisions.
 
+pub mod engine;
 pub mod error;
 pub mod event;
 pub mod id;
