--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -156,6 +156,7 @@
     let mut connector = legacy::connect::HttpConnector::new();
     connector.set_connect_timeout(Some(limits.connect));
     connector.set_nodelay(true);
+    connector.set_local_address(limits.local);
     legacy::Client::builder(executor.clone())
         .pool_timer(rt::TokioTimer::new())
         .pool_idle_timeout(limits.idle)
--- a/crates/wire/src/http/client_limits.rs
+++ b/crates/wire/src/http/client_limits.rs
@@ -1,6 +1,6 @@
 //! Limits of a client.
 
-use std::time;
+use std::{net, time};
 
 /// Limits what a [`crate::http::Client`] spends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub pooled: usize,
     /// The largest body of an answer, in bytes.
     pub body: usize,
+    /// The address that connections are opened from; `None` leaves it to the operating system.
+    pub local: Option<net::IpAddr>,
 }
 
 impl Default for ClientLimits {
@@ -22,6 +24,7 @@
             idle: time::Duration::from_secs(20),
             pooled: 64,
             body: 8 << 20,
+            local: None,
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod peer;
+pub mod platform;
--- /dev/null
+++ b/testbed/src/command/mod.rs
@@ -0,0 +1,31 @@
+//! The subcommands, one file each.
+
+mod hosts;
+mod kv;
+mod stop;
+
+/// Runs stand-ins for the outside systems, and experiments.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct Options {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, gumdrop::Options)]
+enum Command {
+    #[options(help = "run a key-value service")]
+    Kv(kv::Options),
+    #[options(help = "run a host list")]
+    Hosts(hosts::Options),
+}
+
+/// Runs the subcommand that the options name.
+pub(crate) async fn run(options: Options) -> anyhow::Result<()> {
+    match options.command {
+        Some(Command::Kv(options)) => kv::run(options).await,
+        Some(Command::Hosts(options)) => hosts::run(options).await,
+        None => anyhow::bail!("no subcommand given; see --help"),
+    }
+}
--- /dev/null
+++ b/testbed/src/hosts/mod.rs
@@ -0,0 +1,8 @@
+//! A stand-in for the platform's list of hosts, which lags behind the truth.
+
+mod history;
+mod running;
+mod settings;
+
+pub use running::{Running, serve};
+pub use settings::Settings;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-ins for the outside systems, a load tool and experiments.
 
+pub mod hosts;
+pub mod kv;
 pub mod model;
+pub mod switch;
