Decide each step of a request at its coordinator

One function admits, one function moves a request. Rules that were weighed: - Ids that a caller chose are always recorded before a dispatch, so a missing record is a proof and a request that only waited when its coordinator died can be taken over. The price: while no record can be written they are refused; idempotent requests without an id go on under an unrecorded id, which no other host ever dispatches. A record created past the id's retention proves nothing. - A refusal of a possible second attempt is 'not_run' only after the id was closed or the own intent stands; otherwise it is 'outcome_unknown'.

--- /dev/null
+++ b/crates/decide/src/coordinate/admit.rs
@@ -0,0 +1,110 @@
+//! The rules by which a daemon takes a request.
+
+use trefoildyke_types::{id, request};
+
+use crate::coordinate::{
+    Admission, Arrival, Conditions, OutagePolicy, Reason, Recording, ServiceState,
+};
+
+/// Creates the identifier of a request that came without one.
+///
+/// While no record can be written the identifier says so, and no other host ever dispatches it.
+pub fn issue(uuid: uuid::Uuid, own: id::Incarnation, recording: Recording) -> id::RequestId {
+    match recording {
+        Recording::Required => id::RequestId::issued(uuid, own),
+        Recording::Unrecorded => id::RequestId::unrecorded(uuid, own),
+    }
+}
+
+/// Decides how a daemon takes a request.
+///
+/// # Errors
+///
+/// Returns the refusal if the daemon does not take it. The refusal says `not_run` only for a first
+/// attempt; a request that may be a second attempt is refused with `outcome_unknown`.
+pub fn admit(arrival: &Arrival, now: &Conditions) -> Result<Admission, request::Refusal> {
+    let Some(id) = arrival.id else {
+        return admit_without_id(arrival, now);
+    };
+    if let Some(local) = now.local {
+        return match local.fingerprint == arrival.fingerprint {
+            true => Ok(Admission::Attach),
+            false => Err(Reason::IdReused.invalid()),
+        };
+    }
+    check_age(id, now)?;
+    match id.issuer() {
+        Some(issuer) => admit_issued(id, issuer, now),
+        None => admit_chosen(id, arrival, now),
+    }
+}
+
+fn admit_without_id(arrival: &Arrival, now: &Conditions) -> Result<Admission, request::Refusal> {
+    if !arrival.idempotent {
+        return Err(Reason::IdRequired.invalid());
+    }
+    check_open(now).map_err(Reason::not_run)?;
+    match now.service {
+        ServiceState::Up => Ok(Admission::Issue(Recording::Required)),
+        ServiceState::Down { .. } => Ok(Admission::Issue(Recording::Unrecorded)),
+    }
+}
+
+/// Refuses an identifier whose time is outside the span for which records are kept.
+fn check_age(id: id::RequestId, now: &Conditions) -> Result<(), request::Refusal> {
+    let created = id.created_ms();
+    if created > now.unix_ms.saturating_add(now.skew_ms) {
+        return Err(Reason::IdFromFuture.invalid());
+    }
+    if now.unix_ms.saturating_sub(created) > now.retention_ms {
+        return Err(Reason::IdTooOld.unknown());
+    }
+    Ok(())
+}
+
+fn check_open(now: &Conditions) -> Result<(), Reason> {
+    if now.isolated {
+        return Err(Reason::Isolated);
+    }
+    if now.stopping {
+        return Err(Reason::Stopping);
+    }
+    Ok(())
+}
+
+/// An issued identifier always is a second attempt: the issuer has started the first.
+fn admit_issued(
+    id: id::RequestId,
+    issuer: id::Incarnation,
+    now: &Conditions,
+) -> Result<Admission, request::Refusal> {
+    check_open(now).map_err(Reason::unknown)?;
+    let own = issuer == now.own;
+    match now.service {
+        ServiceState::Up if !id.is_unrecorded() => Ok(Admission::LookUp),
+        _ if own => Err(Reason::NoProof.unknown()),
+        _ => Ok(Admission::Follow(issuer)),
+    }
+}
+
+fn admit_chosen(
+    id: id::RequestId,
+    arrival: &Arrival,
+    now: &Conditions,
+) -> Result<Admission, request::Refusal> {
+    let marked = arrival.is_marked();
+    let refuse = if marked { Reason::unknown } else { Reason::not_run };
+    check_open(now).map_err(refuse)?;
+    let ServiceState::Down { since_ms } = now.service else {
+        return Ok(if marked { Admission::LookUp } else { Admission::Start(Recording::Required) });
+    };
+    if marked || id.created_ms() < since_ms {
+        return Err(Reason::NoProof.unknown());
+    }
+    match now.policy {
+        OutagePolicy::FirstAttempts if arrival.idempotent => {
+            Ok(Admission::Start(Recording::Unrecorded))
+        }
+        _ => Err(Reason::RecordUnavailable.not_run()),
+    }
+}
--- /dev/null
+++ b/crates/decide/src/coordinate/answer.rs
@@ -0,0 +1,119 @@
+//! The steps after a dispatch, by this daemon or another: the answer.
+
+use trefoildyke_types::request;
+
+use crate::coordinate::{Action, Phase, Reason, RequestState};
+
+impl RequestState {
+    /// Passes on what continues the answer; anything else is fetched again.
+    pub(super) fn chunk(&mut self, mut chunk: request::Chunk) -> Vec<Action> {
+        if !matches!(self.phase, Phase::Dispatched { .. } | Phase::Following { .. }) {
+            return vec![];
+        }
+        if chunk.id != self.opening.key.id || chunk.offset > self.offset {
+            return self.stream_lost();
+        }
+        if let Phase::Dispatched { heard, .. } = &mut self.phase {
+            *heard = true;
+        }
+        let known = usize::try_from(self.offset - chunk.offset).unwrap_or(usize::MAX);
+        chunk.tokens.drain(..known.min(chunk.tokens.len()));
+        if chunk.tokens.is_empty() && chunk.finish.is_none() {
+            return vec![];
+        }
+        chunk.offset = self.offset;
+        self.offset += chunk.tokens.len() as u64;
+        match chunk.finish {
+            Some(request::Finish::Cancelled) => {
+                self.refuse(Reason::Cancelled.refuse(request::RefusalKind::Failed))
+            }
+            Some(request::Finish::Whole) => {
+                self.phase = Phase::Answered;
+                vec![Action::Deliver(chunk)]
+            }
+            None => vec![Action::Deliver(chunk)],
+        }
+    }
+
+    /// Follows the answer of the dispatch that the record names.
+    pub(super) fn follow(&mut self, intent: request::Intent) -> Vec<Action> {
+        let mut actions = self.let_go();
+        if intent.fingerprint != self.opening.fingerprint {
+            actions.extend(self.refuse(Reason::IdReused.invalid()));
+            return actions;
+        }
+        let own = intent.coordinator == self.opening.own;
+        let coordinator = if own { None } else { Some(intent.coordinator) };
+        self.phase = Phase::Following { coordinator, endpoint: Some(intent.endpoint) };
+        actions.extend(self.fetch());
+        actions
+    }
+
+    /// Asks for the rest of the answer where it can be had.
+    fn fetch(&mut self) -> Vec<Action> {
+        let offset = self.offset;
+        match &self.phase {
+            Phase::Following { coordinator: Some(coordinator), .. } => {
+                vec![Action::Attach { coordinator: *coordinator, offset }]
+            }
+            Phase::Dispatched { endpoint, .. }
+            | Phase::Following { endpoint: Some(endpoint), .. }
+                if self.opening.resumable =>
+            {
+                vec![Action::Resume { endpoint: endpoint.clone(), offset }]
+            }
+            _ => self.refuse(Reason::AnswerLost.unknown()),
+        }
+    }
+
+    pub(super) fn stream_lost(&mut self) -> Vec<Action> {
+        match self.phase {
+            Phase::Dispatched { .. } | Phase::Following { .. } => self.fetch(),
+            _ => vec![],
+        }
+    }
+
+    pub(super) fn resume_failed(&mut self) -> Vec<Action> {
+        match self.phase {
+            Phase::Dispatched { .. } | Phase::Following { coordinator: None, .. } => {
+                self.refuse(Reason::AnswerLost.unknown())
+            }
+            _ => vec![],
+        }
+    }
+
+    pub(super) fn attach_failed(&mut self) -> Vec<Action> {
+        match &mut self.phase {
+            Phase::Following { coordinator, .. } => {
+                *coordinator = None;
+                self.fetch()
+            }
+            _ => vec![],
+        }
+    }
+
+    pub(super) fn coordinator_refused(&mut self, refusal: request::Refusal) -> Vec<Action> {
+        match self.phase {
+            Phase::Following { .. } => self.refuse(refusal),
+            _ => vec![],
+        }
+    }
+
+    pub(super) fn endpoint_failed(&mut self, refusal: request::Refusal) -> Vec<Action> {
+        match self.phase {
+            Phase::Dispatched { .. } | Phase::Following { .. } => self.refuse(refusal),
+            _ => vec![],
+        }
+    }
+
+    /// Looks for another endpoint: nothing was sent and the right to dispatch still stands.
+    pub(super) fn connect_failed(&mut self) -> Vec<Action> {
+        match self.phase {
+            Phase::Dispatched { heard: false, .. } => {
+                self.phase = Phase::Recorded;
+                vec![Action::Ask]
+            }
+            _ => vec![],
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,3 +1,4 @@
 //! Pure decisions: state in, event in, actions out.
 
 pub mod config;
+pub mod coordinate;
--- /dev/null
+++ b/crates/decide/tests/testsuite/coordinate/mod.rs
@@ -0,0 +1,5 @@
+//! The coordinator's decisions.
+
+mod admit;
+mod fixture;
+mod request_state;
--- /dev/null
+++ b/crates/decide/tests/testsuite/coordinate/request_state.rs
@@ -0,0 +1,190 @@
+//! The steps of one request.
+
+use trefoildyke_decide::coordinate::{
+    Action, Admission, Input, LookUp, Phase, Reason, RecordOutcome, Recording, RequestState,
+};
+use trefoildyke_types::{id, request, time};
+
+use super::fixture::{self, NOW_MS, RETENTION_MS};
+
+fn start(second: bool) -> RequestState {
+    let opening = fixture::opening(fixture::chosen(NOW_MS), second);
+    let admission = Admission::Start(Recording::Required);
+    let (state, actions) = RequestState::start(opening, admission);
+    assert_eq!(actions, [Action::Ask]);
+    state
+}
+
+fn step(state: &mut RequestState, input: Input) -> Vec<Action> {
+    state.step(fixture::now(0), input)
+}
+
+fn recording(second: bool) -> RequestState {
+    let mut state = start(second);
+    let actions = step(&mut state, Input::Permit(fixture::permit("e1")));
+    assert_eq!(actions, [Action::Record(fixture::intent(fixture::own(), fixture::NONCE.0))]);
+    state
+}
+
+fn dispatched() -> RequestState {
+    let mut state = recording(false);
+    let actions = step(&mut state, Input::Recorded(RecordOutcome::Created));
+    assert_eq!(actions, [Action::Dispatch("e1".into())]);
+    state
+}
+
+fn chunk(offset: u64, count: usize, finish: Option<request::Finish>) -> request::Chunk {
+    let tokens = vec!["t".to_owned(); count];
+    request::Chunk { id: fixture::chosen(NOW_MS), offset, tokens, finish }
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_nonce() {
+    for (nonce, own) in [(fixture::NONCE.0, true), (8, false)] {
+        let mut state = recording(false);
+        assert_eq!(step(&mut state, Input::Recorded(RecordOutcome::Unsure)), [Action::LookUp]);
+        let record = fixture::intent(if own { fixture::own() } else { fixture::other() }, nonce);
+        let actions = step(&mut state, Input::LookedUp(LookUp::Found(record)));
+        assert_eq!(actions.contains(&Action::Dispatch("e1".into())), own);
+        assert_eq!(matches!(state.phase(), Phase::Following { .. }), !own);
+    }
+}
+
+#[test]
+fn a_second_attempt_is_closed_before_it_is_refused_as_not_run() {
+    let mut state = start(true);
+    let shed = request::Refusal::new(request::RefusalKind::NotRun, "shed", "later");
+    let closing = Action::Record(request::Record::Closed { nonce: fixture::NONCE });
+    assert_eq!(step(&mut state, Input::Shed(shed.clone())), [closing]);
+    let mut beaten = state.clone();
+    let created = step(&mut state, Input::Recorded(RecordOutcome::Created));
+    assert_eq!(created, [Action::Refuse(shed)]);
+    let exists = RecordOutcome::Exists(fixture::intent(fixture::other(), 8));
+    let refused = step(&mut beaten, Input::Recorded(exists));
+    assert_eq!(refused, [Action::Refuse(Reason::NoProof.unknown())]);
+}
+
+#[test]
+fn an_expired_permit_is_handed_back_and_another_is_asked_for() {
+    let mut state = recording(false);
+    let actions = state.step(fixture::now(100), Input::Recorded(RecordOutcome::Created));
+    assert_eq!(actions, [Action::HandBack(fixture::permit("e1")), Action::Ask]);
+    let actions = step(&mut state, Input::Permit(fixture::permit("e2")));
+    assert_eq!(actions, [Action::Dispatch("e2".into())]);
+}
+
+#[test]
+fn a_pause_or_a_leaving_endpoint_voids_the_permit() {
+    for input in [Input::Paused, Input::EndpointLeaving] {
+        let mut state = recording(false);
+        assert_eq!(step(&mut state, input), []);
+        let actions = step(&mut state, Input::Recorded(RecordOutcome::Created));
+        assert_eq!(actions, [Action::HandBack(fixture::permit("e1")), Action::Ask]);
+    }
+}
+
+#[test]
+fn a_record_created_past_the_retention_proves_nothing() {
+    let mut state = recording(false);
+    let mut now = fixture::now(0);
+    now.unix_ms = NOW_MS + RETENTION_MS + 1;
+    let actions = state.step(now, Input::Recorded(RecordOutcome::Created));
+    assert_eq!(actions.last(), Some(&Action::Refuse(Reason::IdTooOld.unknown())));
+}
+
+#[test]
+fn a_late_permit_is_handed_back() {
+    let mut state = dispatched();
+    let actions = step(&mut state, Input::Permit(fixture::permit("e2")));
+    assert_eq!(actions, [Action::HandBack(fixture::permit("e2"))]);
+    step(&mut state, Input::DeadlinePassed);
+    let actions = step(&mut state, Input::Permit(fixture::permit("e2")));
+    assert_eq!(actions, [Action::HandBack(fixture::permit("e2"))]);
+}
+
+#[test]
+fn crossed_and_gapped_chunks_are_fetched_again() {
+    let mut state = dispatched();
+    let resume = |offset| [Action::Resume { endpoint: "e1".into(), offset }];
+    assert_eq!(step(&mut state, Input::Chunk(chunk(0, 2, None))).len(), 1);
+    let crossed = request::Chunk { id: fixture::chosen(NOW_MS - 1), ..chunk(2, 1, None) };
+    assert_eq!(step(&mut state, Input::Chunk(crossed)), resume(2));
+    assert_eq!(step(&mut state, Input::Chunk(chunk(3, 1, None))), resume(2));
+    assert_eq!(step(&mut state, Input::StreamLost), resume(2));
+    let last = chunk(1, 3, Some(request::Finish::Whole));
+    let delivered = chunk(2, 2, Some(request::Finish::Whole));
+    assert_eq!(step(&mut state, Input::Chunk(last)), [Action::Deliver(delivered)]);
+    assert_eq!(*state.phase(), Phase::Answered);
+}
+
+#[test]
+fn a_dispatched_request_is_never_refused_as_not_run() {
+    for input in [Input::DeadlinePassed, Input::ResumeFailed] {
+        let mut state = dispatched();
+        let actions = step(&mut state, input);
+        let Some(Action::Refuse(refusal)) = actions.last() else { panic!("{actions:?}") };
+        assert_eq!(refusal.kind, request::RefusalKind::OutcomeUnknown);
+    }
+    let mut state = dispatched();
+    assert_eq!(step(&mut state, Input::Stop), []);
+    assert_eq!(step(&mut state, Input::CallerGone), []);
+}
+
+#[test]
+fn a_connection_that_never_stood_leads_to_another_endpoint() {
+    let mut state = dispatched();
+    assert_eq!(step(&mut state, Input::ConnectFailed), [Action::Ask]);
+    let actions = step(&mut state, Input::Permit(fixture::permit("e2")));
+    assert_eq!(actions, [Action::Dispatch("e2".into())]);
+    step(&mut state, Input::Chunk(chunk(0, 1, None)));
+    assert_eq!(step(&mut state, Input::ConnectFailed), []);
+}
+
+#[test]
+fn another_body_under_a_recorded_id_is_invalid() {
+    let opening = coordinate_opening_with_body(10);
+    let (mut state, actions) = RequestState::start(opening, Admission::LookUp);
+    assert_eq!(actions, [Action::LookUp]);
+    let found = LookUp::Found(fixture::intent(fixture::other(), 8));
+    let actions = step(&mut state, Input::LookedUp(found));
+    assert_eq!(actions, [Action::Refuse(Reason::IdReused.invalid())]);
+}
+
+fn coordinate_opening_with_body(fingerprint: u64) -> trefoildyke_decide::coordinate::Opening {
+    let opening = fixture::opening(fixture::chosen(NOW_MS), true);
+    trefoildyke_decide::coordinate::Opening { fingerprint, ..opening }
+}
+
+#[test]
+fn a_follower_goes_from_the_coordinator_to_the_endpoint() {
+    let opening = fixture::opening(fixture::chosen(NOW_MS), true);
+    let (mut state, _) = RequestState::start(opening, Admission::LookUp);
+    let found = LookUp::Found(fixture::intent(fixture::other(), 8));
+    let attach = Action::Attach { coordinator: fixture::other(), offset: 0 };
+    assert_eq!(step(&mut state, Input::LookedUp(found)), [attach]);
+    let resume = Action::Resume { endpoint: "e1".into(), offset: 0 };
+    assert_eq!(step(&mut state, Input::AttachFailed), [resume]);
+    let unknown = Action::Refuse(Reason::AnswerLost.unknown());
+    assert_eq!(step(&mut state, Input::ResumeFailed), [unknown]);
+}
+
+#[test]
+fn only_the_issuer_can_answer_for_an_unrecorded_id() {
+    let id = id::RequestId::unrecorded(fixture::uuid(NOW_MS), fixture::other());
+    let admission = Admission::Follow(fixture::other());
+    let (mut state, actions) = RequestState::start(fixture::opening(id, true), admission);
+    assert_eq!(actions, [Action::Attach { coordinator: fixture::other(), offset: 0 }]);
+    let unknown = Action::Refuse(Reason::AnswerLost.unknown());
+    assert_eq!(step(&mut state, Input::AttachFailed), [unknown]);
+}
+
+#[test]
+fn a_permit_holds_from_its_receipt() {
+    let mut state = start(false);
+    let later = time::Timestamp::from_millis(500);
+    let now = trefoildyke_decide::coordinate::Now { mono: later, unix_ms: NOW_MS };
+    state.step(now, Input::Permit(fixture::permit("e1")));
+    let now = trefoildyke_decide::coordinate::Now { mono: later, unix_ms: NOW_MS };
+    let actions = state.step(now, Input::Recorded(RecordOutcome::Created));
+    assert_eq!(actions, [Action::Dispatch("e1".into())]);
+}
