testbed: scenario files and seeded arrivals

Experiments compare policies on the same arrivals, so a scenario file and a seed decide every request: when it comes, through which host, of which tier, account, length and shared prefix. Unknown keys are refused.

--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the stand-ins and of the engine model.
+//! Tests of the stand-ins, the engine model, the experiments and the load tool.
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
 mod model;
+mod scenario;
