--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod config;
 pub mod coordinate;
+pub mod schedule;
--- /dev/null
+++ b/crates/decide/src/schedule/outcome.rs
@@ -0,0 +1,13 @@
+//! How a permitted request ended.
+
+/// Says how a permitted request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The answer is whole.
+    Whole,
+    /// The request was cancelled.
+    Cancelled,
+    /// The endpoint failed or was lost.
+    Failed,
+}
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod config;
 
 mod coordinate;
+mod schedule_basics;
