wire: clients for engines and plain services

Each start goes out once, on a connection opened for it: a failed connect then proves that nothing was sent, and a pooled connection that went silent while unused cannot swallow a start. Errors tell 'not sent', 'refused' and 'sent, outcome unknown' apart.

--- /dev/null
+++ b/crates/wire/src/endpoint/engine_client.rs
@@ -0,0 +1,217 @@
+//! A client for one model engine.
+
+use std::{net, time};
+
+use hyper::{Method, StatusCode};
+use trefoildyke_types::{engine, error, id};
+
+use crate::{
+    endpoint::{self, message},
+    http,
+};
+
+/// Speaks to one model engine. Clones share connections.
+///
+/// Each stream has a connection of its own, opened for it: so a failed connect proves that nothing
+/// was sent, and a connection that has gone silent while unused cannot swallow a start.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    address: net::SocketAddr,
+    limits: endpoint::Limits,
+    /// Opens a connection for each stream.
+    streams: http::Client,
+    /// Keeps connections for short calls.
+    calls: http::Client,
+}
+
+impl EngineClient {
+    /// Creates a client without connections.
+    pub fn new(address: net::SocketAddr, limits: endpoint::Limits) -> Self {
+        let pooled =
+            http::ClientLimits { connect: limits.connect, body: limits.size, ..Default::default() };
+        let single = http::ClientLimits { pooled: 0, ..pooled };
+        Self {
+            address,
+            limits,
+            streams: http::Client::new(single),
+            calls: http::Client::new(pooled),
+        }
+    }
+
+    /// Returns the engine's address.
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the limits.
+    pub const fn limits(&self) -> &endpoint::Limits {
+        &self.limits
+    }
+
+    /// Starts a stream; sends the request once.
+    pub async fn start(
+        &self,
+        generate: &message::Generate,
+    ) -> Result<endpoint::AnswerStream, endpoint::StartError> {
+        let request = http::json_request(Method::POST, &self.uri("/v1/generate"), generate)
+            .map_err(|error| endpoint::StartError::NotSent(error.to_string()))?;
+        let response = self.streams.open(request, self.limits.answer).await;
+        let response = response.map_err(|error| match error {
+            http::CallError::NotSent(detail) => endpoint::StartError::NotSent(detail),
+            http::CallError::Lost(detail) | http::CallError::Unusable(detail) => {
+                endpoint::StartError::Unknown(detail)
+            }
+        })?;
+        let status = response.status();
+        if status.is_client_error() {
+            let detail = read_detail(response, &self.limits).await;
+            return Err(endpoint::StartError::Refused { status: status.as_u16(), detail });
+        }
+        if status != StatusCode::OK {
+            return Err(endpoint::StartError::Unknown(format!("status {status}")));
+        }
+        let reader = http::EventReader::new(response.into_body(), self.limits.size);
+        Ok(endpoint::AnswerStream::started(self.clone(), generate.key(), reader))
+    }
+
+    /// Returns the stream of a request that was started earlier, from token `offset` on.
+    ///
+    /// Nothing is sent before the first call of [`endpoint::AnswerStream::next`], and nothing that
+    /// could start work.
+    pub fn resume(&self, key: &id::RequestKey, offset: u64) -> endpoint::AnswerStream {
+        endpoint::AnswerStream::resumed(self.clone(), key.clone(), offset)
+    }
+
+    /// Ends a stream and says whether the engine knew it.
+    pub async fn cancel(&self, key: &id::RequestKey) -> Result<bool, error::Error> {
+        let path = format!("/v1/streams/{}/{}", key.account, key.id);
+        let response = self.call(Method::DELETE, &path).await?;
+        match response.status() {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND => Ok(false),
+            status => Err(self.unexpected(status)),
+        }
+    }
+
+    /// Reads the engine's load as it was a while ago.
+    pub async fn load(&self) -> Result<engine::LoadReport, error::Error> {
+        self.read("/v1/load").await
+    }
+
+    /// Reads the cache events published since the call whose `next` was `after`, 0 for all.
+    pub async fn cache_events(&self, after: u64) -> Result<message::CachePage, error::Error> {
+        self.read(&format!("/v1/cache/events?after={after}")).await
+    }
+
+    /// Sends an order once, on a connection of its own, and waits for its end for at most `wait`.
+    pub async fn order(
+        &self,
+        order: &message::Order,
+        wait: time::Duration,
+    ) -> Result<(), endpoint::OrderError> {
+        let request = http::json_request(Method::POST, &self.uri("/v1/orders"), order)
+            .map_err(|error| endpoint::OrderError::NotSent(error.to_string()))?;
+        let response = self.streams.call(request, wait).await.map_err(|error| match error {
+            http::CallError::NotSent(detail) => endpoint::OrderError::NotSent(detail),
+            http::CallError::Lost(detail) | http::CallError::Unusable(detail) => {
+                endpoint::OrderError::Unknown(detail)
+            }
+        })?;
+        judge_order(&response, &order.order)
+    }
+
+    /// Opens the stream of a request from token `offset` on; `None` if the engine does not know it.
+    pub(super) async fn open(
+        &self,
+        key: &id::RequestKey,
+        offset: u64,
+    ) -> Result<Option<http::EventReader>, error::Error> {
+        let path = format!("/v1/streams/{}/{}?offset={offset}", key.account, key.id);
+        let request = self.empty_request(Method::GET, &path)?;
+        let response = self.streams.open(request, self.limits.answer).await;
+        let response = response.map_err(|error| error.reading().about(&self.address))?;
+        match response.status() {
+            StatusCode::OK => {
+                Ok(Some(http::EventReader::new(response.into_body(), self.limits.size)))
+            }
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(self.unexpected(status)),
+        }
+    }
+
+    async fn read<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, error::Error> {
+        let response = self.call(Method::GET, path).await?;
+        if response.status() != StatusCode::OK {
+            return Err(self.unexpected(response.status()));
+        }
+        http::parse(&response).map_err(|error| error.reading().about(&self.address))
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<hyper::Response<bytes::Bytes>, error::Error> {
+        let request = self.empty_request(method, path)?;
+        let response = self.calls.call(request, self.limits.answer).await;
+        response.map_err(|error| error.reading().about(&self.address))
+    }
+
+    fn empty_request(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<hyper::Request<bytes::Bytes>, error::Error> {
+        let request = hyper::Request::builder().method(method).uri(self.uri(path));
+        request
+            .body(bytes::Bytes::new())
+            .map_err(|error| error::Error::new(error::ErrorKind::Invalid, error.to_string()))
+    }
+
+    fn unexpected(&self, status: StatusCode) -> error::Error {
+        let message = format!("the engine answered with status {status}");
+        error::Error::new(error::ErrorKind::Unavailable, message).about(&self.address)
+    }
+
+    fn uri(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+fn judge_order(
+    response: &hyper::Response<bytes::Bytes>,
+    order: &str,
+) -> Result<(), endpoint::OrderError> {
+    let status = response.status();
+    if status == StatusCode::CONFLICT {
+        let stale = http::parse::<message::StaleFence>(response)
+            .map_err(|error| endpoint::OrderError::Unknown(error.to_string()))?;
+        return Err(endpoint::OrderError::Stale { current: stale.current_fence });
+    }
+    if status.is_client_error() {
+        let detail = String::from_utf8_lossy(response.body()).into_owned();
+        return Err(endpoint::OrderError::Refused { status: status.as_u16(), detail });
+    }
+    if status != StatusCode::OK {
+        return Err(endpoint::OrderError::Unknown(format!("status {status}")));
+    }
+    let done = http::parse::<message::OrderDone>(response)
+        .map_err(|error| endpoint::OrderError::Unknown(error.to_string()))?;
+    if done.order != order {
+        let detail = format!("the answer is about order `{}`", done.order);
+        return Err(endpoint::OrderError::Unknown(detail));
+    }
+    Ok(())
+}
+
+/// Reads what an endpoint says about a refusal; only its beginning, since a person reads it.
+pub(super) async fn read_detail(
+    response: hyper::Response<hyper::body::Incoming>,
+    limits: &endpoint::Limits,
+) -> String {
+    const LONGEST: usize = 4_096;
+    match http::read_body(response.into_body(), LONGEST, limits.answer).await {
+        Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+        Err(error) => error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/endpoint/mod.rs
@@ -0,0 +1,23 @@
+//! Clients for endpoints: model engines and plain services.
+//!
+//! What starts work is sent once, on a connection of its own, and never again. Errors say whether
+//! anything was sent, because only then may the work have been started.
+
+mod answer_stream;
+mod engine_client;
+mod fault;
+mod limits;
+pub mod message;
+mod order_error;
+mod service_client;
+mod start_error;
+mod stream_error;
+
+pub use answer_stream::AnswerStream;
+pub use engine_client::EngineClient;
+pub use fault::Fault;
+pub use limits::Limits;
+pub use order_error::OrderError;
+pub use service_client::ServiceClient;
+pub use start_error::StartError;
+pub use stream_error::StreamError;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clients and servers for the platform, endpoints and peers.
 
+pub mod endpoint;
 pub mod http;
 pub mod peer;
 pub mod platform;
