Lay the configuration out in the key-value service

One root key orders all changes by compare-and-swap; its tail holds the recent changes and immutable chunks the rest. Ruled out: one key a resource (a change of several would be applied in part, and versions would not be ordered) and the whole in one value (the accounts of the target size do not fit 1 MiB). The nonces of the last changes settle a write whose answer was lost.

--- a/crates/decide/src/config/apply.rs
+++ b/crates/decide/src/config/apply.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::{error, resource};
 
-use crate::config::{ChangeSet, Deletion, Snapshot, check};
+use crate::config::{ChangeSet, Deletion, Snapshot, check, storage};
 
 /// Applies a change as a whole and returns the next version.
 ///
@@ -15,21 +15,49 @@
 /// whole that the change would lead to, is not valid. Nothing is applied then.
 pub fn apply(snapshot: &Snapshot, change: &ChangeSet) -> Result<Snapshot, error::Error> {
     check::change(change)?;
+    change.puts.iter().try_for_each(check::resource)?;
     let version = snapshot.version() + 1;
     let mut resources = snapshot.resources().clone();
-    for deletion in &change.deletions {
-        delete(&mut resources, deletion)?;
-    }
-    for resource in &change.puts {
-        check::resource(resource)?;
-        put(&mut resources, resource, version)?;
-    }
+    write(&mut resources, change, version)?;
     check::whole(&resources, change)?;
     Ok(Snapshot::new(version, resources))
 }
 
+/// Applies changes that were accepted before, without validating them again.
+///
+/// # Errors
+///
+/// Fails with `Protocol` if a change does not follow the one before it.
+pub(crate) fn replay<'a>(
+    snapshot: &Snapshot,
+    changes: impl Iterator<Item = &'a storage::Change>,
+) -> Result<Snapshot, error::Error> {
+    let mut version = snapshot.version();
+    let mut resources = snapshot.resources().clone();
+    for change in changes {
+        if change.version != version + 1 {
+            return Err(misfit(version, change.version, "it leaves a gap"));
+        }
+        write(&mut resources, &change.set, change.version)
+            .map_err(|error| misfit(version, change.version, &error.to_string()))?;
+        version = change.version;
+    }
+    Ok(Snapshot::new(version, resources))
+}
+
+fn misfit(version: u64, next: u64, cause: &str) -> error::Error {
+    let message = format!("change {next} does not follow version {version}: {cause}");
+    error::Error::new(error::ErrorKind::Protocol, message)
+        .remedy("read the whole configuration instead")
+}
+
 type Resources = collections::BTreeMap<resource::ResourceKey, sync::Arc<resource::Resource>>;
 
+fn write(resources: &mut Resources, change: &ChangeSet, version: u64) -> Result<(), error::Error> {
+    change.deletions.iter().try_for_each(|deletion| delete(resources, deletion))?;
+    change.puts.iter().try_for_each(|resource| put(resources, resource, version))
+}
+
 fn delete(resources: &mut Resources, deletion: &Deletion) -> Result<(), error::Error> {
     let key = &deletion.key;
     let Some(standing) = resources.get(key) else {
--- a/crates/decide/src/config/mod.rs
+++ b/crates/decide/src/config/mod.rs
@@ -7,6 +7,9 @@
 mod check;
 mod document;
 mod state;
+pub mod storage;
+
+use apply::replay;
 
 pub use apply::apply;
 pub use document::{from_json, from_value, from_yaml};
--- a/crates/decide/src/config/state/snapshot.rs
+++ b/crates/decide/src/config/state/snapshot.rs
@@ -30,6 +30,12 @@
         Self { version, resources, indices }
     }
 
+    /// Creates a snapshot of resources in any order.
+    pub fn of(version: u64, resources: Vec<resource::Resource>) -> Self {
+        let keyed = resources.into_iter().map(|resource| (resource.key(), resource.into()));
+        Self::new(version, keyed.collect())
+    }
+
     /// Returns the root version.
     pub const fn version(&self) -> u64 {
         self.version
--- /dev/null
+++ b/crates/decide/src/config/storage/chunk.rs
@@ -0,0 +1,70 @@
+//! Chunks: immutable values that hold part of all resources.
+
+use trefoildyke_types::{error, id, resource};
+
+use crate::config::{Snapshot, storage};
+
+/// Holds one chunk as it is written to the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// The key; no two folds share one.
+    pub key: String,
+    /// The value.
+    pub value: String,
+}
+
+impl Chunk {
+    /// Divides all resources of a snapshot into chunks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a resource cannot be written as JSON, which a valid resource always can.
+    pub fn divide(snapshot: &Snapshot, nonce: id::Nonce) -> Result<Vec<Self>, error::Error> {
+        let mut chunks = Vec::new();
+        let mut text = String::new();
+        for resource in snapshot.resources().values() {
+            let line = serde_json::to_string(&**resource).map_err(|error| {
+                error::Error::new(error::ErrorKind::Protocol, error.to_string())
+                    .about(&resource.key())
+            })?;
+            text.push_str(if text.is_empty() { "[" } else { "," });
+            text.push_str(&line);
+            if text.len() >= storage::CHUNK_BYTES {
+                chunks.push(Self::end(&mut text, snapshot.version(), nonce, chunks.len()));
+            }
+        }
+        if !text.is_empty() {
+            chunks.push(Self::end(&mut text, snapshot.version(), nonce, chunks.len()));
+        }
+        Ok(chunks)
+    }
+
+    fn end(text: &mut String, version: u64, nonce: id::Nonce, index: usize) -> Self {
+        let key = format!("{}{version:020}-{:016x}-{index}", storage::CHUNK_PREFIX, nonce.0);
+        text.push(']');
+        Self { key, value: std::mem::take(text) }
+    }
+
+    /// Reads the resources of a chunk's value.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Protocol` if the value is not a chunk.
+    pub fn resources(value: &str) -> Result<Vec<resource::Resource>, error::Error> {
+        serde_json::from_str(value).map_err(|error| {
+            error::Error::new(error::ErrorKind::Protocol, format!("not a chunk: {error}"))
+                .remedy("restore the key or write the configuration again")
+        })
+    }
+}
+
+/// Returns whether a chunk's key is from before `previous_fold`.
+///
+/// Readers of the last root but one may still load its chunks, and a writer that is folding a
+/// later version is left alone.
+pub fn obsolete(key: &str, previous_fold: u64) -> bool {
+    key.strip_prefix(storage::CHUNK_PREFIX)
+        .and_then(|rest| rest.split('-').next())
+        .and_then(|version| version.parse::<u64>().ok())
+        .is_some_and(|version| version < previous_fold)
+}
--- a/crates/decide/tests/testsuite/config/mod.rs
+++ b/crates/decide/tests/testsuite/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod document;
+mod storage;
 
 use trefoildyke_decide::config;
 use trefoildyke_types::{error, resource};
