wire: clients of the key-value service and the host list

A write's error says whether it can have taken effect: unavailable only if the connection was never opened or the service refused, unsure whenever the request may have arrived. The clients keep when the service last answered and since when it has not, because the outage rules need both.

--- /dev/null
+++ b/crates/wire/src/platform/hosts_client.rs
@@ -0,0 +1,66 @@
+//! The client of the platform's host list.
+
+use std::{net, time};
+
+use hyper::StatusCode;
+use trefoildyke_types::error;
+
+use crate::{http, platform, platform::message};
+
+/// Reads the platform's list of hosts. Clones share connections and health.
+#[derive(Clone, Debug)]
+pub struct HostsClient {
+    http: http::Client,
+    uri: String,
+    deadline: time::Duration,
+    health: platform::HealthTracker,
+}
+
+impl HostsClient {
+    /// Creates a client without connections, whose calls take at most `deadline`.
+    pub fn new(address: net::SocketAddr, deadline: time::Duration) -> Self {
+        Self {
+            http: http::Client::default(),
+            uri: format!("http://{address}/v1/hosts"),
+            deadline,
+            health: platform::HealthTracker::default(),
+        }
+    }
+
+    /// Returns when the list last answered, and since when it has not.
+    pub fn health(&self) -> platform::Health {
+        self.health.health()
+    }
+
+    /// Reads the list.
+    ///
+    /// Fails with kind `Unavailable` if no answer came.
+    pub async fn list(&self) -> Result<message::HostList, error::Error> {
+        let started = time::Instant::now();
+        let result = self.read().await;
+        match &result {
+            Ok(_) => self.health.answered(),
+            Err(_) => self.health.failed(started),
+        }
+        result
+    }
+
+    /// Closes unused connections and waits until all connections have ended.
+    pub async fn close(self) {
+        self.http.close().await;
+    }
+
+    async fn read(&self) -> Result<message::HostList, error::Error> {
+        let request =
+            hyper::Request::get(&self.uri).body(bytes::Bytes::new()).map_err(|error| {
+                error::Error::new(error::ErrorKind::Invalid, error.to_string()).at("hosts.address")
+            })?;
+        let reply = self.http.call(request, self.deadline).await;
+        let reply = reply.map_err(|error| error.reading())?;
+        if reply.status() != StatusCode::OK {
+            let message = format!("answered {}", reply.status());
+            return Err(error::Error::new(error::ErrorKind::Unavailable, message));
+        }
+        http::parse(&reply).map_err(|error| error.reading())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/platform/write_error.rs
@@ -0,0 +1,43 @@
+//! How a write can fail.
+
+use trefoildyke_types::error;
+
+use crate::platform::message;
+
+/// Says how a write failed, and so whether it may have taken effect.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WriteError {
+    /// What the write expected did not hold; nothing was written.
+    #[error("another writer was first; apply the change to the current entry and try again")]
+    Conflict(Option<Box<message::Entry>>),
+    /// The lease has ended; nothing was written.
+    #[error("the lease has ended; ask for a new one")]
+    LeaseGone,
+    /// No answer came; the write may have taken effect, or may still do so.
+    #[error("the write may or may not have taken effect: {0}; read the key back")]
+    Unsure(String),
+    /// The service refused the write or cannot be reached; nothing was written.
+    #[error("the service takes no writes: {0}; try again later")]
+    Unavailable(String),
+    /// The service cannot accept the write as it is; nothing was written.
+    #[error("{0}")]
+    Invalid(error::Error),
+}
+
+impl WriteError {
+    /// Returns the error as the type that all of trefoildyke shares.
+    pub fn error(&self) -> error::Error {
+        match self {
+            Self::Conflict(current) => {
+                let revision = current.as_ref().map_or(0, |entry| entry.revision);
+                error::Error::new(error::ErrorKind::Conflict, "another writer was first")
+                    .current(revision)
+            }
+            Self::LeaseGone => error::Error::new(error::ErrorKind::NotFound, "the lease has ended")
+                .remedy("ask for a new lease"),
+            Self::Unsure(detail) => error::Error::new(error::ErrorKind::Unsure, detail),
+            Self::Unavailable(detail) => error::Error::new(error::ErrorKind::Unavailable, detail),
+            Self::Invalid(error) => error.clone(),
+        }
+    }
+}
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -2,5 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
+mod hosts;
+mod kv;
 mod model;
 mod scenario;
