testbed: a relay that delays, cuts and silences connections

For tests of connections that go silent while new ones work. A direction that has swallowed data stays silent: letting it pass again would hand the other side a stream with a hole, a failure that TCP does not show.

--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod hosts;
 pub mod kv;
 pub mod model;
+pub mod relay;
 pub mod switch;
--- /dev/null
+++ b/testbed/src/relay/flow.rs
@@ -0,0 +1,37 @@
+//! What passes through a relay.
+
+use std::time;
+
+/// Names a direction through a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the side that connected to the target.
+    Up,
+    /// From the target to the side that connected.
+    Down,
+}
+
+/// Says what passes through a relay; every connection follows it at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Flow {
+    /// How long each piece of data waits before it is passed on.
+    pub delay: time::Duration,
+    /// New connections are closed at once.
+    pub refuse: bool,
+    /// Connections with a number below this are closed.
+    pub(crate) cut_below: u64,
+    /// Connections with a number below this pass nothing up.
+    pub(crate) up_silent_below: u64,
+    /// Connections with a number below this pass nothing down.
+    pub(crate) down_silent_below: u64,
+}
+
+impl Flow {
+    /// Returns whether the connection `number` passes nothing in `direction`.
+    pub(crate) const fn is_silent(&self, number: u64, direction: Direction) -> bool {
+        match direction {
+            Direction::Up => number < self.up_silent_below,
+            Direction::Down => number < self.down_silent_below,
+        }
+    }
+}
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod hosts;
 mod kv;
 mod model;
+mod relay;
 mod scenario;
