wire: ask peers for configuration changes page by page

A whole configuration of the target size does not fit one frame of 2 MiB, so a caller that lags too far reads it in pages, each after the last resource it has.

--- a/crates/wire/src/peer/message/mod.rs
+++ b/crates/wire/src/peer/message/mod.rs
@@ -10,7 +10,7 @@
 mod settled;
 
 pub use ask_request::AskRequest;
-pub use changes::Changes;
+pub use changes::{Changes, ChangesRequest};
 pub use commit_request::CommitRequest;
 pub use payload::Payload;
 pub use read_answer::ReadAnswer;
--- a/crates/wire/src/peer/methods.rs
+++ b/crates/wire/src/peer/methods.rs
@@ -36,7 +36,7 @@
     /// Serves [`peer::Peer::look_up`].
     pub look_up: Method<id::RequestKey, Result<Option<request::Record>, error::Error>>,
     /// Serves [`peer::Peer::changes`].
-    pub changes: Method<u64, Result<peer::Changes, error::Error>>,
+    pub changes: Method<peer::ChangesRequest, Result<peer::Changes, error::Error>>,
 }
 
 impl Methods {
@@ -137,8 +137,8 @@
     async fn changes(
         self,
         _: tarpc::context::Context,
-        from: u64,
+        request: peer::ChangesRequest,
     ) -> Result<peer::Changes, error::Error> {
-        (self.methods.changes)(self.caller, from).await
+        (self.methods.changes)(self.caller, request).await
     }
 }
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -25,7 +25,8 @@
 pub use keys::Keys;
 pub use limits::Limits;
 pub use message::{
-    AskRequest, Changes, CommitRequest, Payload, ReadAnswer, ReadRequest, ReportRequest, Settled,
+    AskRequest, Changes, ChangesRequest, CommitRequest, Payload, ReadAnswer, ReadRequest,
+    ReportRequest, Settled,
 };
 pub use methods::{Caller, Method, Methods};
 pub use serve::{Identity, serve};
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -33,8 +33,8 @@
     /// Looks a record up through the owner of its bucket.
     async fn look_up(key: id::RequestKey) -> Result<Option<request::Record>, error::Error>;
 
-    /// Returns the configuration changes after version `from`.
-    async fn changes(from: u64) -> Result<peer::Changes, error::Error>;
+    /// Returns configuration changes that the caller lacks.
+    async fn changes(request: peer::ChangesRequest) -> Result<peer::Changes, error::Error>;
 }
 
 /// Returns a call context whose deadline lies `timeout` ahead.
--- a/crates/wire/tests/testsuite/peer/calls.rs
+++ b/crates/wire/tests/testsuite/peer/calls.rs
@@ -28,7 +28,11 @@
     let limits = peer::Limits::default();
     let server = nodes::serve(&[KEY], limits, peer::Methods::default()).await;
     let (client, _driver) = nodes::connect(server.address, &[KEY], limits).await.unwrap();
-    let error = client.changes(peer::within(LONG), 1).await.unwrap().unwrap_err();
+    let error = client
+        .changes(peer::within(LONG), peer::ChangesRequest::default())
+        .await
+        .unwrap()
+        .unwrap_err();
     assert_eq!(error.kind, error::ErrorKind::Unavailable);
 }
 
@@ -58,7 +62,7 @@
     let server = nodes::serve(&[KEY], limits, methods).await;
     let (client, _driver) = nodes::connect(server.address, &[KEY], limits).await.unwrap();
     let short = time::Duration::from_millis(30);
-    assert!(client.changes(peer::within(short), 1).await.is_err());
+    assert!(client.changes(peer::within(short), peer::ChangesRequest::default()).await.is_err());
     assert!(client.exchange(peer::within(LONG), payload(1)).await.is_ok());
 }
 
