--- a/crates/wire/tests/testsuite/peer/handshake.rs
+++ b/crates/wire/tests/testsuite/peer/handshake.rs
@@ -60,6 +60,39 @@
     assert!(matches!(refused, peer::Error::WrongIncarnation { .. }), "{refused}");
 }
 
+/// Asks for the upgrade as a daemon would and then sends `proof` in place of a real one.
+async fn forge(address: std::net::SocketAddr, proof: &[u8]) -> Vec<u8> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let hello = "GET /peer HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n\
+         upgrade: trefoildyke-peer\r\nx-peer-incarnation: 0000000000000009\r\n\
+         x-peer-nonce: 00112233445566778899aabbccddeeff\r\n\r\n";
+    stream.write_all(hello.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        answer.push(stream.read_u8().await.unwrap());
+    }
+    assert!(answer.starts_with(b"HTTP/1.1 101"));
+    stream.write_all(proof).await.unwrap();
+    let mut rest = Vec::new();
+    let end = stream.read_to_end(&mut rest);
+    let _ = tokio::time::timeout(std::time::Duration::from_secs(20), end).await.unwrap();
+    rest
+}
+
+#[tokio::test]
+async fn a_client_that_proves_nothing_is_closed_before_any_call() {
+    let server = nodes::serve(&[OLD], peer::Limits::default(), nodes::echo()).await;
+    assert!(forge(server.address, &[0; 32]).await.is_empty());
+}
+
+#[tokio::test]
+async fn a_client_that_never_proves_anything_is_closed_in_time() {
+    let limits = peer::Limits { handshake_ms: 300, ..peer::Limits::default() };
+    let server = nodes::serve(&[OLD], limits, nodes::echo()).await;
+    assert!(forge(server.address, &[]).await.is_empty());
+}
+
 #[test]
 fn a_proof_holds_only_for_its_role_its_key_and_its_transcript() {
     let own = transcript();
