--- a/crates/wire/tests/testsuite/peer/silence.rs
+++ b/crates/wire/tests/testsuite/peer/silence.rs
@@ -76,7 +76,7 @@
     let server = nodes::serve(&[KEY], limits, methods).await;
     let (client, driver) = nodes::connect(server.address, &[KEY], limits).await.unwrap();
     let several = limits.silence() * 4;
-    assert!(client.changes(peer::within(several), 0).await.is_err());
+    assert!(client.changes(peer::within(several), peer::ChangesRequest::default()).await.is_err());
     assert!(!driver.is_finished(), "the connection ended under a call in flight");
     assert!(client.exchange(peer::within(LONG), peer::Payload::default()).await.is_ok());
 }
