Schedule by tier, fair share, deadline and predicted finish

The first policy scanned what waits and knew nothing of speeds, caches or faults. Now the waiting requests stand in ordered structures (tier, client account by virtual time, deadline; latest useful start; age), each endpoint's prompt speed and step time are learned from what coordinators report, prompt prefixes are followed by sparse checkpoints, and endpoints that turn slow or silent are suspended, probed and tried again. A request is refused as soon as its wait, predicted from the measured drain, or its latest useful start says so, and only after everything of lower tiers.

--- /dev/null
+++ b/crates/decide/src/schedule/estimate.rs
@@ -0,0 +1,80 @@
+//! Estimates that follow what is observed.
+
+/// Follows a quantity by a mean over a window of time.
+///
+/// Until the window is full it is the plain mean of all observations and the prior.
+#[derive(Clone, Debug)]
+pub(super) struct Mean {
+    value: f64,
+    /// How much was observed, at most `window`.
+    seen: f64,
+    window: f64,
+}
+
+impl Mean {
+    /// Starts with `prior`, which counts as much as an observation of weight `belief`.
+    pub(super) fn new(prior: f64, belief: f64, window: f64) -> Self {
+        Self { value: prior, seen: belief, window }
+    }
+
+    pub(super) fn value(&self) -> f64 {
+        self.value
+    }
+
+    pub(super) fn observe(&mut self, value: f64, weight: f64) {
+        self.seen += weight;
+        self.value += (value - self.value) * (weight / self.seen).min(1.0);
+        self.seen = self.seen.min(self.window);
+    }
+
+    /// Forgets what was observed and continues at `value`.
+    pub(super) fn reset(&mut self, value: f64) {
+        self.value = value;
+    }
+}
+
+/// Follows a line through observed points, the latest weighing most.
+#[derive(Clone, Debug)]
+pub(super) struct Line {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+/// What an older point keeps of its weight at each new one.
+const KEEP: f64 = 0.97;
+
+impl Line {
+    /// Starts at the line with this intercept and slope, believed at `x` as at one point.
+    pub(super) fn new(intercept: f64, slope: f64, x: f64) -> Self {
+        let mut line = Self { weight: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 };
+        line.observe(0.0, intercept);
+        line.observe(x, intercept + slope * x);
+        line
+    }
+
+    pub(super) fn observe(&mut self, x: f64, y: f64) {
+        self.weight = self.weight * KEEP + 1.0;
+        self.x = self.x * KEEP + x;
+        self.y = self.y * KEEP + y;
+        self.xx = self.xx * KEEP + x * x;
+        self.xy = self.xy * KEEP + x * y;
+    }
+
+    /// Returns the line's value; intercept and slope count as 0 where they are negative.
+    pub(super) fn at(&self, x: f64) -> f64 {
+        let slope = self.slope();
+        let intercept = (self.y - slope * self.x) / self.weight;
+        intercept.max(0.0) + slope * x
+    }
+
+    /// Returns the slope, or the mean ratio if the points do not tell a slope.
+    pub(super) fn slope(&self) -> f64 {
+        let spread = self.weight * self.xx - self.x * self.x;
+        let slope = (self.weight * self.xy - self.x * self.y) / spread.max(f64::MIN_POSITIVE);
+        let ratio = self.y / self.x.max(1.0);
+        if slope.is_finite() && slope > 0.0 { slope.min(ratio) } else { ratio }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -0,0 +1,161 @@
+//! The scheduler of one pool shard.
+
+mod asks;
+mod grants;
+mod place;
+mod reports;
+mod shed;
+mod watch;
+
+use std::collections;
+
+use trefoildyke_types::{id, time::Timestamp};
+
+use crate::schedule::{self, fleet, flow, lengths, permitted, prefix, queue};
+
+/// Decides order and place of one pool shard's requests.
+///
+/// A request is either waiting, permitted or unknown. Requests are granted in tier order, then by
+/// fair share among client accounts, then by deadline.
+///
+/// ```
+/// use trefoildyke_decide::schedule;
+/// use trefoildyke_types::{id, request, time::Timestamp};
+///
+/// let params = schedule::Params::default();
+/// let mut shard = schedule::Shard::new(params, id::Incarnation::from_u64(1));
+/// let endpoint =
+///     schedule::EndpointInfo { endpoint: "engine-1".into(), slots: 8, cache_tokens: 65_536 };
+/// shard.step(Timestamp::ZERO, schedule::Input::EndpointUp(endpoint));
+/// let ask = request::Ask {
+///     key: id::RequestKey {
+///         account: "cascadia".into(),
+///         id: "0192d3a4-0000-7000-8000-000000000001".parse()?,
+///     },
+///     coordinator: id::Incarnation::from_u64(2),
+///     rank: 0,
+///     prompt_tokens: 400,
+///     max_tokens: 100,
+///     prefix: vec![],
+///     left_ms: 20_000,
+/// };
+/// let outputs = shard.step(Timestamp::from_millis(1), schedule::Input::Ask(ask));
+/// assert!(matches!(outputs[0], schedule::Output::Grant(_)));
+/// # Ok::<(), id::IdError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Shard {
+    params: schedule::Params,
+    scheduler: id::Incarnation,
+    queue: queue::Queue,
+    permitted: collections::HashMap<id::RequestKey, permitted::Permitted>,
+    /// When unused permits lapse.
+    lapses: collections::BTreeSet<(Timestamp, id::RequestKey)>,
+    fleet: fleet::Fleet,
+    index: prefix::Index,
+    shares: collections::HashMap<id::AccountName, schedule::AccountShare>,
+    lengths: lengths::Lengths,
+    flow: flow::Flow,
+    /// When the endpoints' health is looked at next.
+    check: Timestamp,
+    /// When the first hold of a request ends.
+    hold_end: Option<Timestamp>,
+    /// Whether something happened that may let a request be granted.
+    is_changed: bool,
+    /// The wake-up that was asked for last.
+    wake: Option<Timestamp>,
+}
+
+impl Shard {
+    /// Creates the scheduler of a shard with no endpoints and nothing waiting.
+    ///
+    /// `scheduler` is the incarnation of the daemon that runs it.
+    pub fn new(params: schedule::Params, scheduler: id::Incarnation) -> Self {
+        Self {
+            params,
+            scheduler,
+            queue: queue::Queue::default(),
+            permitted: collections::HashMap::new(),
+            lapses: collections::BTreeSet::new(),
+            fleet: fleet::Fleet::default(),
+            index: prefix::Index::new(),
+            shares: collections::HashMap::new(),
+            lengths: lengths::Lengths::new(),
+            flow: flow::Flow::new(),
+            check: Timestamp::ZERO,
+            hold_end: None,
+            is_changed: false,
+            wake: None,
+        }
+    }
+
+    /// Takes in one event at time `now` and returns what is to be done, in order.
+    ///
+    /// `now` must not go back. Every request in the queue whose deadline can no longer be met at
+    /// `now` is refused in the same step, whatever the event.
+    pub fn step(&mut self, now: Timestamp, input: schedule::Input) -> Vec<schedule::Output> {
+        let mut outputs = Vec::new();
+        self.flow.advance(now, !self.queue.is_empty(), &self.fleet);
+        self.take_in(now, input, &mut outputs);
+        self.lapse(now);
+        self.watch(now, &mut outputs);
+        self.shed_late(now, &mut outputs);
+        if std::mem::take(&mut self.is_changed) {
+            self.grant(now, &mut outputs);
+            self.shed_hopeless(now, &mut outputs);
+        }
+        self.plan_wake(now, &mut outputs);
+        outputs
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many permitted requests have not ended.
+    pub fn permitted(&self) -> usize {
+        self.permitted.len()
+    }
+
+    fn take_in(
+        &mut self,
+        now: Timestamp,
+        input: schedule::Input,
+        outputs: &mut Vec<schedule::Output>,
+    ) {
+        match input {
+            schedule::Input::Ask(ask) => self.ask(now, ask, outputs),
+            schedule::Input::Report(report) => self.report(now, &report),
+            schedule::Input::Adopt(adopted) => self.adopt(now, adopted),
+            schedule::Input::Load { endpoint, as_of, report } => {
+                self.load(&endpoint, as_of, &report);
+            }
+            schedule::Input::Cache { endpoint, events } => self.cache(&endpoint, &events),
+            schedule::Input::EndpointUp(info) => self.endpoint_up(now, &info),
+            schedule::Input::EndpointLeaving(name) => self.endpoint_leaving(&name),
+            schedule::Input::EndpointGone(name) => self.endpoint_gone(&name),
+            schedule::Input::Account(share) => {
+                self.shares.insert(share.account.clone(), share);
+            }
+            schedule::Input::Tick => self.is_changed = true,
+        }
+    }
+
+    fn weight(&self, account: &id::AccountName) -> u32 {
+        self.shares.get(account).map_or(1, |share| share.weight.max(1))
+    }
+
+    fn plan_wake(&mut self, now: Timestamp, outputs: &mut Vec<schedule::Output>) {
+        let latest = self.queue.first_latest().map(|(latest, _)| latest);
+        let lapse = self.lapses.first().map(|(lapse, _)| *lapse);
+        let check = (!self.permitted.is_empty() || self.is_any_suspended()).then_some(self.check);
+        let held = self.hold_end.filter(|_| !self.queue.is_empty());
+        let wake = [latest, lapse, check, held].into_iter().flatten().min();
+        let passed = self.wake.is_some_and(|wake| wake <= now);
+        if wake != self.wake || passed {
+            self.wake = wake;
+            outputs.extend(wake.map(schedule::Output::WakeAt));
+        }
+    }
+}
