testbed: the engine stand-in, and the endpoint clients proved on it

Clients' tests: a foreign chunk, a gap, an overlap and an early end never reach the reader; a silent connection is replaced and the ledger shows one start and no prefill repeated; a failed connect is told apart from a lost answer.

--- a/crates/wire/tests/testsuite/main.rs
+++ b/crates/wire/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod endpoint;
 mod http;
 mod peer;
