testbed: the plain service stand-in and the engine and service subcommands

Non-idempotent calls are counted by account and id, so that a test sees a call that ran twice; answers can be lost after the call ran.

--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,7 +1,9 @@
 //! The subcommands, one file each.
 
+mod engine;
 mod hosts;
 mod kv;
+mod service;
 mod stop;
 
 /// Runs stand-ins for the outside systems, and experiments.
@@ -19,6 +21,10 @@
     Kv(kv::Options),
     #[options(help = "run a host list")]
     Hosts(hosts::Options),
+    #[options(help = "run a model engine")]
+    Engine(engine::Options),
+    #[options(help = "run a plain service")]
+    Service(service::Options),
 }
 
 /// Runs the subcommand that the options name.
@@ -26,6 +32,8 @@
     match options.command {
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
+        Some(Command::Engine(options)) => engine::run(options).await,
+        Some(Command::Service(options)) => service::run(options).await,
         None => anyhow::bail!("no subcommand given; see --help"),
     }
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod kv;
 pub mod model;
 pub mod relay;
+pub mod service;
 pub mod switch;
--- /dev/null
+++ b/testbed/src/service/mod.rs
@@ -0,0 +1,9 @@
+//! A stand-in for a plain service, some of whose calls may not be repeated.
+
+mod ledger_report;
+mod running;
+mod settings;
+
+pub use ledger_report::LedgerReport;
+pub use running::{Running, serve};
+pub use settings::Settings;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod model;
 mod relay;
 mod scenario;
+mod service;
