testbed: compare policies in virtual time

The clairvoyant bound is the optimum of a relaxed problem; a property test checks that no policy beats it.

--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one file each.
 
 mod engine;
+mod experiment;
 mod hosts;
 mod kv;
 mod service;
@@ -17,6 +18,8 @@
 
 #[derive(Debug, gumdrop::Options)]
 enum Command {
+    #[options(help = "compare policies in virtual time")]
+    Experiment(experiment::Options),
     #[options(help = "run a key-value service")]
     Kv(kv::Options),
     #[options(help = "run a host list")]
@@ -30,6 +33,7 @@
 /// Runs the subcommand that the options name.
 pub(crate) async fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
+        Some(Command::Experiment(options)) => experiment::run(&options),
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
         Some(Command::Engine(options)) => engine::run(options).await,
--- a/testbed/src/experiment/arrivals/arrival.rs
+++ b/testbed/src/experiment/arrivals/arrival.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use trefoildyke_types::{id, time::Timestamp};
+use trefoildyke_types::{id, request, time::Timestamp};
 
 /// Describes one request that arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,4 +36,27 @@
     pub fn deadline(&self) -> Timestamp {
         self.at + self.patience
     }
+
+    /// Returns the request's position among the arrivals.
+    pub fn number(&self) -> usize {
+        Self::number_of(&self.key)
+    }
+
+    /// Returns the position among the arrivals of the request named `key`.
+    pub fn number_of(key: &id::RequestKey) -> usize {
+        key.id.uuid().as_u128() as u32 as usize
+    }
+
+    /// Returns what a coordinator tells a scheduler when `left` of the caller's patience is left.
+    pub fn ask(&self, left: time::Duration) -> request::Ask {
+        request::Ask {
+            key: self.key.clone(),
+            coordinator: id::Incarnation::from_u64(u64::from(self.host)),
+            rank: self.rank,
+            prompt_tokens: self.prompt_tokens,
+            max_tokens: self.max_tokens,
+            prefix: self.prefix.to_vec(),
+            left_ms: left.as_millis() as u64,
+        }
+    }
 }
--- /dev/null
+++ b/testbed/src/experiment/compare/mod.rs
@@ -0,0 +1,10 @@
+//! Comparisons: every policy on the same arrivals, over several seeds.
+
+mod comparison;
+mod parallel;
+mod plan;
+mod table;
+
+pub use comparison::{BoundFigures, Comparison};
+pub use plan::{Plan, compare};
+pub use table::{latency_table, policy_table};
--- a/testbed/src/experiment/mod.rs
+++ b/testbed/src/experiment/mod.rs
@@ -4,4 +4,9 @@
 //! cluster; `docs/design/experiments.md` says what is left out.
 
 pub mod arrivals;
+pub mod bound;
+pub mod compare;
+pub mod figures;
+pub mod policy;
+pub mod run;
 pub mod scenario;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
 mod engine;
+mod experiment;
 mod hosts;
 mod kv;
 mod model;
