Add the configuration service

A few daemons found by rendezvous watch the key-value service; the others read changes from peers.

Before: no service. Ruled out: a watch in every daemon (a call each, and rates grow slower than the fleet) and answering after the put alone (a lost answer would be told as a failure although the change took effect).

--- /dev/null
+++ b/crates/daemon/src/config/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the configuration service.
+
+use std::time;
+
+/// Holds the settings of the configuration service.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// How many daemons watch the key-value service; at least 1.
+    pub watchers: usize,
+    /// How long one watch waits for a change, in milliseconds.
+    pub watch_ms: u64,
+    /// How long to wait after a failed read of the key-value service, in milliseconds.
+    pub retry_ms: u64,
+    /// How often a daemon asks some peer for changes that it heard nothing of, in milliseconds.
+    pub poll_ms: u64,
+    /// How long a call to a peer may take, in milliseconds.
+    pub peer_ms: u64,
+    /// How long a write is tried before its outcome is called unsure, in milliseconds.
+    pub write_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            watchers: 3,
+            watch_ms: 10_000,
+            retry_ms: 500,
+            poll_ms: 1_000,
+            peer_ms: 2_000,
+            write_ms: 8_000,
+        }
+    }
+}
+
+impl Settings {
+    pub(crate) const fn retry(&self) -> time::Duration {
+        time::Duration::from_millis(self.retry_ms)
+    }
+
+    pub(crate) const fn poll(&self) -> time::Duration {
+        time::Duration::from_millis(self.poll_ms)
+    }
+
+    pub(crate) const fn write(&self) -> time::Duration {
+        time::Duration::from_millis(self.write_ms)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! The services of the daemon.
+
+pub mod config;
--- /dev/null
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the services.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
+
+mod config;
