Decide which endpoints of a shard get work

The scheduler needs one truth from four sources: configuration, planned stops, the platform's lagging list, and whether the endpoint answers. Standings combines them purely and tells the shard only what changed. A new scheduler goes on at once (an endpoint counts as reachable when it becomes known) but not before the list was read, so that a takeover never gives work to a host already listed as leaving.

--- /dev/null
+++ b/crates/decide/src/endpoints/params.rs
@@ -0,0 +1,25 @@
+//! Settings of the standings.
+
+use std::time;
+
+/// Holds the times after which an endpoint's standing changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Params {
+    /// How long an endpoint may leave calls unanswered before it gets no new work; 3 s.
+    pub unreachable_after: time::Duration,
+    /// How long a new scheduler waits for the platform's list before it goes on without; 2 s.
+    pub list_wait: time::Duration,
+    /// How long an endpoint that was deleted stays known for the work it still has; 60 s.
+    pub forget_after: time::Duration,
+}
+
+impl Default for Params {
+    fn default() -> Self {
+        Self {
+            unreachable_after: time::Duration::from_secs(3),
+            list_wait: time::Duration::from_secs(2),
+            forget_after: time::Duration::from_secs(60),
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod config;
 pub mod coordinate;
+pub mod endpoints;
 pub mod members;
 pub mod schedule;
--- /dev/null
+++ b/crates/decide/tests/testsuite/endpoints.rs
@@ -0,0 +1,162 @@
+//! Which endpoints get work.
+
+use std::time::Duration;
+
+use trefoildyke_decide::{config, endpoints, schedule};
+use trefoildyke_types::{id, resource, time::Timestamp};
+
+const POOL: &str = "drafting";
+
+fn endpoint(name: &str, host: &str) -> resource::Resource {
+    let spec = resource::EndpointSpec {
+        pool: POOL.into(),
+        host: host.into(),
+        zone: "tacoma-a".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 8,
+        cache_tokens: 1_024,
+        checks_fencing: true,
+    };
+    wrap(name, resource::Spec::Endpoint(spec))
+}
+
+fn pool(shards: u16) -> resource::Resource {
+    let protocol = resource::PoolProtocol::Engine { model: "llama".into() };
+    wrap(POOL, resource::Spec::EndpointPool(resource::EndpointPoolSpec { protocol, shards }))
+}
+
+fn wrap(name: &str, spec: resource::Spec) -> resource::Resource {
+    resource::Resource {
+        name: name.to_owned(),
+        spec,
+        generation: 1,
+        resource_version: 1,
+        status: None,
+    }
+}
+
+fn stop(name: &str) -> resource::Resource {
+    let target = resource::StopTarget::Endpoint(name.into());
+    wrap("maintenance", resource::Spec::PlannedStop(resource::PlannedStopSpec { target }))
+}
+
+fn hosts(live: &[&str], leaving: &[&str]) -> endpoints::Hosts {
+    let names = |list: &[&str]| list.iter().map(|name| id::HostName::new(name)).collect();
+    endpoints::Hosts { live: names(live), leaving: names(leaving) }
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+/// Returns what was told, as `+name`, `-name` or `gone name`.
+fn told(inputs: &[schedule::Input]) -> Vec<String> {
+    let text = |input: &schedule::Input| match input {
+        schedule::Input::EndpointUp(info) => format!("+{}", info.endpoint),
+        schedule::Input::EndpointLeaving(name) => format!("-{name}"),
+        schedule::Input::EndpointGone(name) => format!("gone {name}"),
+        other => format!("{other:?}"),
+    };
+    inputs.iter().map(text).collect()
+}
+
+/// Returns standings of two endpoints on two live hosts, both told as up at second 0.
+fn two_up() -> (endpoints::Standings, Vec<resource::Resource>) {
+    let resources = vec![pool(1), endpoint("e1", "h1"), endpoint("e2", "h2")];
+    let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
+    let snapshot = config::Snapshot::of(1, resources.clone());
+    assert!(standings.configure(at(0), &snapshot).is_empty());
+    assert_eq!(told(&standings.list(at(0), hosts(&["h1", "h2"], &[]))), ["+e1", "+e2"]);
+    (standings, resources)
+}
+
+#[test]
+fn nothing_gets_work_before_the_list_was_read() {
+    let resources = vec![pool(1), endpoint("e1", "h1"), endpoint("e2", "h2")];
+    let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
+    standings.configure(at(0), &config::Snapshot::of(1, resources));
+    assert!(standings.review(at(1)).is_empty());
+    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &["h2"]))), ["+e1"]);
+}
+
+#[test]
+fn without_a_list_work_goes_on_after_a_while() {
+    let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
+    let snapshot = config::Snapshot::of(1, vec![pool(1), endpoint("e1", "h1")]);
+    standings.configure(at(0), &snapshot);
+    assert_eq!(told(&standings.review(at(2))), ["+e1"]);
+}
+
+#[test]
+fn an_endpoint_on_a_leaving_host_is_told_as_leaving_at_once() {
+    let (mut standings, _) = two_up();
+    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &["h2"]))), ["-e2"]);
+    assert!(standings.list(at(1), hosts(&["h1"], &["h2"])).is_empty());
+    assert_eq!(told(&standings.list(at(2), hosts(&["h1", "h2"], &[]))), ["+e2"]);
+}
+
+#[test]
+fn a_host_that_vanished_has_left_and_one_never_listed_has_not() {
+    let (mut standings, mut resources) = two_up();
+    resources.push(endpoint("e3", "h3"));
+    let snapshot = config::Snapshot::of(2, resources);
+    assert_eq!(told(&standings.configure(at(1), &snapshot)), ["+e3"]);
+    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &[]))), ["-e2"]);
+}
+
+#[test]
+fn a_planned_stop_ends_new_work_until_it_is_deleted() {
+    let (mut standings, mut resources) = two_up();
+    resources.push(stop("e1"));
+    let stopped = config::Snapshot::of(2, resources.clone());
+    assert_eq!(told(&standings.configure(at(1), &stopped)), ["-e1"]);
+    resources.pop();
+    let again = config::Snapshot::of(3, resources);
+    assert_eq!(told(&standings.configure(at(1), &again)), ["+e1"]);
+}
+
+#[test]
+fn a_deleted_endpoint_stays_known_for_the_work_it_has() {
+    let (mut standings, mut resources) = two_up();
+    resources.pop();
+    let without = config::Snapshot::of(2, resources);
+    assert_eq!(told(&standings.configure(at(1), &without)), ["-e2"]);
+    assert_eq!(standings.watched().count(), 2);
+    standings.answered(at(60), &"e1".into());
+    assert_eq!(told(&standings.review(at(61))), ["gone e2"]);
+    assert_eq!(standings.watched().count(), 1);
+}
+
+#[test]
+fn an_endpoint_that_does_not_answer_gets_nothing_until_it_does() {
+    let (mut standings, _) = two_up();
+    standings.answered(at(2), &"e1".into());
+    assert_eq!(told(&standings.review(at(3))), ["-e2"]);
+    assert_eq!(told(&standings.answered(at(4), &"e2".into())), ["+e2"]);
+}
+
+#[test]
+fn shards_divide_the_endpoints_and_more_shards_move_few() {
+    let names: Vec<id::EndpointName> =
+        (0..3_200).map(|number| id::EndpointName::new(&format!("worker-{number}"))).collect();
+    let mut counts = [0_u32; 100];
+    for name in &names {
+        counts[usize::from(endpoints::shard_of(name, 100))] += 1;
+    }
+    assert!(counts.iter().all(|count| (12..=56).contains(count)), "{counts:?}");
+    let moved =
+        |name: &&id::EndpointName| endpoints::shard_of(name, 100) != endpoints::shard_of(name, 101);
+    let moved = names.iter().filter(moved).count();
+    assert!(moved < 80, "{moved}");
+}
+
+#[test]
+fn a_changed_description_is_told_again() {
+    let (mut standings, mut resources) = two_up();
+    let resource::Spec::Endpoint(spec) = &mut resources[1].spec else { panic!() };
+    spec.slots = 4;
+    let changed = config::Snapshot::of(2, resources);
+    assert_eq!(told(&standings.configure(at(1), &changed)), ["+e1"]);
+    let later = Duration::from_millis(100);
+    assert!(standings.review(at(1) + later).is_empty());
+}
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 
 mod config;
 mod coordinate;
+mod endpoints;
 mod members;
 mod schedule_basics;
