decide: membership by digests over a tree and a few partners

Each second a daemon exchanges digests with its parent in a binary tree over the sorted members and with one of six slowly changing partners. A fresh random partner each time was ruled out: a TCP and HTTP handshake a second costs more than the digests. Versions go up the tree as {count, lowest version} for the hash of the member set; only a sum over the whole set makes a version in force.

--- /dev/null
+++ b/crates/decide/src/members/entry.rs
@@ -0,0 +1,71 @@
+//! What a daemon keeps about one member.
+
+use trefoildyke_types::{id, time};
+use xxhash_rust::xxh3;
+
+use crate::members;
+
+/// Holds what a daemon knows of one member.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) place: members::Place,
+    pub(crate) sequence: u32,
+    pub(crate) state: members::State,
+    /// When the state was taken over here.
+    pub(crate) since: time::Timestamp,
+    /// When the member itself was last heard, if ever.
+    pub(crate) heard: Option<time::Timestamp>,
+    /// Since when this daemon alone fails to reach the member; it is not told to others.
+    pub(crate) unreachable: Option<time::Timestamp>,
+    /// The member's table hash, as it last stated it.
+    pub(crate) table: Option<u64>,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        place: members::Place,
+        sequence: u32,
+        state: members::State,
+        now: time::Timestamp,
+    ) -> Self {
+        Self { place, sequence, state, since: now, heard: None, unreachable: None, table: None }
+    }
+
+    /// Returns the state as this daemon should act on it.
+    pub(crate) fn seen_state(&self) -> members::State {
+        match self.state {
+            members::State::Alive if self.unreachable.is_some() => members::State::Suspect,
+            state => state,
+        }
+    }
+
+    pub(crate) const fn precedence(&self) -> (u32, members::State) {
+        (self.sequence, self.state)
+    }
+
+    pub(crate) fn update(&self, incarnation: id::Incarnation, with_place: bool) -> members::Update {
+        members::Update {
+            incarnation,
+            sequence: self.sequence,
+            state: self.state,
+            place: with_place.then(|| self.place.clone()),
+        }
+    }
+
+    /// Returns the entry's share of the table's hash; 0 if the member does not count.
+    pub(crate) fn hash(&self, incarnation: id::Incarnation) -> u64 {
+        if !self.state.counts() {
+            return 0;
+        }
+        let mut bytes = [0; 13];
+        bytes[..8].copy_from_slice(&incarnation.as_u64().to_le_bytes());
+        bytes[8..12].copy_from_slice(&self.sequence.to_le_bytes());
+        bytes[12] = self.state as u8;
+        xxh3::xxh3_64(&bytes)
+    }
+
+    /// Returns the member's share of the hash of the member set; 0 if it does not count.
+    pub(crate) fn member_hash(&self, incarnation: id::Incarnation) -> u64 {
+        if self.state.counts() { xxh3::xxh3_64(&incarnation.as_u64().to_le_bytes()) } else { 0 }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/members/exchange.rs
@@ -0,0 +1,267 @@
+//! When a daemon exchanges digests, and with whom.
+
+use std::net;
+
+use trefoildyke_types::{id, time};
+
+use crate::members::{self, Membership, membership};
+
+/// An exchange that has had no outcome for so many periods is forgotten.
+const LOST_PERIODS: u32 = 8;
+
+/// A child that has not been heard for so many periods is asked.
+const CHILD_PERIODS: u32 = 3;
+
+/// A member that cannot be reached from here is tried again after so many periods.
+const RETRY_PERIODS: u32 = 5;
+
+impl Membership {
+    pub(crate) fn tick(&mut self, now: time::Timestamp, outputs: &mut Vec<members::Output>) {
+        if now.since(self.times.tick) >= self.params.pause {
+            self.resume(now);
+        }
+        self.times.tick = now;
+        if now.since(self.times.period) < self.params.period {
+            return;
+        }
+        self.times.period = now;
+        self.exchanging.retain(|(_, start)| now.since(*start) < self.params.period * LOST_PERIODS);
+        self.end_suspicions(now);
+        self.forget(now);
+        self.rotate_partners(now);
+        for target in self.period_targets(now) {
+            self.exchange(now, members::Target::Member(target), outputs);
+        }
+        self.reconnect(now, outputs);
+    }
+
+    /// Goes on after a pause of this process: what was timed before it means nothing.
+    fn resume(&mut self, now: time::Timestamp) {
+        self.exchanging.clear();
+        self.probes.clear();
+        self.joining = true;
+        self.times.rebuild = now;
+        for (_, entry) in self.table.iter_mut() {
+            entry.since = now;
+            entry.unreachable = None;
+        }
+        self.changed(now);
+    }
+
+    /// Returns whom to exchange with in this period.
+    fn period_targets(&mut self, now: time::Timestamp) -> Vec<id::Incarnation> {
+        let parent = self.tree.parent().or_else(|| self.draw_partner());
+        let partner = self.draw_partner();
+        let child = self.silent_child(now);
+        let retry = self.unreachable_due(now);
+        let challenged = self.challenged.keys().next().copied();
+        [parent, partner, child, retry, challenged].into_iter().flatten().collect()
+    }
+
+    fn draw_partner(&mut self) -> Option<id::Incarnation> {
+        let index = self.random.below(self.partners.len());
+        self.partners.get(index).copied()
+    }
+
+    /// Returns a child that should have started an exchange with this daemon and has not.
+    fn silent_child(&self, now: time::Timestamp) -> Option<id::Incarnation> {
+        let limit = self.params.period * CHILD_PERIODS;
+        self.tree.children().into_iter().find(|child| {
+            let heard = self.table.get(*child).and_then(|entry| entry.heard);
+            let since = heard.unwrap_or_default().max(self.times.rebuild);
+            now.since(since) >= limit
+        })
+    }
+
+    /// Returns the member that has been unreachable from here for longest, if it is due.
+    fn unreachable_due(&mut self, now: time::Timestamp) -> Option<id::Incarnation> {
+        let limit = self.params.period * RETRY_PERIODS;
+        let unreachable = self.table.iter_mut().filter(|(_, entry)| entry.state.counts());
+        let (incarnation, entry) = unreachable
+            .filter(|(_, entry)| entry.unreachable.is_some_and(|since| now.since(since) >= limit))
+            .min_by_key(|(_, entry)| entry.unreachable)?;
+        entry.unreachable = Some(now);
+        Some(incarnation)
+    }
+
+    fn rotate_partners(&mut self, now: time::Timestamp) {
+        let wanted = self.params.partners.min(self.table.count().saturating_sub(1));
+        if now.since(self.times.rotate) >= self.params.rotate && self.partners.len() >= wanted {
+            self.times.rotate = now;
+            // With all others as partners there is nobody to change to.
+            if self.table.count() > self.params.partners + 1 {
+                self.random.take(&mut self.partners);
+            }
+        }
+        if self.partners.len() >= wanted {
+            return;
+        }
+        let mut others: Vec<_> = membership::others(&self.table, self.own).into();
+        others.retain(|other| !self.partners.contains(other));
+        while self.partners.len() < wanted
+            && let Some(partner) = self.random.take(&mut others)
+        {
+            self.partners.push(partner);
+        }
+    }
+
+    /// Tries an address at which no living member is known: to join, and to find lost ones again.
+    fn reconnect(&mut self, now: time::Timestamp, outputs: &mut Vec<members::Output>) {
+        let alone = self.table.count() <= 1;
+        if !alone && now.since(self.times.reconnect) < self.params.reconnect {
+            return;
+        }
+        self.times.reconnect = now;
+        let known: std::collections::HashSet<_> = self.living_addresses().collect();
+        let dead = self.table.iter().filter(|(_, entry)| !entry.state.counts());
+        let mut addresses: Vec<_> = dead.map(|(_, entry)| entry.place.peer).collect();
+        addresses.extend(&self.seeds);
+        addresses.retain(|address| !known.contains(address));
+        addresses.sort_unstable();
+        addresses.dedup();
+        if let Some(address) = self.random.take(&mut addresses) {
+            self.exchange(now, members::Target::Address(address), outputs);
+        }
+    }
+
+    fn living_addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
+        let living = self.table.iter().filter(|(_, entry)| entry.state.counts());
+        living.map(|(_, entry)| entry.place.peer)
+    }
+
+    /// Tells the parent and partners of news without waiting for the period.
+    pub(crate) fn send_news(&mut self, now: time::Timestamp, outputs: &mut Vec<members::Output>) {
+        self.report_subtree(now, outputs);
+        if !self.push || now.since(self.times.push) < self.params.push_gap {
+            return;
+        }
+        self.push = false;
+        self.times.push = now;
+        let mut partners = self.partners.clone();
+        for _ in 0..self.params.fan_out {
+            if let Some(partner) = self.random.take(&mut partners) {
+                self.exchange(now, members::Target::Member(partner), outputs);
+            }
+        }
+    }
+
+    /// Reports the subtree to the parent if it has changed.
+    fn report_subtree(&mut self, now: time::Timestamp, outputs: &mut Vec<members::Output>) {
+        if let Some(agreed) = self.tree.agreed(self.config) {
+            self.raise_in_force(agreed);
+        }
+        let Some(parent) = self.tree.parent() else { return };
+        let report = (self.table.members_hash(), self.tree.subtree(self.config));
+        let due = now.since(self.times.report) >= self.params.push_gap;
+        if due && self.reported != Some(report) {
+            self.exchange(now, members::Target::Member(parent), outputs);
+        }
+    }
+
+    pub(crate) fn raise_in_force(&mut self, version: u64) {
+        if version > self.in_force() {
+            self.in_force = (self.table.members_hash(), version);
+        }
+    }
+
+    /// Starts an exchange unless one with the same target is open.
+    pub(crate) fn exchange(
+        &mut self,
+        now: time::Timestamp,
+        target: members::Target,
+        outputs: &mut Vec<members::Output>,
+    ) {
+        self.exchange_with(now, target, Vec::new(), outputs);
+    }
+
+    /// Starts an exchange that also states the members of parts that differ.
+    pub(crate) fn exchange_with(
+        &mut self,
+        now: time::Timestamp,
+        target: members::Target,
+        compared: Vec<members::Update>,
+        outputs: &mut Vec<members::Output>,
+    ) {
+        if self.exchanging.iter().any(|(open, _)| *open == target) {
+            return;
+        }
+        self.exchanging.push((target, now));
+        let partner = match target {
+            members::Target::Member(incarnation) => Some(incarnation),
+            members::Target::Address(_) => None,
+        };
+        let mut digest = self.digest(partner);
+        digest.updates.extend(self.challenge(target));
+        digest.compared = compared;
+        if digest.compared.is_empty() && self.must_compare(now, partner) {
+            self.times.compare = now;
+            digest.parts = self.table.parts();
+        }
+        if partner.is_some() && partner == self.tree.parent() {
+            self.times.report = now;
+            self.reported = Some((digest.members, digest.subtree));
+        }
+        outputs.push(members::Output::Exchange { target, digest });
+    }
+
+    /// Returns the statement that the target must refute, if somebody holds it to be dead.
+    fn challenge(&mut self, target: members::Target) -> Option<members::Update> {
+        match target {
+            members::Target::Member(incarnation) => {
+                let sequence = self.challenged.remove(&incarnation)?;
+                let state = members::State::Dead;
+                Some(members::Update { incarnation, sequence, state, place: None })
+            }
+            members::Target::Address(address) => {
+                let (number, dead) = self
+                    .table
+                    .iter()
+                    .find(|(_, entry)| entry.place.peer == address && !entry.state.counts())?;
+                Some(dead.update(number, false))
+            }
+        }
+    }
+
+    /// Returns whether the partner's table is known to differ for good, or is not known at all.
+    fn must_compare(&self, now: time::Timestamp, partner: Option<id::Incarnation>) -> bool {
+        if partner.is_none() {
+            return true;
+        }
+        let theirs = partner.and_then(|partner| self.table.get(partner)?.table);
+        let differs = theirs != Some(self.table.hash());
+        let settled = now.since(self.times.change) >= self.params.settle
+            && now.since(self.times.compare) >= self.params.settle;
+        differs && (self.joining || (theirs.is_some() && settled))
+    }
+
+    /// Returns the digest for `partner`, with the news that it must hear first.
+    pub(crate) fn digest(&mut self, partner: Option<id::Incarnation>) -> members::Digest {
+        let resend = self.params.resend_among(self.table.count());
+        let told = self.rumors.take(self.params.updates, resend);
+        let known = partner.and_then(|partner| self.table.get(partner));
+        let mut first = Vec::new();
+        match (partner, known) {
+            (Some(partner), Some(entry)) if entry.state != members::State::Alive => {
+                first.push(entry.update(partner, false));
+            }
+            (Some(_), Some(_)) => {}
+            // A stranger must learn who this is, to answer and to call back.
+            _ => first.extend(self.table.get(self.own).map(|own| own.update(self.own, true))),
+        }
+        let news = told.into_iter().filter_map(|number| {
+            let entry = self.table.get(number)?;
+            Some(entry.update(number, entry.state.counts()))
+        });
+        members::Digest {
+            from: self.own,
+            members: self.table.members_hash(),
+            table: self.table.hash(),
+            config: self.config,
+            subtree: self.tree.subtree(self.config),
+            in_force: self.in_force(),
+            updates: first.into_iter().chain(news).collect(),
+            parts: Vec::new(),
+            compared: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/members/membership.rs
@@ -0,0 +1,244 @@
+//! The membership of one daemon: who is there, who is suspect, which configuration is in force.
+
+use std::{collections, net};
+
+use trefoildyke_types::{id, time};
+
+use crate::members::{
+    self, entry::Entry, probes::Probes, random::Random, rumors::Rumors, table::Table, tree::Tree,
+};
+
+/// Holds what one daemon knows of all daemons and decides what it tells them.
+///
+/// Each period a daemon exchanges digests with its parent in a tree over the sorted members and with
+/// one of a few partners. News rides on the digests. A member that does not answer is tried by
+/// others before it is called suspect, and a suspect has time to refute before it is called dead.
+/// None of this decides more than soft roles and when a configuration version is reported as in
+/// force.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    pub(crate) own: id::Incarnation,
+    pub(crate) params: members::Params,
+    pub(crate) table: Table,
+    pub(crate) rumors: Rumors,
+    pub(crate) probes: Probes,
+    pub(crate) tree: Tree,
+    pub(crate) random: Random,
+    /// The configuration version of this daemon.
+    pub(crate) config: u64,
+    /// The highest version known to be in force, with the hash of the set that it holds for.
+    pub(crate) in_force: (u64, u64),
+    /// The version that was asked for last, and when.
+    pub(crate) pulling: (u64, time::Timestamp),
+    pub(crate) seeds: Vec<net::SocketAddr>,
+    pub(crate) partners: Vec<id::Incarnation>,
+    /// The exchanges that were started and are not answered, with their starts.
+    pub(crate) exchanging: Vec<(members::Target, time::Timestamp)>,
+    /// Whether the table must be compared with the next peer, without waiting for it to settle.
+    pub(crate) joining: bool,
+    /// Members that another table holds as dead, with the sequence number that they must outdo.
+    pub(crate) challenged: collections::BTreeMap<id::Incarnation, u32>,
+    pub(crate) version: u64,
+    pub(crate) times: Times,
+    /// What this daemon's subtree was when it was last reported to the parent.
+    pub(crate) reported: Option<(u64, members::Subtree)>,
+    /// Whether partners must hear of news before the next period.
+    pub(crate) push: bool,
+}
+
+/// When things were last done.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Times {
+    pub(crate) tick: time::Timestamp,
+    pub(crate) period: time::Timestamp,
+    pub(crate) push: time::Timestamp,
+    pub(crate) rotate: time::Timestamp,
+    pub(crate) reconnect: time::Timestamp,
+    pub(crate) compare: time::Timestamp,
+    /// When the table last changed.
+    pub(crate) change: time::Timestamp,
+    /// When the tree was last rebuilt.
+    pub(crate) rebuild: time::Timestamp,
+    /// When the parent was last reported to.
+    pub(crate) report: time::Timestamp,
+    /// When any peer was last heard.
+    pub(crate) contact: Option<time::Timestamp>,
+}
+
+impl Membership {
+    /// Creates the membership of a daemon that knows only itself.
+    pub fn new(
+        own: id::Incarnation,
+        place: members::Place,
+        params: members::Params,
+        now: time::Timestamp,
+    ) -> Self {
+        let times = Times { tick: now, change: now, rebuild: now, ..Times::default() };
+        let mut this = Self {
+            own,
+            params,
+            table: Table::new(),
+            rumors: Rumors::default(),
+            probes: Probes::default(),
+            tree: Tree::default(),
+            random: Random::default(),
+            config: 0,
+            in_force: (0, 0),
+            pulling: (0, now),
+            seeds: Vec::new(),
+            partners: Vec::new(),
+            exchanging: Vec::new(),
+            joining: true,
+            challenged: collections::BTreeMap::new(),
+            version: 0,
+            times,
+            reported: None,
+            push: false,
+        };
+        let update = members::Update {
+            incarnation: own,
+            sequence: 0,
+            state: members::State::Alive,
+            place: Some(place),
+        };
+        this.accept(&update, now);
+        this.rebuild(now);
+        this
+    }
+
+    /// Reacts to `input` at `now` and returns what is to be done, in order.
+    pub fn step(&mut self, now: time::Timestamp, input: members::Input) -> Vec<members::Output> {
+        let before = (self.version, self.in_force());
+        let mut outputs = Vec::new();
+        match input {
+            members::Input::Tick { random } => {
+                self.random.stir(random);
+                self.tick(now, &mut outputs);
+            }
+            members::Input::Received(digest) => self.received(now, &digest, &mut outputs),
+            members::Input::Answered { target, digest } => {
+                self.answered(now, target, &digest, &mut outputs);
+            }
+            members::Input::Failed(target) => self.failed(now, target, &mut outputs),
+            members::Input::Probed { target, reached } => self.probed(now, target, reached),
+            members::Input::Config(version) => self.config_changed(version),
+            members::Input::Seeds(seeds) => self.seeds = seeds,
+            members::Input::Leave => self.leave(now),
+        }
+        self.rebuild(now);
+        self.send_news(now, &mut outputs);
+        if before != (self.version, self.in_force()) {
+            outputs.push(members::Output::Changed);
+        }
+        outputs
+    }
+
+    /// Returns what this daemon believes about all daemons; costs a copy of the members.
+    pub fn view(&self) -> members::View {
+        let members = self.table.iter().map(|(incarnation, entry)| member(incarnation, entry));
+        members::View {
+            members: members.collect(),
+            version: self.version,
+            hash: self.table.members_hash(),
+        }
+    }
+
+    /// Returns the number that rises with every change of the view.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the highest configuration version that every member of the view has; 0 if unknown.
+    pub fn in_force(&self) -> u64 {
+        let (set, version) = self.in_force;
+        if set == self.table.members_hash() { version } else { 0 }
+    }
+
+    /// Returns when any peer was last heard, if ever.
+    pub const fn contact(&self) -> Option<time::Timestamp> {
+        self.times.contact
+    }
+
+    /// Returns where a member takes connections from its peers.
+    pub fn address(&self, incarnation: id::Incarnation) -> Option<net::SocketAddr> {
+        self.table.get(incarnation).map(|entry| entry.place.peer)
+    }
+
+    fn config_changed(&mut self, version: u64) {
+        if version > self.config {
+            self.config = version;
+            self.push = true;
+        }
+    }
+
+    fn leave(&mut self, now: time::Timestamp) {
+        self.restate(now, members::State::Leaving);
+        self.push = true;
+    }
+
+    /// States anew how this daemon stands, with a sequence number that outdoes what others say.
+    pub(crate) fn restate(&mut self, now: time::Timestamp, state: members::State) {
+        let Some(entry) = self.table.get(self.own) else { return };
+        let mut update = entry.update(self.own, false);
+        update.sequence += 1;
+        update.state = state;
+        self.accept(&update, now);
+    }
+
+    /// Applies an update and tells it on if it was news.
+    pub(crate) fn accept(&mut self, update: &members::Update, now: time::Timestamp) -> bool {
+        let news = self.apply(update, now);
+        if news {
+            self.rumors.add(update.incarnation);
+        }
+        news
+    }
+
+    /// Applies an update and returns whether it was news.
+    pub(crate) fn apply(&mut self, update: &members::Update, now: time::Timestamp) -> bool {
+        let news = self.table.apply(update, now);
+        if news {
+            self.changed(now);
+        }
+        news
+    }
+
+    /// Notes that the view has changed.
+    pub(crate) fn changed(&mut self, now: time::Timestamp) {
+        self.version += 1;
+        self.times.change = now;
+    }
+
+    /// Places the members in the tree anew if the set has changed.
+    fn rebuild(&mut self, now: time::Timestamp) {
+        let set = self.table.members_hash();
+        if self.tree.is_for(set) {
+            return;
+        }
+        let counting = self.table.iter().filter(|(_, entry)| entry.state.counts());
+        let order = counting.map(|(incarnation, _)| incarnation).collect();
+        self.tree.rebuild(order, self.own, set);
+        self.times.rebuild = now;
+        self.partners
+            .retain(|partner| self.table.get(*partner).is_some_and(|entry| entry.state.counts()));
+    }
+}
+
+fn member(incarnation: id::Incarnation, entry: &Entry) -> members::Member {
+    members::Member {
+        host: entry.place.host.clone(),
+        incarnation,
+        zone: entry.place.zone.clone(),
+        peer: entry.place.peer,
+        state: entry.seen_state(),
+    }
+}
+
+/// Collects the living members besides `own` in the order of their incarnations.
+pub(crate) fn others(
+    table: &Table,
+    own: id::Incarnation,
+) -> collections::VecDeque<id::Incarnation> {
+    let counting = table.iter().filter(|(number, entry)| *number != own && entry.state.counts());
+    counting.map(|(incarnation, _)| incarnation).collect()
+}
--- a/crates/decide/src/members/mod.rs
+++ b/crates/decide/src/members/mod.rs
@@ -1,9 +1,37 @@
 //! Which daemons there are, and which of them takes a soft role.
 
+mod digest;
+mod entry;
+mod exchange;
+mod failure;
+mod input;
 mod member;
+mod membership;
+mod merge;
+mod number;
+mod output;
+mod params;
+mod place;
+mod probes;
+mod random;
+mod rumors;
 mod state;
+mod subtree;
+mod table;
+mod target;
+mod tree;
+mod update;
 mod view;
 
+pub use digest::Digest;
+pub use input::Input;
 pub use member::Member;
+pub use membership::Membership;
+pub use output::Output;
+pub use params::Params;
+pub use place::Place;
 pub use state::State;
+pub use subtree::Subtree;
+pub use target::Target;
+pub use update::Update;
 pub use view::View;
--- /dev/null
+++ b/crates/decide/src/members/table.rs
@@ -0,0 +1,187 @@
+//! All members that a daemon knows, with hashes to compare tables by.
+
+use std::{collections, net};
+
+use trefoildyke_types::{id, time};
+
+use crate::members::{self, entry::Entry};
+
+/// The number of parts that a table is compared by.
+pub(crate) const PARTS: usize = 64;
+
+/// Holds the members in the order of their incarnations.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Table {
+    entries: collections::BTreeMap<id::Incarnation, Entry>,
+    /// The latest incarnation at each address.
+    latest: collections::HashMap<net::SocketAddr, id::Incarnation>,
+    /// For each part the exclusive or of its entries' hashes.
+    parts: Vec<u64>,
+    /// The exclusive or of the member hashes.
+    members: u64,
+    count: usize,
+}
+
+impl Table {
+    pub(crate) fn new() -> Self {
+        Self { parts: vec![0; PARTS], ..Self::default() }
+    }
+
+    pub(crate) fn get(&self, incarnation: id::Incarnation) -> Option<&Entry> {
+        self.entries.get(&incarnation)
+    }
+
+    /// Returns an entry whose place, sequence and state the caller must not change.
+    pub(crate) fn get_mut(&mut self, incarnation: id::Incarnation) -> Option<&mut Entry> {
+        self.entries.get_mut(&incarnation)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (id::Incarnation, &Entry)> {
+        self.entries.iter().map(|(incarnation, entry)| (*incarnation, entry))
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (id::Incarnation, &mut Entry)> {
+        self.entries.iter_mut().map(|(incarnation, entry)| (*incarnation, entry))
+    }
+
+    /// Returns how many members are not dead.
+    pub(crate) const fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Returns the hash of the set of members that are not dead.
+    pub(crate) const fn members_hash(&self) -> u64 {
+        self.members
+    }
+
+    /// Returns the hash of the whole table.
+    pub(crate) fn hash(&self) -> u64 {
+        self.parts.iter().enumerate().fold(0, |hash, (index, part)| {
+            let turn = u32::try_from(index).unwrap_or(0);
+            hash ^ part.rotate_left(turn)
+        })
+    }
+
+    /// Returns the short hashes of the parts.
+    pub(crate) fn parts(&self) -> Vec<u32> {
+        self.parts.iter().map(|part| short(*part)).collect()
+    }
+
+    /// Returns at most `limit` members that lie in parts that differ from `parts`.
+    ///
+    /// Starts at the part `start`, so that no part is left out for good.
+    pub(crate) fn differing(
+        &self,
+        parts: &[u32],
+        start: usize,
+        limit: usize,
+    ) -> Vec<members::Update> {
+        let own = self.parts();
+        let differs = |part: usize| parts.get(part) != own.get(part);
+        let mut found: Vec<_> =
+            self.iter().filter(|(incarnation, _)| differs(part_of(*incarnation))).collect();
+        found.sort_by_key(|(incarnation, _)| {
+            (part_of(*incarnation) + PARTS - start % PARTS) % PARTS
+        });
+        found
+            .iter()
+            .take(limit)
+            .map(|(number, entry)| entry.update(*number, entry.state.counts()))
+            .collect()
+    }
+
+    /// Applies an update and returns whether it was news.
+    pub(crate) fn apply(&mut self, update: &members::Update, now: time::Timestamp) -> bool {
+        let Some(entry) = self.entries.get(&update.incarnation) else {
+            return self.insert(update, now);
+        };
+        if update.precedence() <= entry.precedence() {
+            return false;
+        }
+        self.change(update.incarnation, |entry| {
+            entry.sequence = update.sequence;
+            entry.state = update.state;
+            entry.since = now;
+        });
+        true
+    }
+
+    fn insert(&mut self, update: &members::Update, now: time::Timestamp) -> bool {
+        let Some(place) = &update.place else { return false };
+        if update.state == members::State::Dead {
+            return false;
+        }
+        let newest = *self.latest.entry(place.peer).or_insert(update.incarnation);
+        if newest > update.incarnation {
+            return false;
+        }
+        let entry = Entry::new(place.clone(), update.sequence, update.state, now);
+        self.latest.insert(place.peer, update.incarnation);
+        self.entries.insert(update.incarnation, entry);
+        self.toggle(update.incarnation);
+        if newest != update.incarnation {
+            self.supersede(newest, now);
+        }
+        true
+    }
+
+    /// Marks an incarnation dead because a later one answers at its address.
+    fn supersede(&mut self, incarnation: id::Incarnation, now: time::Timestamp) {
+        self.change(incarnation, |entry| {
+            entry.state = members::State::Dead;
+            entry.since = now;
+        });
+    }
+
+    /// Removes what `forget` names and returns whether anything was removed.
+    pub(crate) fn remove_where(&mut self, forget: impl Fn(&Entry) -> bool) -> bool {
+        let gone: Vec<_> =
+            self.iter().filter(|(_, entry)| forget(entry)).map(|(number, _)| number).collect();
+        for incarnation in &gone {
+            self.toggle(*incarnation);
+            if let Some(entry) = self.entries.remove(incarnation)
+                && self.latest.get(&entry.place.peer) == Some(incarnation)
+            {
+                self.latest.remove(&entry.place.peer);
+            }
+        }
+        !gone.is_empty()
+    }
+
+    /// Changes an entry and keeps the hashes and the count right.
+    fn change(&mut self, incarnation: id::Incarnation, change: impl FnOnce(&mut Entry)) {
+        let Some(entry) = self.entries.get(&incarnation) else { return };
+        if entry.state.counts() {
+            self.count -= 1;
+        }
+        self.toggle_hashes(incarnation);
+        if let Some(entry) = self.entries.get_mut(&incarnation) {
+            change(entry);
+        }
+        self.toggle(incarnation);
+    }
+
+    /// Adds an entry to the hashes and the count.
+    fn toggle(&mut self, incarnation: id::Incarnation) {
+        self.toggle_hashes(incarnation);
+        if self.entries.get(&incarnation).is_some_and(|entry| entry.state.counts()) {
+            self.count += 1;
+        }
+    }
+
+    fn toggle_hashes(&mut self, incarnation: id::Incarnation) {
+        if let Some(entry) = self.entries.get(&incarnation) {
+            self.parts[part_of(incarnation)] ^= entry.hash(incarnation);
+            self.members ^= entry.member_hash(incarnation);
+        }
+    }
+}
+
+fn part_of(incarnation: id::Incarnation) -> usize {
+    let mixed = xxhash_rust::xxh3::xxh3_64(&incarnation.as_u64().to_le_bytes());
+    usize::try_from(mixed % PARTS as u64).unwrap_or(0)
+}
+
+fn short(hash: u64) -> u32 {
+    u32::try_from(hash >> 32).unwrap_or(0)
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod experiment;
+pub mod gossip;
 pub mod hosts;
 pub mod kv;
 pub mod model;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod engine;
 mod experiment;
+mod gossip;
 mod hosts;
 mod kv;
 mod model;
