decide: records created at most once, as a pure commit

A slot (bucket of a time slice) is a row of parts; only the last grows, by compare-and-swap, and the write that fills a part seals it. Without the seal a writer with a smaller row could still add it to a part that another had left: the interleaving test finds that trace only if rows differ in size, so its rows do.

--- /dev/null
+++ b/crates/decide/src/intents/layout.rs
@@ -0,0 +1,38 @@
+//! How identifiers are spread over slots.
+
+use trefoildyke_types::id;
+
+use crate::intents;
+
+/// Says how identifiers are spread over slots.
+///
+/// All daemons must use the same layout, or one request could be recorded in two slots. The layout
+/// that stands in the key-value service wins over a daemon's settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Layout {
+    /// Into how many buckets each time slice is divided; at least 1.
+    pub buckets: u32,
+    /// The length of a time slice in milliseconds; at least 1.
+    pub slice_ms: u64,
+}
+
+impl Layout {
+    /// Where the layout stands in the key-value service.
+    pub const KEY: &'static str = "intents/layout";
+
+    /// Returns the slot that holds the record of a request.
+    pub fn slot(&self, key: &id::RequestKey) -> intents::Slot {
+        let bucket = key.stable_hash() % u64::from(self.buckets.max(1));
+        intents::Slot {
+            slice: key.id.created_ms() / self.slice_ms.max(1),
+            // Lower than the number of buckets, which is a `u32`.
+            bucket: u32::try_from(bucket).unwrap_or(0),
+        }
+    }
+
+    /// Returns the end of a time slice, in milliseconds since the Unix epoch.
+    pub const fn slice_end(&self, slice: u64) -> u64 {
+        slice.saturating_add(1).saturating_mul(self.slice_ms)
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod config;
 pub mod coordinate;
 pub mod endpoints;
+pub mod intents;
 pub mod members;
 pub mod schedule;
--- /dev/null
+++ b/crates/decide/tests/testsuite/intents/mod.rs
@@ -0,0 +1,8 @@
+//! Records created at most once: commits by several daemons at once, under faults.
+
+mod fixture;
+mod interleavings;
+mod one_commit;
+mod retention;
+mod simulation;
+mod values;
--- /dev/null
+++ b/crates/decide/tests/testsuite/intents/retention.rs
@@ -0,0 +1,131 @@
+//! Identifiers are not used after their slot may have been deleted.
+
+use proptest::prelude::*;
+use trefoildyke_decide::{coordinate, intents};
+
+use crate::intents::fixture::{self, LAYOUT, NOW_MS, RETENTION};
+
+fn created(now_ms: u64, proves: bool) -> intents::Outcome {
+    let key = fixture::key(1);
+    let row = intents::Row { key: key.clone(), ..fixture::row(1, 1) };
+    let ledger = intents::Ledger::default();
+    let mut commit = intents::Commit::new(ledger, RETENTION, 10_000, vec![row]);
+    commit.next(NOW_MS);
+    commit.observe(intents::Event::Found(vec![]));
+    commit.next(NOW_MS);
+    commit.observe(intents::Event::Written { revision: 1 });
+    assert_eq!(RETENTION.proves(&key.id, now_ms), proves);
+    commit.finish(now_ms).1.remove(0)
+}
+
+#[test]
+fn a_writer_paused_past_the_retention_does_not_trust_its_record() {
+    let limit = NOW_MS + RETENTION.keep_ms + RETENTION.skew_ms;
+    assert_eq!(created(limit, true), intents::Outcome::Created);
+    assert_eq!(created(limit + 1, false), intents::Outcome::Unsure);
+}
+
+#[test]
+fn an_identifier_outside_the_span_is_not_written() {
+    for (created_ms, accepted) in [
+        (NOW_MS - RETENTION.keep_ms, true),
+        (NOW_MS - RETENTION.keep_ms - 1, false),
+        (NOW_MS + RETENTION.skew_ms, true),
+        (NOW_MS + RETENTION.skew_ms + 1, false),
+    ] {
+        let row = intents::Row { key: fixture::key_at(1, created_ms), ..fixture::row(1, 1) };
+        let ledger = intents::Ledger::default();
+        let mut commit = intents::Commit::new(ledger, RETENTION, 10_000, vec![row]);
+        let step = commit.next(NOW_MS);
+        assert_eq!(step != intents::Step::Done, accepted, "created at {created_ms}");
+        if !accepted {
+            assert_eq!(commit.finish(NOW_MS).1, [intents::Outcome::Expired]);
+        }
+    }
+}
+
+#[test]
+fn a_slot_with_missing_parts_takes_no_rows() {
+    let stored = |index, revision| {
+        let rows = vec![fixture::row(9, 9)];
+        intents::Stored { index, revision, part: intents::Part { sealed: true, rows } }
+    };
+    let ledger = intents::Ledger::default();
+    let mut commit = intents::Commit::new(ledger, RETENTION, 10_000, vec![fixture::row(1, 1)]);
+    commit.next(NOW_MS);
+    commit.observe(intents::Event::Found(vec![stored(3, 8)]));
+    assert_eq!(commit.next(NOW_MS), intents::Step::Done);
+    assert_eq!(commit.finish(NOW_MS).1, [intents::Outcome::Expired]);
+}
+
+#[test]
+fn a_slot_that_was_deleted_under_a_writer_takes_no_rows() {
+    let ledger = intents::Ledger::default();
+    let rows = vec![fixture::row(1, 1)];
+    let mut first = intents::Commit::new(ledger, RETENTION, 10_000, rows);
+    first.next(NOW_MS);
+    first.observe(intents::Event::Found(vec![]));
+    first.next(NOW_MS);
+    first.observe(intents::Event::Written { revision: 4 });
+    let (ledger, _) = first.finish(NOW_MS);
+    let rows = vec![fixture::row(2, 1)];
+    let mut second = intents::Commit::new(ledger, RETENTION, 10_000, rows);
+    second.next(NOW_MS);
+    second.observe(intents::Event::Conflict(None));
+    assert_eq!(second.next(NOW_MS), intents::Step::Done);
+    assert_eq!(second.finish(NOW_MS).1, [intents::Outcome::Expired]);
+}
+
+proptest! {
+    /// Two hosts whose clocks differ by up to the skew: a record that one still trusts lies in a
+    /// slot that the other has not deleted.
+    #[test]
+    fn what_is_trusted_is_not_deleted(
+        age_ms in 0..1_000_000_u64,
+        ahead_ms in 0..=RETENTION.skew_ms,
+        number in 0..1_000_u64,
+    ) {
+        let key = fixture::key(number);
+        let writer_ms = NOW_MS + age_ms;
+        let sweeper_ms = writer_ms + ahead_ms;
+        let slot = LAYOUT.slot(&key);
+        if RETENTION.proves(&key.id, writer_ms) {
+            prop_assert!(!RETENTION.is_over(&LAYOUT, slot.slice, sweeper_ms));
+        }
+    }
+
+    /// The same fails for a sweep that does not wait for the difference between clocks.
+    #[test]
+    fn every_slot_is_deleted_in_the_end(number in 0..1_000_u64) {
+        let slot = LAYOUT.slot(&fixture::key(number));
+        let end_ms = LAYOUT.slice_end(slot.slice) + RETENTION.keep_ms + 2 * RETENTION.skew_ms;
+        prop_assert!(!RETENTION.is_over(&LAYOUT, slot.slice, end_ms));
+        prop_assert!(RETENTION.is_over(&LAYOUT, slot.slice, end_ms + 1));
+    }
+}
+
+#[test]
+fn a_sweep_that_ignores_the_clocks_difference_deletes_what_is_trusted() {
+    let hasty = intents::Retention { skew_ms: 0, ..RETENTION };
+    let slice_start = LAYOUT.slice_end(LAYOUT.slot(&fixture::key(1)).slice - 1);
+    let last_of_slice = fixture::key_at(1, slice_start + LAYOUT.slice_ms - 1);
+    let now_ms = LAYOUT.slice_end(LAYOUT.slot(&last_of_slice).slice) + RETENTION.keep_ms + 1;
+    assert!(RETENTION.proves(&last_of_slice.id, now_ms));
+    assert!(hasty.is_over(&LAYOUT, LAYOUT.slot(&last_of_slice).slice, now_ms));
+    assert!(!RETENTION.is_over(&LAYOUT, LAYOUT.slot(&last_of_slice).slice, now_ms));
+}
+
+#[test]
+fn coverage_names_what_is_recorded() {
+    use coordinate::Recording::{Required, Unrecorded};
+    use intents::Coverage;
+    for (coverage, expected) in [
+        (Coverage::Every, [Required, Required, Required]),
+        (Coverage::CallerIds, [Required, Required, Unrecorded]),
+        (Coverage::NonIdempotent, [Required, Unrecorded, Unrecorded]),
+    ] {
+        let kinds = [(false, false), (true, false), (true, true)];
+        let found = kinds.map(|(idempotent, issued)| coverage.recording(idempotent, issued));
+        assert_eq!(found, expected, "{coverage:?}");
+    }
+}
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod config;
 mod coordinate;
 mod endpoints;
+mod intents;
 mod members;
 mod schedule_basics;
