Add the kernel: registry, scopes, control thread, gate, signals

Services need to find each other by name, run on one control thread or on the traffic threads, and be joined by their parent. The gate that a graceful stop closes is shared by threads; loom explores its interleavings over a model of the atomic word, so the check runs in the plain test command.

--- /dev/null
+++ b/crates/kernel/src/control.rs
@@ -0,0 +1,44 @@
+//! The thread of the control state.
+
+use std::thread;
+
+use tokio::runtime;
+use tokio_util::sync as tokio_sync;
+
+use crate::error;
+
+/// Runs a current-thread runtime on a thread of its own until it is ended.
+pub(crate) struct ControlThread {
+    handle: runtime::Handle,
+    end: tokio_sync::CancellationToken,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl ControlThread {
+    pub(crate) fn start() -> Result<Self, error::Error> {
+        let start_error = |cause| error::Error::Start { part: "control thread", cause };
+        let runtime =
+            runtime::Builder::new_current_thread().enable_all().build().map_err(start_error)?;
+        let handle = runtime.handle().clone();
+        let end = tokio_sync::CancellationToken::new();
+        let ended = end.clone();
+        let body = move || runtime.block_on(ended.cancelled());
+        let thread = thread::Builder::new().name("control".to_owned()).spawn(body);
+        Ok(Self { handle, end, thread: Some(thread.map_err(start_error)?) })
+    }
+
+    pub(crate) const fn handle(&self) -> &runtime::Handle {
+        &self.handle
+    }
+}
+
+impl Drop for ControlThread {
+    fn drop(&mut self) {
+        self.end.cancel();
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the control thread panicked; see the log lines before this one");
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/testsuite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the kernel, one module a feature.
+
+mod count;
+mod kernel;
+mod registry;
+mod scope;
