Serve operators: resources, changes, watches, status

Every daemon answers every call. Bodies, pages, watches and changes at once are bounded; a refusal is one typed error with the field's path and the remedy. Deletions may stand beside puts in one change, because an endpoint and the planned stop that names it can go only together.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,4 @@
 //! The services of the daemon.
 
 pub mod config;
+pub mod operators;
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 mod config;
+mod operators;
--- a/crates/decide/src/config/document.rs
+++ b/crates/decide/src/config/document.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, de::DeserializeOwned};
 use trefoildyke_types::{error, resource};
 
+use crate::config::{ChangeSet, Deletion};
+
 /// Holds the fields that all resources share, with the spec unread.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -19,6 +21,16 @@
     status: Option<resource::Status>,
 }
 
+/// Holds a change with its resources unread.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    #[serde(default)]
+    puts: Vec<serde_json::Value>,
+    #[serde(default)]
+    deletions: Vec<Deletion>,
+}
+
 /// Reads one resource from a JSON text; unknown fields are refused.
 ///
 /// # Errors
@@ -80,6 +92,30 @@
     })
 }
 
+/// Reads a change: a list of resources to put, or an object with `puts` and `deletions`.
+///
+/// # Errors
+///
+/// Fails with `Invalid`, the path of the field and the remedy.
+pub fn change_from_json(text: &[u8]) -> Result<ChangeSet, error::Error> {
+    let value: serde_json::Value = serde_json::from_slice(text).map_err(|error| {
+        invalid(format!("this is not JSON: {error}"))
+            .remedy("send a list of resources, or an object with `puts` and `deletions`")
+    })?;
+    let change: Change = match value {
+        serde_json::Value::Array(puts) => Change { puts, deletions: Vec::new() },
+        other => typed(other, "")?,
+    };
+    let puts = change.puts.into_iter().enumerate().map(|(index, value)| {
+        from_value(value).map_err(|error| {
+            let field = error.context.field.as_ref();
+            let path = field.map_or_else(String::new, |field| format!(".{field}"));
+            error.at(&format!("[{index}]{path}"))
+        })
+    });
+    Ok(ChangeSet { puts: puts.collect::<Result<_, _>>()?, deletions: change.deletions })
+}
+
 fn spec(kind: resource::Kind, value: serde_json::Value) -> Result<resource::Spec, error::Error> {
     match kind {
         resource::Kind::ClientAccount => typed(value, "spec").map(resource::Spec::ClientAccount),
--- a/crates/decide/src/config/mod.rs
+++ b/crates/decide/src/config/mod.rs
@@ -12,5 +12,5 @@
 use apply::replay;
 
 pub use apply::apply;
-pub use document::{from_json, from_value, from_yaml};
+pub use document::{change_from_json, from_json, from_value, from_yaml};
 pub use state::{ChangeSet, Deletion, KeyHash, KeyHashError, Snapshot};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod endpoint;
 pub mod http;
+pub mod operators;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/wire/src/operators/message/resource_page.rs
@@ -0,0 +1,15 @@
+//! Resources of one kind.
+
+use trefoildyke_types::resource;
+
+/// Holds resources of one kind, sorted by name.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResourcePage {
+    /// The root version that the page shows.
+    pub version: u64,
+    /// The resources, with their status.
+    pub resources: Vec<resource::Resource>,
+    /// Whether more follow; ask for those after the last name.
+    pub more: bool,
+}
--- /dev/null
+++ b/crates/wire/src/operators/mod.rs
@@ -0,0 +1,6 @@
+//! The operators' calls: bodies and a client that tries several daemons.
+
+mod client;
+pub mod message;
+
+pub use client::{Client, Watch};
