--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod experiment;
+mod goals;
 mod hosts;
 mod kv;
 mod service;
@@ -20,6 +21,8 @@
 enum Command {
     #[options(help = "compare policies in virtual time")]
     Experiment(experiment::Options),
+    #[options(help = "measure and judge the goals of the decisions")]
+    Goals(goals::Options),
     #[options(help = "run a key-value service")]
     Kv(kv::Options),
     #[options(help = "run a host list")]
@@ -34,6 +37,7 @@
 pub(crate) async fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
         Some(Command::Experiment(options)) => experiment::run(&options),
+        Some(Command::Goals(options)) => goals::run(options),
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
         Some(Command::Engine(options)) => engine::run(options).await,
--- a/testbed/src/experiment/compare/mod.rs
+++ b/testbed/src/experiment/compare/mod.rs
@@ -1,7 +1,7 @@
 //! Comparisons: every policy on the same arrivals, over several seeds.
 
 mod comparison;
-mod parallel;
+pub(crate) mod parallel;
 mod plan;
 mod table;
 
--- a/testbed/src/experiment/mod.rs
+++ b/testbed/src/experiment/mod.rs
@@ -7,6 +7,7 @@
 pub mod bound;
 pub mod compare;
 pub mod figures;
+pub mod goals;
 pub mod policy;
 pub mod run;
 pub mod scenario;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod engine;
 mod experiment;
+mod goals;
 mod gossip;
 mod hosts;
 mod kv;
