Model requests: every state within the bounds, and a counterexample for every guard

The model calls the coordinator's own functions. It found two faults in them, each now a rule with a test that failed first: - A request that its caller left was kept as refused 'not_run'; a follower at another daemon passed that on although an earlier attempt had been dispatched (14 steps, three attempts at three daemons). It is now 'abandoned' and tells nobody anything. - An id could be closed by a record that was created after the older one had been deleted by age; 'not_run' was then false (13 steps). The age is checked again there too.

--- a/crates/decide/src/coordinate/answer.rs
+++ b/crates/decide/src/coordinate/answer.rs
@@ -92,11 +92,19 @@
         }
     }
 
+    /// Passes the coordinator's refusal on.
+    ///
+    /// Its `not_run` holds if nobody else may dispatch: the record is its own, or the identifier is
+    /// unrecorded. Otherwise the identifier is closed first.
     pub(super) fn coordinator_refused(&mut self, refusal: request::Refusal) -> Vec<Action> {
-        match self.phase {
-            Phase::Following { .. } => self.refuse(refusal),
-            _ => vec![],
+        let Phase::Following { endpoint, .. } = &self.phase else {
+            return vec![];
+        };
+        let alone = endpoint.is_some() || self.opening.key.id.is_unrecorded();
+        if alone || refusal.kind != request::RefusalKind::NotRun {
+            return self.refuse(refusal);
         }
+        self.refuse_waiting(refusal)
     }
 
     pub(super) fn endpoint_failed(&mut self, refusal: request::Refusal) -> Vec<Action> {
--- a/crates/decide/src/coordinate/conditions.rs
+++ b/crates/decide/src/coordinate/conditions.rs
@@ -31,7 +31,7 @@
     FirstAttempts,
 }
 
-/// Tells of a request with the same key at the same daemon, in progress or finished.
+/// Tells of a request with the same key at the same daemon, in progress or answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Local {
     /// The fingerprint of its body.
@@ -59,6 +59,8 @@
     pub retention_ms: u64,
     /// How far ahead of this daemon's clock an identifier's time may lie, in milliseconds.
     pub skew_ms: u64,
-    /// The request with the same key at this daemon.
+    /// The request with the same key at this daemon, in progress or answered.
+    ///
+    /// Never one that was refused or abandoned: what a refusal said need not hold for a later attempt.
     pub local: Option<Local>,
 }
--- a/crates/decide/src/coordinate/phase.rs
+++ b/crates/decide/src/coordinate/phase.rs
@@ -54,4 +54,6 @@
     Answered,
     /// The final refusal was given.
     Refused(request::RefusalKind),
+    /// The caller left before the dispatch; nobody was told anything.
+    Abandoned,
 }
--- a/crates/decide/src/coordinate/record.rs
+++ b/crates/decide/src/coordinate/record.rs
@@ -51,7 +51,7 @@
             }
             Phase::Waiting(Waiting::Close(refusal)) => {
                 let refusal = refusal.clone();
-                self.closed(&outcome, refusal)
+                self.closed(now, &outcome, refusal)
             }
             _ => vec![],
         }
@@ -95,8 +95,7 @@
     /// Records are deleted by the identifier's age, so one that is created for an identifier past
     /// its retention proves nothing.
     fn own_record(&mut self, now: Now, held: Held) -> Vec<Action> {
-        let age_ms = now.unix_ms.saturating_sub(self.opening.key.id.created_ms());
-        if age_ms > self.opening.retention_ms {
+        if self.is_too_old(now) {
             let mut actions = self.let_go();
             actions.extend(self.refuse(Reason::IdTooOld.unknown()));
             return actions;
@@ -108,6 +107,11 @@
         vec![Action::HandBack(held.permit), Action::Ask]
     }
 
+    fn is_too_old(&self, now: Now) -> bool {
+        let age_ms = now.unix_ms.saturating_sub(self.opening.key.id.created_ms());
+        age_ms > self.opening.retention_ms
+    }
+
     fn dispatch(&mut self, held: Held) -> Vec<Action> {
         let endpoint = held.permit.endpoint;
         self.phase = Phase::Dispatched { endpoint: endpoint.clone(), heard: false };
@@ -145,7 +149,16 @@
         actions
     }
 
-    fn closed(&mut self, outcome: &RecordOutcome, refusal: request::Refusal) -> Vec<Action> {
+    /// Refuses, now that the identifier is closed, or cannot be.
+    fn closed(
+        &mut self,
+        now: Now,
+        outcome: &RecordOutcome,
+        refusal: request::Refusal,
+    ) -> Vec<Action> {
+        if self.is_too_old(now) {
+            return self.refuse(Reason::IdTooOld.unknown());
+        }
         let own = match outcome {
             RecordOutcome::Created => true,
             RecordOutcome::Exists(record) => {
--- a/crates/decide/src/coordinate/request_state.rs
+++ b/crates/decide/src/coordinate/request_state.rs
@@ -30,7 +30,7 @@
 /// Invariants: [`Action::Dispatch`] is returned only while the daemon's own record stands or none
 /// is required, and again only after [`Input::ConnectFailed`], which promises that nothing was
 /// sent. A `not_run` refusal of a possible second attempt is returned only after the daemon's own
-/// record stands. Once the phase is `Answered` or `Refused` no action is returned but the handing
+/// record stands. Once [`Self::is_final`] no action is returned but the handing
 /// back of a late permit.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestState {
@@ -77,14 +77,27 @@
         self.opening.fingerprint
     }
 
+    /// Returns the mark of the records that the request writes.
+    pub const fn nonce(&self) -> id::Nonce {
+        self.opening.nonce
+    }
+
+    /// Takes note that a caller joined; if `second`, other daemons may know the identifier too.
+    ///
+    /// Called on [`Admission::Attach`] with
+    /// [`Arrival::may_be_second`](crate::coordinate::Arrival::may_be_second).
+    pub const fn join(&mut self, second: bool) {
+        self.opening.second |= second;
+    }
+
     /// Returns the number of tokens that have been received in order.
     pub const fn offset(&self) -> u64 {
         self.offset
     }
 
-    /// Returns whether the final answer was given.
+    /// Returns whether nothing more happens to the request here.
     pub const fn is_final(&self) -> bool {
-        matches!(self.phase, Phase::Answered | Phase::Refused(_))
+        matches!(self.phase, Phase::Answered | Phase::Refused(_) | Phase::Abandoned)
     }
 
     /// Moves the request by what happened; returns what to do, in order.
@@ -124,7 +137,7 @@
                 actions
             }
             Phase::Following { .. } => self.refuse(reason.unknown()),
-            Phase::Answered | Phase::Refused(_) => vec![],
+            Phase::Answered | Phase::Refused(_) | Phase::Abandoned => vec![],
         }
     }
 
@@ -179,7 +192,7 @@
         match self.phase {
             Phase::Waiting(Waiting::LookUp | Waiting::Permit) => {
                 let actions = self.let_go();
-                self.phase = Phase::Refused(request::RefusalKind::NotRun);
+                self.phase = Phase::Abandoned;
                 actions
             }
             _ => vec![],
--- a/crates/decide/tests/testsuite/coordinate/request_state.rs
+++ b/crates/decide/tests/testsuite/coordinate/request_state.rs
@@ -89,7 +89,12 @@
     let mut now = fixture::now(0);
     now.unix_ms = NOW_MS + RETENTION_MS + 1;
     let actions = state.step(now, Input::Recorded(RecordOutcome::Created));
-    assert_eq!(actions.last(), Some(&Action::Refuse(Reason::IdTooOld.unknown())));
+    let unknown = Action::Refuse(Reason::IdTooOld.unknown());
+    assert_eq!(actions.last(), Some(&unknown));
+    let mut closing = start(true);
+    step(&mut closing, Input::DeadlinePassed);
+    let actions = closing.step(now, Input::Recorded(RecordOutcome::Created));
+    assert_eq!(actions, [unknown]);
 }
 
 #[test]
@@ -102,6 +107,27 @@
     assert_eq!(actions, [Action::HandBack(fixture::permit("e2"))]);
 }
 
+#[test]
+fn a_coordinators_not_run_is_passed_on_only_if_nobody_else_may_dispatch() {
+    let shed = request::Refusal::new(request::RefusalKind::NotRun, "shed", "later");
+    let uuid = fixture::uuid(NOW_MS);
+    let issued = id::RequestId::issued(uuid, fixture::other());
+    let unrecorded = id::RequestId::unrecorded(uuid, fixture::other());
+    let closing = Action::Record(request::Record::Closed { nonce: fixture::NONCE });
+    for (id, action) in [(issued, closing), (unrecorded, Action::Refuse(shed.clone()))] {
+        let admission = Admission::Follow(fixture::other());
+        let (mut state, _) = RequestState::start(fixture::opening(id, true), admission);
+        assert_eq!(step(&mut state, Input::Refused(shed.clone())), [action]);
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_before_the_dispatch_ends_the_request_unanswered() {
+    let mut state = start(false);
+    assert_eq!(step(&mut state, Input::CallerGone), [Action::Withdraw]);
+    assert_eq!(*state.phase(), Phase::Abandoned);
+}
+
 #[test]
 fn crossed_and_gapped_chunks_are_fetched_again() {
     let mut state = dispatched();
--- /dev/null
+++ b/crates/spec/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! The specification, explored exhaustively.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
+
+mod requests;
--- /dev/null
+++ b/crates/spec/tests/testsuite/requests/holds.rs
@@ -0,0 +1,52 @@
+//! Requests hold their invariants within the bounds.
+
+use trefoildyke_spec::requests::{Bounds, Kind, explore};
+
+const ONCE: Kind = Kind::Chosen { idempotent: false };
+
+fn holds(bounds: &Bounds) -> usize {
+    let start = std::time::Instant::now();
+    let report = explore(bounds);
+    if let Some(broken) = &report.broken {
+        panic!("{broken}\nafter {} states", report.states);
+    }
+    println!("{} states in {:?} {bounds:?}", report.states, start.elapsed());
+    report.states
+}
+
+#[test]
+fn two_daemons() {
+    holds(&Bounds::new(2, ONCE));
+    holds(&Bounds::new(2, Kind::Chosen { idempotent: true }));
+    holds(&Bounds::new(2, Kind::Issued));
+}
+
+#[test]
+fn three_daemons_two_attempts() {
+    holds(&Bounds { deaths: 2, ..Bounds::new(3, ONCE) });
+    holds(&Bounds { deaths: 2, ..Bounds::new(3, Kind::Issued) });
+}
+
+#[test]
+fn three_attempts_at_two_daemons() {
+    holds(&Bounds { attempts: 3, ..Bounds::new(2, ONCE) });
+    holds(&Bounds { attempts: 3, ..Bounds::new(2, Kind::Issued) });
+}
+
+#[test]
+fn two_schedulers_at_once() {
+    let both = |kind| Bounds { spare_permits: 1, connects: 1, ..Bounds::new(2, kind) };
+    holds(&both(ONCE));
+    holds(&both(Kind::Issued));
+}
+
+#[test]
+fn ageing() {
+    holds(&Bounds { ageing: true, ..Bounds::new(2, ONCE) });
+    holds(&Bounds { ageing: true, ..Bounds::new(2, Kind::Issued) });
+}
+
+#[test]
+fn three_attempts_at_three_daemons() {
+    holds(&Bounds { attempts: 3, ..Bounds::new(3, ONCE) });
+}
--- /dev/null
+++ b/crates/spec/tests/testsuite/requests/mod.rs
@@ -0,0 +1,5 @@
+//! The model of requests.
+
+mod guards;
+mod holds;
+mod reach;
