Watch the endpoints of a shard and the platform's host list

A shard's scheduler is fed by one watcher: which endpoints get work, load reports, cache events, and probes on request. After a pause of the process nothing gets work before a reading of the host list that was begun after it: a scheduler that wakes would otherwise grant by what was true before.

--- /dev/null
+++ b/crates/daemon/src/hosts/poller.rs
@@ -0,0 +1,55 @@
+//! Reads the list again and again.
+
+use tokio::sync::watch;
+use trefoildyke_wire::platform::{self, message};
+
+use crate::hosts;
+
+/// Reads the platform's list; run it on the control thread.
+#[derive(Debug)]
+#[must_use = "a handle shows no list until the poller runs"]
+pub struct Poller {
+    settings: hosts::Settings,
+    client: platform::HostsClient,
+    readings: watch::Sender<Option<hosts::Reading>>,
+}
+
+impl Poller {
+    pub(super) fn new(
+        settings: hosts::Settings,
+        client: platform::HostsClient,
+        readings: watch::Sender<Option<hosts::Reading>>,
+    ) -> Self {
+        Self { settings, client, readings }
+    }
+
+    /// Reads until every handle is gone; cancel it by dropping the future.
+    ///
+    /// While the platform does not answer, the last list stands.
+    pub async fn run(self) {
+        let mut failing = false;
+        while !self.readings.is_closed() {
+            let begun = tokio::time::Instant::now();
+            match self.client.list().await {
+                Ok(list) => {
+                    failing = false;
+                    self.publish(begun, list);
+                }
+                Err(error) => {
+                    if !failing {
+                        log::warn!("cannot read the host list, the last one stands: {error}");
+                    }
+                    failing = true;
+                }
+            }
+            tokio::time::sleep(self.settings.interval()).await;
+        }
+    }
+
+    fn publish(&self, begun: tokio::time::Instant, list: message::HostList) {
+        self.readings.send_modify(|last| match last {
+            Some(last) if last.list.hosts == list.hosts => last.begun = begun,
+            _ => *last = Some(hosts::Reading::new(begun, list)),
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosts/settings.rs
@@ -0,0 +1,23 @@
+//! Settings of the service.
+
+use std::time;
+
+/// Settings of the host list's service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// How long to wait between two readings, in milliseconds; at least 1.
+    pub interval_ms: u64,
+}
+
+impl Settings {
+    pub(super) const fn interval(&self) -> time::Duration {
+        time::Duration::from_millis(self.interval_ms)
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { interval_ms: 500 }
+    }
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 mod config;
+mod endpoints;
 mod operators;
--- a/crates/decide/src/endpoints/params.rs
+++ b/crates/decide/src/endpoints/params.rs
@@ -8,8 +8,10 @@
 pub struct Params {
     /// How long an endpoint may leave calls unanswered before it gets no new work; 3 s.
     pub unreachable_after: time::Duration,
-    /// How long a new scheduler waits for the platform's list before it goes on without; 2 s.
+    /// How long a new or paused scheduler waits for the platform's list before it goes on without; 2 s.
     pub list_wait: time::Duration,
+    /// The longest time between two calls that does not count as a pause of this process; 1 s.
+    pub pause_limit: time::Duration,
     /// How long an endpoint that was deleted stays known for the work it still has; 60 s.
     pub forget_after: time::Duration,
 }
@@ -19,6 +21,7 @@
         Self {
             unreachable_after: time::Duration::from_secs(3),
             list_wait: time::Duration::from_secs(2),
+            pause_limit: time::Duration::from_secs(1),
             forget_after: time::Duration::from_secs(60),
         }
     }
--- a/crates/decide/src/endpoints/standings.rs
+++ b/crates/decide/src/endpoints/standings.rs
@@ -1,6 +1,6 @@
 //! What a pool shard's scheduler must know of its endpoints.
 
-use std::collections;
+use std::{collections, sync};
 
 use trefoildyke_types::{id, resource, time::Timestamp};
 
@@ -12,7 +12,8 @@
 /// platform's list does not show its host as leaving or gone, and it has answered lately. A host
 /// that the list has never named yet does not count as gone, because the list lags. An endpoint
 /// counts as having answered when it becomes known, so that a new scheduler can go on at once; but
-/// nothing gets work before the list was read, or could not be for a while.
+/// nothing gets work before the list was read, or could not be for a while. The same holds after a
+/// pause of this process, during which everything may have changed unseen.
 ///
 /// Each method returns what the scheduler must be told, in order.
 ///
@@ -30,17 +31,27 @@
     pool: id::PoolName,
     shard: u16,
     params: endpoints::Params,
-    /// When the first configuration came.
+    /// When the standings were first called, or called again after a pause.
     since: Option<Timestamp>,
-    /// The last reading of the platform's list.
-    hosts: Option<endpoints::Hosts>,
+    /// When they were called last.
+    called: Timestamp,
+    /// The last reading of the platform's list; none that was begun before `since`.
+    hosts: Option<sync::Arc<endpoints::Hosts>>,
     known: collections::BTreeMap<id::EndpointName, known::Known>,
 }
 
 impl Standings {
     /// Creates the standings of one shard of a pool, without endpoints.
     pub fn new(pool: id::PoolName, shard: u16, params: endpoints::Params) -> Self {
-        Self { pool, shard, params, since: None, hosts: None, known: collections::BTreeMap::new() }
+        Self {
+            pool,
+            shard,
+            params,
+            since: None,
+            called: Timestamp::ZERO,
+            hosts: None,
+            known: collections::BTreeMap::new(),
+        }
     }
 
     /// Returns the endpoints that are to be asked for their load, with their descriptions.
@@ -56,7 +67,7 @@
         now: Timestamp,
         snapshot: &config::Snapshot,
     ) -> Vec<schedule::Input> {
-        self.since.get_or_insert(now);
+        let mut inputs = self.notice_pause(now);
         let shards = snapshot.pool(&self.pool).map_or(0, |pool| pool.shards);
         let mut missing: collections::BTreeSet<_> = self.known.keys().cloned().collect();
         for name in snapshot.endpoints_of(&self.pool) {
@@ -71,32 +82,44 @@
                 known.deleted.get_or_insert(now);
             }
         }
-        self.review(now)
+        inputs.extend(self.review(now));
+        inputs
     }
 
-    /// Takes in a reading of the platform's list.
-    pub fn list(&mut self, now: Timestamp, hosts: endpoints::Hosts) -> Vec<schedule::Input> {
-        self.hosts = Some(hosts);
-        self.review(now)
+    /// Takes in a reading of the platform's list that was begun at `begun`.
+    pub fn list(
+        &mut self,
+        now: Timestamp,
+        begun: Timestamp,
+        hosts: sync::Arc<endpoints::Hosts>,
+    ) -> Vec<schedule::Input> {
+        let mut inputs = self.notice_pause(now);
+        if self.since.is_none_or(|since| begun >= since) || self.hosts.is_some() {
+            self.hosts = Some(hosts);
+        }
+        inputs.extend(self.review(now));
+        inputs
     }
 
     /// Notes that an endpoint answered a call.
     pub fn answered(&mut self, now: Timestamp, name: &id::EndpointName) -> Vec<schedule::Input> {
+        let mut inputs = self.notice_pause(now);
         if let Some(known) = self.known.get_mut(name) {
             known.answered = now;
         }
-        self.review(now)
+        inputs.extend(self.review(now));
+        inputs
     }
 
     /// Looks at what time alone changes; to be called several times a second.
     pub fn review(&mut self, now: Timestamp) -> Vec<schedule::Input> {
-        let mut inputs = Vec::new();
+        let mut inputs = self.notice_pause(now);
         let waited = self.since.is_some_and(|since| now.since(since) >= self.params.list_wait);
         if self.hosts.is_none() && !waited {
             return inputs;
         }
         let unread = endpoints::Hosts::default();
-        let hosts = self.hosts.as_ref().unwrap_or(&unread);
+        let hosts = self.hosts.as_deref().unwrap_or(&unread);
         for (name, known) in &mut self.known {
             known.was_listed |= hosts.names(&known.spec.host);
             let told = if known.is_usable(now, hosts, &self.params) {
@@ -115,6 +138,26 @@
         inputs
     }
 
+    /// Takes all endpoints out of use if this process was paused until now.
+    fn notice_pause(&mut self, now: Timestamp) -> Vec<schedule::Input> {
+        let was_paused = now.since(self.called) > self.params.pause_limit;
+        self.called = now;
+        if self.since.is_some() && !was_paused {
+            return Vec::new();
+        }
+        self.since = Some(now);
+        self.hosts = None;
+        let mut inputs = Vec::new();
+        for (name, known) in &mut self.known {
+            known.answered = now;
+            if matches!(known.told, known::Told::Up(_)) {
+                known.told = known::Told::Leaving;
+                inputs.push(input(name, &known.told));
+            }
+        }
+        inputs
+    }
+
     fn describe(
         &mut self,
         now: Timestamp,
--- a/crates/decide/tests/testsuite/endpoints.rs
+++ b/crates/decide/tests/testsuite/endpoints.rs
@@ -1,6 +1,6 @@
 //! Which endpoints get work.
 
-use std::time::Duration;
+use std::{sync, time::Duration};
 
 use trefoildyke_decide::{config, endpoints, schedule};
 use trefoildyke_types::{id, resource, time::Timestamp};
@@ -40,15 +40,32 @@
     wrap("maintenance", resource::Spec::PlannedStop(resource::PlannedStopSpec { target }))
 }
 
-fn hosts(live: &[&str], leaving: &[&str]) -> endpoints::Hosts {
+fn hosts(live: &[&str], leaving: &[&str]) -> sync::Arc<endpoints::Hosts> {
     let names = |list: &[&str]| list.iter().map(|name| id::HostName::new(name)).collect();
-    endpoints::Hosts { live: names(live), leaving: names(leaving) }
+    sync::Arc::new(endpoints::Hosts { live: names(live), leaving: names(leaving) })
 }
 
 fn at(seconds: u64) -> Timestamp {
     Timestamp::from_millis(seconds * 1_000)
 }
 
+/// Lets time pass, seen every half second, while `answering` answer, and returns what was told.
+fn pass(
+    standings: &mut endpoints::Standings,
+    seconds: std::ops::Range<u64>,
+    answering: &[&str],
+) -> Vec<String> {
+    let mut all = Vec::new();
+    for half in seconds.start * 2 + 1..=seconds.end * 2 {
+        let now = Timestamp::from_millis(half * 500);
+        for name in answering {
+            all.extend(told(&standings.answered(now, &(*name).into())));
+        }
+        all.extend(told(&standings.review(now)));
+    }
+    all
+}
+
 /// Returns what was told, as `+name`, `-name` or `gone name`.
 fn told(inputs: &[schedule::Input]) -> Vec<String> {
     let text = |input: &schedule::Input| match input {
@@ -66,7 +83,7 @@
     let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
     let snapshot = config::Snapshot::of(1, resources.clone());
     assert!(standings.configure(at(0), &snapshot).is_empty());
-    assert_eq!(told(&standings.list(at(0), hosts(&["h1", "h2"], &[]))), ["+e1", "+e2"]);
+    assert_eq!(told(&standings.list(at(0), at(0), hosts(&["h1", "h2"], &[]))), ["+e1", "+e2"]);
     (standings, resources)
 }
 
@@ -76,7 +93,7 @@
     let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
     standings.configure(at(0), &config::Snapshot::of(1, resources));
     assert!(standings.review(at(1)).is_empty());
-    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &["h2"]))), ["+e1"]);
+    assert_eq!(told(&standings.list(at(1), at(1), hosts(&["h1"], &["h2"]))), ["+e1"]);
 }
 
 #[test]
@@ -84,15 +101,16 @@
     let mut standings = endpoints::Standings::new(POOL.into(), 0, endpoints::Params::default());
     let snapshot = config::Snapshot::of(1, vec![pool(1), endpoint("e1", "h1")]);
     standings.configure(at(0), &snapshot);
-    assert_eq!(told(&standings.review(at(2))), ["+e1"]);
+    assert_eq!(pass(&mut standings, 0..1, &[]), [""; 0]);
+    assert_eq!(pass(&mut standings, 1..2, &[]), ["+e1"]);
 }
 
 #[test]
 fn an_endpoint_on_a_leaving_host_is_told_as_leaving_at_once() {
     let (mut standings, _) = two_up();
-    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &["h2"]))), ["-e2"]);
-    assert!(standings.list(at(1), hosts(&["h1"], &["h2"])).is_empty());
-    assert_eq!(told(&standings.list(at(2), hosts(&["h1", "h2"], &[]))), ["+e2"]);
+    assert_eq!(told(&standings.list(at(1), at(1), hosts(&["h1"], &["h2"]))), ["-e2"]);
+    assert!(standings.list(at(1), at(1), hosts(&["h1"], &["h2"])).is_empty());
+    assert_eq!(told(&standings.list(at(2), at(2), hosts(&["h1", "h2"], &[]))), ["+e2"]);
 }
 
 #[test]
@@ -101,7 +119,7 @@
     resources.push(endpoint("e3", "h3"));
     let snapshot = config::Snapshot::of(2, resources);
     assert_eq!(told(&standings.configure(at(1), &snapshot)), ["+e3"]);
-    assert_eq!(told(&standings.list(at(1), hosts(&["h1"], &[]))), ["-e2"]);
+    assert_eq!(told(&standings.list(at(1), at(1), hosts(&["h1"], &[]))), ["-e2"]);
 }
 
 #[test]
@@ -122,19 +140,30 @@
     let without = config::Snapshot::of(2, resources);
     assert_eq!(told(&standings.configure(at(1), &without)), ["-e2"]);
     assert_eq!(standings.watched().count(), 2);
-    standings.answered(at(60), &"e1".into());
-    assert_eq!(told(&standings.review(at(61))), ["gone e2"]);
+    assert_eq!(pass(&mut standings, 1..60, &["e1"]), [""; 0]);
+    assert_eq!(pass(&mut standings, 60..61, &["e1"]), ["gone e2"]);
     assert_eq!(standings.watched().count(), 1);
 }
 
 #[test]
 fn an_endpoint_that_does_not_answer_gets_nothing_until_it_does() {
     let (mut standings, _) = two_up();
-    standings.answered(at(2), &"e1".into());
-    assert_eq!(told(&standings.review(at(3))), ["-e2"]);
+    assert_eq!(pass(&mut standings, 0..2, &["e1"]), [""; 0]);
+    assert_eq!(pass(&mut standings, 2..3, &["e1"]), ["-e2"]);
     assert_eq!(told(&standings.answered(at(4), &"e2".into())), ["+e2"]);
 }
 
+#[test]
+fn after_a_pause_nothing_gets_work_before_a_new_reading() {
+    let (mut standings, _) = two_up();
+    // The first call after the pause may be any; here an endpoint's answer comes first.
+    assert_eq!(told(&standings.answered(at(9), &"e1".into())), ["-e1", "-e2"]);
+    // A reading begun before the pause shows the past.
+    let list = hosts(&["h1", "h2"], &[]);
+    assert!(standings.list(at(9), at(1), list).is_empty());
+    assert_eq!(told(&standings.list(at(10), at(9), hosts(&["h1"], &["h2"]))), ["+e1"]);
+}
+
 #[test]
 fn shards_divide_the_endpoints_and_more_shards_move_few() {
     let names: Vec<id::EndpointName> =
--- a/crates/types/src/engine/load_report.rs
+++ b/crates/types/src/engine/load_report.rs
@@ -1,10 +1,12 @@
-//! The load of an engine, as it was a while ago.
+//! The load of an endpoint, as it was a while ago.
 
-/// Describes an engine's load at one moment; it is stale by the time it is read.
+/// Describes an endpoint's load at one moment; it is stale by the time it is read.
+///
+/// A plain service reports no tokens, blocks and steps.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadReport {
-    /// When the load was so, in milliseconds by the engine's own clock.
+    /// When the load was so, in milliseconds since the Unix epoch by the endpoint's clock.
     pub as_of_ms: u64,
     /// Streams in the batch.
     pub running: u32,
--- a/testbed/src/command/service.rs
+++ b/testbed/src/command/service.rs
@@ -17,6 +17,8 @@
     call_ms: Option<u64>,
     #[options(no_short, help = "calls at once", meta = "N")]
     slots: Option<usize>,
+    #[options(no_short, help = "how old load reports are", meta = "MS")]
+    report_lag_ms: Option<u64>,
 }
 
 pub(crate) async fn run(options: Options) -> anyhow::Result<()> {
@@ -25,6 +27,7 @@
         listen: options.listen.unwrap_or(default.listen),
         call_time: options.call_ms.map_or(default.call_time, time::Duration::from_millis),
         slots: options.slots.unwrap_or(default.slots),
+        report_lag: options.report_lag_ms.map_or(default.report_lag, time::Duration::from_millis),
     })
     .await?;
     stop::print_address(running.address())?;
--- a/testbed/src/engine/core.rs
+++ b/testbed/src/engine/core.rs
@@ -94,7 +94,8 @@
     pub(super) fn cache_page(&self, after: u64) -> message::CachePage {
         let first = self.published.partition_point(|event| event.seq <= after);
         let events: Vec<_> = self.published.range(first..).take(PAGE).copied().collect();
-        let next = events.last().map_or(after, |event| event.seq);
+        let newest = self.published.back().map_or(0, |event| event.seq);
+        let next = events.last().map_or(newest, |event| event.seq);
         message::CachePage { events, next }
     }
 
--- a/testbed/src/engine/running.rs
+++ b/testbed/src/engine/running.rs
@@ -88,10 +88,7 @@
                 self.resume(account, id, number(&head.uri, "offset="))
             }
             (&Method::DELETE, ["v1", "streams", account, id]) => self.cancel(account, id),
-            (&Method::GET, ["v1", "load"]) => {
-                let load = self.shared.with(|core, now| core.model.load(now));
-                http::json(StatusCode::OK, &load)
-            }
+            (&Method::GET, ["v1", "load"]) => http::json(StatusCode::OK, &self.shared.load()),
             (&Method::GET, ["v1", "cache", "events"]) => {
                 let after = number(&head.uri, "after=");
                 http::json(StatusCode::OK, &self.shared.with(|core, _| core.cache_page(after)))
--- a/testbed/src/engine/shared.rs
+++ b/testbed/src/engine/shared.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use tokio::sync::watch;
-use trefoildyke_types::time::Timestamp;
+use trefoildyke_types::{engine as report, time::Timestamp};
 
 use crate::{engine, model};
 
@@ -11,6 +11,8 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     origin: time::Instant,
+    /// The origin on the wall clock, in milliseconds since the Unix epoch.
+    origin_ms: u64,
     core: sync::Mutex<engine::core::Core>,
     /// Wakes the clock when the core has something new to do.
     pub(super) changed: tokio::sync::Notify,
@@ -21,8 +23,10 @@
 
 impl Shared {
     pub(super) fn new(settings: &engine::Settings) -> Self {
+        let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
         Self {
             origin: time::Instant::now(),
+            origin_ms: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
             core: sync::Mutex::new(engine::core::Core::new(settings)),
             changed: tokio::sync::Notify::new(),
             mode: watch::Sender::new((0, engine::Mode::new(engine::ModeKind::Ok))),
@@ -35,6 +39,13 @@
         Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Returns the load as it was a lag ago, on the wall clock.
+    pub(super) fn load(&self) -> report::LoadReport {
+        let mut load = self.with(|core, now| core.model.load(now));
+        load.as_of_ms += self.origin_ms;
+        load
+    }
+
     /// Calls `use_core` with the core moved to the present, and wakes the clock.
     pub(super) fn with<T>(
         &self,
--- a/testbed/src/model/engine.rs
+++ b/testbed/src/model/engine.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::{engine, id, time::Timestamp};
 
-use crate::model::{self, outbox, reports, stream};
+use crate::model::{self, outbox, stream};
 
 /// Models an engine that batches continuously and knows no priorities.
 ///
@@ -45,7 +45,7 @@
     step_us: u64,
     cache: model::PrefixCache,
     outbox: outbox::Outbox,
-    reports: reports::Reports,
+    reports: model::Reports,
     ledger: model::Ledger,
     /// Events for the next call of `advance`.
     events: Vec<model::ModelEvent>,
@@ -63,7 +63,7 @@
             step_us: 0,
             cache: model::PrefixCache::new(params.cache_blocks as usize),
             outbox: outbox::Outbox::new(params.event_lag, params.event_loss, params.seed),
-            reports: reports::Reports::new(params.report_lag),
+            reports: model::Reports::new(params.report_lag),
             ledger: model::Ledger::default(),
             events: Vec::new(),
             params,
--- a/testbed/src/model/mod.rs
+++ b/testbed/src/model/mod.rs
@@ -21,3 +21,4 @@
 pub use ledger::{Ledger, Totals};
 pub use mode::Mode;
 pub use params::{GENERATION_SPEEDS, Params};
+pub use reports::Reports;
--- a/testbed/src/service/mod.rs
+++ b/testbed/src/service/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a plain service, some of whose calls may not be repeated.
 
 mod ledger_report;
+mod load;
 mod running;
 mod settings;
 
--- a/testbed/src/service/running.rs
+++ b/testbed/src/service/running.rs
@@ -25,6 +25,7 @@
 struct Site {
     call_time: time::Duration,
     slots: tokio::sync::Semaphore,
+    load: sync::Mutex<service::load::Load>,
     switch: switch::Switch,
     ledger: sync::Mutex<service::LedgerReport>,
     calls: tracking::TaskTracker,
@@ -36,6 +37,7 @@
     let site = sync::Arc::new(Site {
         call_time: settings.call_time,
         slots: tokio::sync::Semaphore::new(settings.slots.max(1)),
+        load: sync::Mutex::new(service::load::Load::new(settings.report_lag)),
         switch: switch::Switch::default(),
         ledger: sync::Mutex::default(),
         calls: tracking::TaskTracker::new(),
@@ -77,12 +79,19 @@
         self.ledger.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    fn load(&self) -> sync::MutexGuard<'_, service::load::Load> {
+        self.load.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Runs a call to its end, whether or not the caller still listens.
     async fn run(&self, key: id::RequestKey, output: String, delay: time::Duration) -> Response {
         *self.lock().starts.entry(key.to_string()).or_default() += 1;
+        self.load().wait();
         let slot = self.slots.acquire().await;
+        self.load().run();
         tokio::time::sleep(self.call_time + delay).await;
         drop(slot);
+        self.load().end();
         http::json(StatusCode::OK, &message::ServiceReply { id: key.id, output })
     }
 }
@@ -92,6 +101,7 @@
     let (head, body) = call.request.into_parts();
     match (&head.method, head.uri.path()) {
         (&Method::GET, "/v1/ledger") => Ok(http::json(StatusCode::OK, &*site.lock())),
+        (&Method::GET, "/v1/load") => Ok(http::json(StatusCode::OK, &site.load().read())),
         (&Method::POST, "/admin/mode") => Ok(set_mode(site, body).await),
         (&Method::POST, path) if path.starts_with("/v1/call/") => {
             let operation = path.trim_start_matches("/v1/call/").to_owned();
--- a/testbed/src/service/settings.rs
+++ b/testbed/src/service/settings.rs
@@ -11,6 +11,8 @@
     pub call_time: time::Duration,
     /// How many calls run at once; at least 1.
     pub slots: usize,
+    /// How old load reports are.
+    pub report_lag: time::Duration,
 }
 
 impl Default for Settings {
@@ -19,6 +21,7 @@
             listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
             call_time: time::Duration::from_millis(20),
             slots: 8,
+            report_lag: time::Duration::from_secs(1),
         }
     }
 }
