--- /dev/null
+++ b/crates/spec/src/configuration/attempt.rs
@@ -0,0 +1,132 @@
+//! One operator's change on its way, as the daemon's writer takes it.
+
+use std::sync;
+
+use trefoildyke_decide::config::{self, storage};
+use trefoildyke_types::{id, resource};
+
+use crate::configuration::{Guards, Held, Stored};
+
+/// Says what the operator was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The change made this version.
+    Accepted(usize),
+    /// Another change was first, and nothing changed.
+    Conflict,
+    /// Nothing changed.
+    Refused,
+    /// The change may have been or may yet be made.
+    Unsure,
+}
+
+/// Names the phase of a change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// The root is to be read.
+    Start,
+    /// The root was read.
+    Read(Stored),
+    /// A write is on its way; it compares the revision inside.
+    Writing(Stored),
+    /// The service's answer is on its way: whether the write took effect.
+    Written(Stored, bool),
+    /// The operator has its answer.
+    Told(Verdict),
+}
+
+/// Holds one operator's change at one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Attempt {
+    /// The daemon.
+    pub daemon: usize,
+    /// The version of the resource that the operator means to replace.
+    pub replaces: u64,
+    /// The version on which the change was last sent; `None` if it can be nowhere.
+    pub sent: Option<u64>,
+    /// The phase.
+    pub phase: Phase,
+}
+
+impl Attempt {
+    /// Creates the change of an operator who has seen what the daemon holds.
+    pub fn new(daemon: usize, held: &Held) -> Self {
+        let seen = held.snapshot.resource(resource::Kind::Tier, TIER);
+        let replaces = seen.map_or(0, |seen| seen.resource_version);
+        Self { daemon, replaces, sent: None, phase: Phase::Start }
+    }
+
+    /// Returns the version that the change made, if the operator was told that it is accepted.
+    pub const fn accepted(&self) -> Option<usize> {
+        match self.phase {
+            Phase::Told(Verdict::Accepted(version)) => Some(version),
+            _ => None,
+        }
+    }
+
+    /// Goes on from the root that was read.
+    pub(super) fn act(&mut self, guards: Guards, operator: usize, read: &Stored, have: &Held) {
+        if let Some(base) = self.sent.filter(|_| guards.nonce) {
+            match read.root.outcome(base, nonce(operator)) {
+                storage::Outcome::Applied => {
+                    let version = usize::try_from(base).unwrap_or(usize::MAX) + 1;
+                    self.phase = Phase::Told(Verdict::Accepted(version));
+                    return;
+                }
+                storage::Outcome::Lost => self.sent = None,
+                storage::Outcome::Open => {}
+                storage::Outcome::Forgotten => {
+                    self.phase = Phase::Told(Verdict::Unsure);
+                    return;
+                }
+            }
+        }
+        self.phase = match write_back(read, have) {
+            Some(restored) => Phase::Writing(restored),
+            None => self.plan(operator, read),
+        };
+    }
+
+    fn plan(&mut self, operator: usize, read: &Stored) -> Phase {
+        let set = change(operator, self.replaces);
+        let snapshot = &read.held.snapshot;
+        let Ok(plan) = storage::plan(&read.root, snapshot, &set, nonce(operator)) else {
+            return Phase::Told(Verdict::Conflict);
+        };
+        self.sent = Some(read.root.version);
+        let mut changes = read.held.changes.clone();
+        changes.push(operator);
+        let held = Held { snapshot: plan.snapshot, changes };
+        Phase::Writing(Stored { root: sync::Arc::new(plan.root), revision: read.revision, held })
+    }
+}
+
+/// The one resource that the operators race for.
+const TIER: &str = "t";
+
+/// Returns the mark of an operator's change.
+pub(super) const fn nonce(operator: usize) -> id::Nonce {
+    id::Nonce(operator as u64 + 1)
+}
+
+/// Returns what brings back what a daemon holds, if the service has lost it.
+pub(super) fn write_back(read: &Stored, have: &Held) -> Option<Stored> {
+    if read.root.version >= have.snapshot.version() {
+        return None;
+    }
+    let mark = id::Nonce(u64::MAX);
+    let plan = storage::restore(&read.root, &have.snapshot, mark).ok()?;
+    let root = sync::Arc::new(plan.root);
+    Some(Stored { root, revision: read.revision, held: have.clone() })
+}
+
+fn change(operator: usize, replaces: u64) -> config::ChangeSet {
+    let deadline_ms = operator as u64 + 1;
+    config::ChangeSet::put(resource::Resource {
+        name: TIER.to_owned(),
+        spec: resource::Spec::Tier(resource::TierSpec { rank: 0, deadline_ms }),
+        generation: 0,
+        resource_version: replaces,
+        status: None,
+    })
+}
--- /dev/null
+++ b/crates/spec/tests/testsuite/configuration.rs
@@ -0,0 +1,60 @@
+//! The model of configuration versions.
+
+use trefoildyke_spec::configuration::{Bounds, Guards, Phase, Verdict, World, explore, reach};
+
+fn holds(bounds: &Bounds) {
+    let start = std::time::Instant::now();
+    let report = explore(bounds);
+    if let Some(broken) = &report.broken {
+        panic!("{broken}\nafter {} states", report.states);
+    }
+    println!("{} states in {:?} {bounds:?}", report.states, start.elapsed());
+}
+
+fn counterexample(bounds: &Bounds) -> String {
+    let broken = explore(bounds).broken;
+    broken.expect("the model holds without the guard").to_string()
+}
+
+fn verdicts(world: &World) -> Vec<Verdict> {
+    let told = |phase: &Phase| match phase {
+        Phase::Told(verdict) => Some(*verdict),
+        _ => None,
+    };
+    world.attempts.iter().flatten().filter_map(|attempt| told(&attempt.phase)).collect()
+}
+
+#[test]
+fn racing_operators_at_two_daemons() {
+    holds(&Bounds::new(2, 2));
+}
+
+#[test]
+fn of_two_racing_operators_one_wins_and_one_gets_a_conflict() {
+    let goal = |world: &World| verdicts(world) == [Verdict::Accepted(1), Verdict::Conflict];
+    assert!(reach(&Bounds::new(2, 2), goal).is_some());
+}
+
+#[test]
+fn without_only_rising() {
+    let guards = Guards { rises: false, ..Guards::ALL };
+    insta::assert_snapshot!(counterexample(&Bounds { guards, ..Bounds::new(2, 1) }));
+}
+
+#[test]
+fn without_settling_by_the_nonce() {
+    let guards = Guards { nonce: false, ..Guards::ALL };
+    insta::assert_snapshot!(counterexample(&Bounds { guards, ..Bounds::new(2, 2) }));
+}
+
+#[test]
+fn without_comparing_the_revision() {
+    let guards = Guards { compare: false, ..Guards::ALL };
+    insta::assert_snapshot!(counterexample(&Bounds { guards, ..Bounds::new(2, 2) }));
+}
+
+/// What remains: the service itself loses a change that it had confirmed.
+#[test]
+fn a_service_that_forgets() {
+    insta::assert_snapshot!(counterexample(&Bounds { forgets: true, ..Bounds::new(2, 2) }));
+}
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
+mod configuration;
 mod requests;
