Add the daemon's settings, logs, time line, metrics and clock

Settings refuse unknown keys and values out of range with the field's path and a remedy; secrets are never printed. The time line is a bounded ring with a Lamport clock that keeps up with the wall clock, so that events of hosts without messages between them sort sensibly too.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,11 @@
 //! The services of the daemon.
 
+pub mod clock;
 pub mod config;
 pub mod endpoints;
 pub mod hosts;
+pub mod logs;
+pub mod metrics;
 pub mod operators;
+pub mod settings;
+pub mod timeline;
--- /dev/null
+++ b/crates/daemon/src/settings/coordinate.rs
@@ -0,0 +1,66 @@
+//! Limits and bounds of the coordinator.
+
+use std::time;
+
+use trefoildyke_decide::coordinate;
+
+/// Limits the coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Coordinate {
+    /// The most requests in progress at once; at least 1. More are refused as not run.
+    pub requests: usize,
+    /// How long a finished answer stays readable, in milliseconds.
+    pub keep_ms: u64,
+    /// The most bytes of finished answers that are kept; the oldest go first.
+    pub keep_bytes: usize,
+    /// How long the daemon may reach neither the key-value service nor any peer before it refuses
+    /// new work, in milliseconds; at least 100.
+    pub isolation_ms: u64,
+    /// How far ahead of this host's clock an identifier's time may lie, in milliseconds.
+    pub skew_ms: u64,
+    /// Which requests go on while the key-value service is down.
+    pub outage: coordinate::OutagePolicy,
+    /// How long a graceful stop waits for requests in progress, in milliseconds.
+    pub drain_ms: u64,
+    /// From which gap between two ticks the process counts as having been paused, in milliseconds;
+    /// at least 200.
+    pub pause_ms: u64,
+}
+
+impl Default for Coordinate {
+    fn default() -> Self {
+        Self {
+            requests: 20_000,
+            keep_ms: 60_000,
+            keep_bytes: 32 << 20,
+            isolation_ms: 3_000,
+            skew_ms: 30_000,
+            outage: coordinate::OutagePolicy::default(),
+            drain_ms: 600_000,
+            pause_ms: 1_000,
+        }
+    }
+}
+
+impl Coordinate {
+    /// Returns how long a finished answer stays readable.
+    pub const fn keep(&self) -> time::Duration {
+        time::Duration::from_millis(self.keep_ms)
+    }
+
+    /// Returns how long the daemon may be cut off before it refuses new work.
+    pub const fn isolation(&self) -> time::Duration {
+        time::Duration::from_millis(self.isolation_ms)
+    }
+
+    /// Returns how long a graceful stop waits for requests in progress.
+    pub const fn drain(&self) -> time::Duration {
+        time::Duration::from_millis(self.drain_ms)
+    }
+
+    /// Returns from which gap on the process counts as having been paused.
+    pub const fn pause(&self) -> time::Duration {
+        time::Duration::from_millis(self.pause_ms)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/listen.rs
@@ -0,0 +1,32 @@
+//! Where the daemon listens.
+
+use std::net;
+
+/// Holds the addresses on which the daemon listens; port 0 takes any free port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: net::SocketAddr,
+    /// For operators.
+    pub operators: net::SocketAddr,
+    /// For the other daemons.
+    pub peers: net::SocketAddr,
+    /// For the scraping of metrics.
+    pub metrics: net::SocketAddr,
+}
+
+const fn loopback(port: u16) -> net::SocketAddr {
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), port)
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        Self {
+            callers: loopback(7400),
+            operators: loopback(7401),
+            peers: loopback(7402),
+            metrics: loopback(7403),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,24 @@
+//! The daemon's settings: one YAML file, every key checked.
+
+mod callers;
+mod check;
+mod coordinate;
+mod error;
+mod file;
+mod listen;
+mod logs;
+mod operators;
+mod peers;
+mod platform;
+mod secret;
+
+pub use callers::Callers;
+pub use coordinate::Coordinate;
+pub use error::Error;
+pub use file::Settings;
+pub use listen::Listen;
+pub use logs::Logs;
+pub use operators::Operators;
+pub use peers::Peers;
+pub use platform::Platform;
+pub use secret::Secret;
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -5,3 +5,5 @@
 mod config;
 mod endpoints;
 mod operators;
+mod settings;
+mod timeline;
