Serve callers over HTTP: keys, checked requests, event streams, refusals at once

Cause: the coordinator had no way in. The face is coded against a plain struct of two closures, so that it knows nothing of the coordinator's inside.

--- /dev/null
+++ b/crates/daemon/src/callers/face.rs
@@ -0,0 +1,131 @@
+//! What the callers' face is made of.
+
+use std::sync;
+
+use hyper::{Method, StatusCode, body, header};
+use sha2::Digest;
+use trefoildyke_decide::config as decided;
+use trefoildyke_kernel as kernel;
+use trefoildyke_types::{id, request};
+use trefoildyke_wire::http;
+
+use crate::{
+    callers::{Answer, Coordinator, check, reply, stream},
+    config, settings,
+};
+
+/// How many events of one answer wait for a slow caller.
+const WAITING_EVENTS: usize = 64;
+
+type Reply = Result<hyper::Response<http::Body>, request::Refusal>;
+
+/// Answers callers.
+pub struct Face {
+    settings: settings::Callers,
+    config: config::Handle,
+    coordinator: Coordinator,
+    /// Joins the tasks that write streams.
+    streams: kernel::Scope,
+}
+
+impl Face {
+    /// Creates the face over the configuration and the coordinator.
+    pub const fn new(
+        settings: settings::Callers,
+        config: config::Handle,
+        coordinator: Coordinator,
+        streams: kernel::Scope,
+    ) -> Self {
+        Self { settings, config, coordinator, streams }
+    }
+
+    /// Answers one call.
+    ///
+    /// # Errors
+    ///
+    /// Never; the type is what [`http::Server`] asks for.
+    pub async fn answer(
+        self: sync::Arc<Self>,
+        call: http::Call,
+    ) -> Result<hyper::Response<http::Body>, http::Aborted> {
+        let answer = self.route(call.request).await;
+        Ok(answer.unwrap_or_else(|refusal| reply::refusal(&refusal)))
+    }
+
+    async fn route(&self, request: hyper::Request<body::Incoming>) -> Reply {
+        let (parts, body) = request.into_parts();
+        let segments: Vec<_> = parts.uri.path().split('/').skip(1).collect();
+        match (&parts.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "health"]) => Ok(http::json(StatusCode::OK, &"ok")),
+            (&Method::POST, ["v1", "requests"]) => {
+                let account = self.authorize(&parts.headers)?;
+                self.submit(&account, body).await
+            }
+            (&Method::GET, ["v1", "requests", id]) => {
+                let account = self.authorize(&parts.headers)?;
+                self.resume(account, id, parts.uri.query()).await
+            }
+            (method, _) => {
+                let remedy = format!(
+                    "there is no call {method} {}; use POST /v1/requests or GET /v1/requests/ID",
+                    parts.uri.path()
+                );
+                Err(request::Refusal::new(request::RefusalKind::Invalid, "no_such_call", remedy))
+            }
+        }
+    }
+
+    fn authorize(&self, headers: &hyper::HeaderMap) -> Result<id::AccountName, request::Refusal> {
+        let header = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let key = header.and_then(|value| value.strip_prefix("Bearer "));
+        let account = key.and_then(|key| {
+            // Only the hash is compared, so the time it takes tells nothing about a key.
+            let hash = decided::KeyHash::new(sha2::Sha256::digest(key.as_bytes()).into());
+            self.config.snapshot().account_by_key(&hash).cloned()
+        });
+        account.ok_or_else(|| {
+            request::Refusal::new(
+                request::RefusalKind::Unauthorized,
+                "bad_key",
+                "send `Authorization: Bearer KEY` with a key of a client account",
+            )
+        })
+    }
+
+    async fn submit(&self, account: &id::AccountName, body: body::Incoming) -> Reply {
+        let limit = self.settings.body_bytes;
+        let spec: request::RequestSpec = http::read_json(body, limit, self.settings.body_wait())
+            .await
+            .map_err(|error| reply::from_error(&error))?;
+        let submission = check::submission(&self.config.snapshot(), account, spec)?;
+        let answer = (self.coordinator.submit)(submission).await?;
+        Ok(self.stream(answer))
+    }
+
+    async fn resume(&self, account: id::AccountName, id: &str, query: Option<&str>) -> Reply {
+        let id = id.parse().map_err(|error: id::IdError| {
+            request::Refusal::new(request::RefusalKind::Invalid, "bad_id", error.to_string())
+        })?;
+        let answer =
+            (self.coordinator.resume)(id::RequestKey { account, id }, offset(query)?).await?;
+        Ok(self.stream(answer))
+    }
+
+    fn stream(&self, answer: Answer) -> hyper::Response<http::Body> {
+        let (sender, response) = http::EventSender::new(WAITING_EVENTS);
+        let ending = self.streams.token().clone();
+        self.streams
+            .spawn_isolated("stream", stream::run(sender, answer, self.settings.beat(), ending));
+        response
+    }
+}
+
+fn offset(query: Option<&str>) -> Result<u64, request::Refusal> {
+    let Some(query) = query else {
+        return Ok(0);
+    };
+    query.strip_prefix("offset=").and_then(|text| text.parse().ok()).ok_or_else(|| {
+        let remedy = "send `?offset=N` with the first output offset that is missing, or nothing";
+        request::Refusal::new(request::RefusalKind::Invalid, "bad_offset", remedy)
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The services of the daemon.
 
+pub mod callers;
 pub mod clock;
 pub mod config;
 pub mod endpoints;
