--- /dev/null
+++ b/testbed/src/command/measure.rs
@@ -0,0 +1,39 @@
+//! `testbed measure`
+
+use testbed::measure;
+
+/// Options of `testbed measure`.
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct Options {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "what to measure: members")]
+    subject: String,
+    #[options(no_short, help = "sizes to measure at", meta = "N,N,...")]
+    sizes: Option<String>,
+    #[options(no_short, help = "seed of the runs", meta = "N", default = "1")]
+    seed: u64,
+}
+
+pub(crate) fn run(options: &Options) -> anyhow::Result<()> {
+    match options.subject.as_str() {
+        "members" => members(options),
+        other => anyhow::bail!("cannot measure `{other}`; name one of: members"),
+    }
+}
+
+fn members(options: &Options) -> anyhow::Result<()> {
+    let sizes = sizes(options.sizes.as_deref().unwrap_or("8,64,512,1800"))?;
+    println!("Cost for each daemon, in virtual time\n");
+    println!("{}\n", measure::members::cost(&sizes, options.seed));
+    println!("Spread of a configuration change, in virtual time\n");
+    println!("{}\n", measure::members::spread(&sizes, options.seed));
+    println!("Failures, in virtual time\n");
+    println!("{}", measure::members::failure(&sizes, options.seed));
+    Ok(())
+}
+
+fn sizes(text: &str) -> anyhow::Result<Vec<usize>> {
+    let parse = |word: &str| Ok(word.trim().parse::<usize>()?);
+    text.split(',').map(parse).collect()
+}
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod goals;
 mod hosts;
 mod kv;
+mod measure;
 mod service;
 mod stop;
 
@@ -29,6 +30,8 @@
     Hosts(hosts::Options),
     #[options(help = "run a model engine")]
     Engine(engine::Options),
+    #[options(help = "measure what control costs")]
+    Measure(measure::Options),
     #[options(help = "run a plain service")]
     Service(service::Options),
 }
@@ -41,6 +44,7 @@
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
         Some(Command::Engine(options)) => engine::run(options).await,
+        Some(Command::Measure(options)) => measure::run(&options),
         Some(Command::Service(options)) => service::run(options).await,
         None => anyhow::bail!("no subcommand given; see --help"),
     }
--- a/testbed/src/gossip/group.rs
+++ b/testbed/src/gossip/group.rs
@@ -36,10 +36,10 @@
     pub fn new(count: usize, params: members::Params, seed: u64) -> Self {
         let mut group = Self::strangers(count, params, seed);
         let everyone: Vec<_> = group.nodes.iter().map(introduce).collect();
-        for node in &mut group.nodes {
+        for number in 0..count {
             let mut digest = empty_digest(id::Incarnation::from_u64(0));
             digest.compared.clone_from(&everyone);
-            node.membership.step(group.now, members::Input::Received(digest));
+            group.input(number, members::Input::Received(digest));
         }
         group
     }
--- /dev/null
+++ b/testbed/src/measure/members/mod.rs
@@ -0,0 +1,9 @@
+//! What membership costs and how fast it is, against the number of members.
+
+mod cost;
+mod failure;
+mod spread;
+
+pub use cost::cost;
+pub use failure::failure;
+pub use spread::spread;
