--- a/crates/decide/src/intents/commit.rs
+++ b/crates/decide/src/intents/commit.rs
@@ -7,7 +7,7 @@
 /// Call [`Commit::next`], carry the step out, pass on what became of it by [`Commit::observe`], and
 /// repeat until [`Step::Done`] or until there is no more time. [`Commit::finish`] then tells each
 /// row's outcome, and only claims what is certain.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Commit {
     ledger: Ledger,
     retention: Retention,
@@ -18,7 +18,7 @@
     writing: Option<Part>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Pending {
     row: Row,
     /// Whether a write with the row was not answered.
--- a/crates/decide/src/intents/event.rs
+++ b/crates/decide/src/intents/event.rs
@@ -3,7 +3,7 @@
 use crate::intents;
 
 /// Holds a part as it stands in the key-value service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Stored {
     /// The part's index.
     pub index: u32,
@@ -14,7 +14,7 @@
 }
 
 /// Says what became of a commit's last step.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Event {
     /// The read found these parts, in order and without gaps; none if there are none.
     Found(Vec<Stored>),
--- a/crates/decide/src/intents/ledger.rs
+++ b/crates/decide/src/intents/ledger.rs
@@ -10,9 +10,9 @@
 ///
 /// It may be behind what stands in the key-value service, but what it knows is true: rows are
 /// never changed or removed before the retention ends.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
-    known: collections::HashMap<id::RequestKey, request::Record>,
+    known: collections::BTreeMap<id::RequestKey, request::Record>,
     /// The last part, as it stood at `seen`; never sealed.
     open: intents::Part,
     /// The index of the last part. All parts before it are sealed and known.
--- a/crates/decide/src/intents/outcome.rs
+++ b/crates/decide/src/intents/outcome.rs
@@ -5,7 +5,7 @@
 use crate::coordinate;
 
 /// Says what became of a row.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// The record stands as written, and none stood before.
     Created,
--- a/crates/decide/src/intents/retention.rs
+++ b/crates/decide/src/intents/retention.rs
@@ -6,7 +6,7 @@
 
 /// Says how long records are kept, so that an identifier is never used after its record may have
 /// been deleted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retention {
     /// How long after its creation an identifier can be used, in milliseconds.
--- a/crates/decide/src/intents/step.rs
+++ b/crates/decide/src/intents/step.rs
@@ -3,7 +3,7 @@
 use crate::intents;
 
 /// Says what a commit needs next.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Step {
     /// Read the slot's parts from `first` on, or the first few of them.
     Read {
--- /dev/null
+++ b/crates/spec/src/commits/owner.rs
@@ -0,0 +1,87 @@
+//! One daemon that takes the bucket for its own.
+
+use trefoildyke_decide::intents;
+use trefoildyke_types::{id, request};
+
+use crate::commits::Bounds;
+
+/// When the requests' identifiers were created, in milliseconds since the Unix epoch.
+pub(super) const CREATED_MS: u64 = 1_000_000;
+
+/// Names the phase of a commit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// The next step is to be found out.
+    Ready,
+    /// A read or write is on its way to the service.
+    Asked(intents::Step),
+    /// What became of it is on its way back.
+    Answered(intents::Event),
+    /// The commit has ended.
+    Ended,
+}
+
+/// Holds one daemon with its commit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Owner {
+    /// The commit.
+    pub commit: intents::Commit,
+    /// Its phase.
+    pub phase: Phase,
+    /// The commits that may still be made.
+    pub rounds: u8,
+    /// The records of the commit.
+    pub rows: Vec<intents::Row>,
+    /// Whether an earlier commit left these records unsure.
+    pub unsure: bool,
+}
+
+impl Owner {
+    pub(super) fn new(bounds: &Bounds, owner: usize) -> Self {
+        let rows = rows(owner);
+        let commit = commit(bounds, intents::Ledger::default(), rows.clone());
+        let rounds = bounds.rounds - 1;
+        Self { commit, phase: Phase::Ready, rounds, rows, unsure: false }
+    }
+
+    /// Ends the commit and returns the outcomes; commits again what is unsure, if it still may.
+    pub(super) fn finish(&mut self, bounds: &Bounds, now_ms: u64) -> Vec<intents::Outcome> {
+        let (ledger, outcomes) = self.commit.clone().finish(now_ms);
+        let unsure = |(row, outcome): (&intents::Row, &intents::Outcome)| {
+            (*outcome == intents::Outcome::Unsure).then(|| row.clone())
+        };
+        self.rows = self.rows.iter().zip(&outcomes).filter_map(unsure).collect();
+        self.unsure = true;
+        self.phase = Phase::Ended;
+        if self.rounds > 0 && !self.rows.is_empty() {
+            self.rounds -= 1;
+            self.phase = Phase::Ready;
+            self.commit = commit(bounds, ledger, self.rows.clone());
+        }
+        outcomes
+    }
+}
+
+/// Returns the records that a daemon commits.
+fn rows(owner: usize) -> Vec<intents::Row> {
+    let shared = row(0, owner as u64 + 1);
+    if owner == 0 { vec![shared, row(1, 3)] } else { vec![shared] }
+}
+
+fn commit(bounds: &Bounds, ledger: intents::Ledger, rows: Vec<intents::Row>) -> intents::Commit {
+    intents::Commit::new(ledger, bounds.retention(), bounds.limit, rows)
+}
+
+fn row(request: u8, nonce: u64) -> intents::Row {
+    let mut bytes = [0; 10];
+    bytes[9] = request;
+    let uuid = uuid::Builder::from_unix_timestamp_millis(CREATED_MS, &bytes).into_uuid();
+    let key = id::RequestKey { account: "a".into(), id: id::RequestId::chosen(uuid) };
+    let intent = request::Intent {
+        coordinator: id::Incarnation::from_u64(nonce),
+        nonce: id::Nonce(nonce),
+        endpoint: "e".into(),
+        fingerprint: 0,
+    };
+    intents::Row { key, record: request::Record::Intent(intent) }
+}
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
+mod commits;
 mod configuration;
 mod requests;
