Decide when orders to engines are sent, under a lease and its fencing token

Engines that check fencing tokens are protected by the token; for those that don't, four guards in time add up: the holder's own monotonic clock, no order that could still be on its way at the lease's end, a new holder's margin, one order in flight an engine. Tests in a small world of two controllers, one lease and one engine: a holder that wakes after a pause, two that race, slow orders; with each guard switched off the engine goes back to an older order.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod endpoints;
 pub mod intents;
 pub mod members;
+pub mod orders;
 pub mod schedule;
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -7,4 +7,5 @@
 mod endpoints;
 mod intents;
 mod members;
+mod orders;
 mod schedule_basics;
--- /dev/null
+++ b/crates/decide/tests/testsuite/orders/controller.rs
@@ -0,0 +1,122 @@
+//! Single decisions of the controller.
+
+use std::{collections, time::Duration};
+
+use trefoildyke_decide::orders::{self, Action, Input, Outcome, SendResult};
+use trefoildyke_types::time::Timestamp;
+
+use super::world::order;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Returns a controller that has the lease with token 7 since time 0.
+fn holder(wanted: Vec<orders::Order>) -> (orders::Controller, Vec<Action>) {
+    let mut controller = orders::Controller::new(orders::Params::default());
+    controller.step(at(0), Input::Eligible(true));
+    assert_eq!(controller.step(at(0), Input::Orders(wanted)), [Action::Acquire]);
+    let ended = collections::BTreeSet::new();
+    let actions = controller.step(at(0), Input::Acquired { token: 7, begun: at(0), ended });
+    (controller, actions)
+}
+
+fn sent(version: u64, result: SendResult) -> Input {
+    Input::Sent { key: order(version, true).key, result }
+}
+
+fn sends(actions: &[Action]) -> Vec<u64> {
+    let version = |action: &Action| match action {
+        Action::Send { order, .. } => Some(order.version),
+        _ => None,
+    };
+    actions.iter().filter_map(version).collect()
+}
+
+#[test]
+fn the_lease_is_taken_only_by_the_eligible_and_only_for_work() {
+    let mut controller = orders::Controller::new(orders::Params::default());
+    assert!(controller.step(at(0), Input::Orders(vec![order(1, true)])).is_empty());
+    assert!(!controller.is_busy());
+    assert_eq!(controller.step(at(0), Input::Eligible(true)), [Action::Acquire]);
+    let ended = collections::BTreeSet::from([order(1, true).key]);
+    let acquired = Input::Acquired { token: 7, begun: at(0), ended };
+    assert_eq!(controller.step(at(0), acquired), [Action::Release]);
+    assert!(!controller.is_busy());
+}
+
+#[test]
+fn an_order_is_recorded_before_the_next_one_to_its_engine() {
+    let (mut controller, actions) = holder(vec![order(1, true), order(2, true)]);
+    assert_eq!(sends(&actions), [1]);
+    let actions = controller.step(at(10), sent(1, SendResult::Done));
+    let key = order(1, true).key;
+    assert_eq!(actions, [Action::Store { key: key.clone(), outcome: Outcome::Done, fence: 7 }]);
+    assert_eq!(sends(&controller.step(at(20), Input::Stored(key))), [2]);
+}
+
+#[test]
+fn a_refused_order_fails_with_its_reason() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    let actions = controller.step(at(10), sent(1, SendResult::Refused("no such model".to_owned())));
+    let outcome = Outcome::Failed("no such model".to_owned());
+    assert!(matches!(&actions[0], Action::Store { outcome: found, .. } if *found == outcome));
+}
+
+#[test]
+fn a_stale_token_ends_the_holding_at_once() {
+    let (mut controller, _) = holder(vec![order(1, true), order(2, true)]);
+    assert!(controller.step(at(10), sent(1, SendResult::Stale)).is_empty());
+    assert_eq!(controller.holding(), None);
+}
+
+#[test]
+fn an_unknown_outcome_keeps_the_engine_quiet_even_for_a_newer_order() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    assert!(controller.step(at(10), sent(1, SendResult::Unknown)).is_empty());
+    // Order 1 is replaced; it may still take effect, so order 2 waits.
+    assert!(controller.step(at(20), Input::Orders(vec![order(2, true)])).is_empty());
+    assert!(sends(&controller.step(at(5_000), Input::Tick)).is_empty());
+    assert_eq!(sends(&controller.step(at(5_010), Input::Tick)), [2]);
+}
+
+#[test]
+fn a_new_holder_waits_before_it_orders_an_engine_that_does_not_check() {
+    let (mut controller, actions) = holder(vec![order(1, false)]);
+    assert!(sends(&actions).is_empty());
+    assert!(sends(&controller.step(at(4_999), Input::Tick)).is_empty());
+    let actions = controller.step(at(5_000), Input::Renewed { begun: at(5_000) });
+    assert_eq!(sends(&actions), [1]);
+}
+
+#[test]
+fn renewals_that_fail_end_the_holding_before_the_lease_ends() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    assert!(controller.step(at(5_000), Input::Tick).contains(&Action::Renew));
+    assert!(controller.step(at(7_000), Input::NotRenewed).is_empty());
+    assert!(controller.step(at(8_000), Input::Tick).contains(&Action::Renew));
+    assert!(controller.step(at(12_999), Input::Tick).is_empty());
+    assert!(controller.holding().is_some());
+    controller.step(at(13_000), Input::Tick);
+    assert_eq!(controller.holding(), None);
+}
+
+#[test]
+fn a_late_renewal_counts_from_when_it_began() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    controller.step(at(5_000), Input::Tick);
+    controller.step(at(12_000), Input::Renewed { begun: at(5_000) });
+    controller.step(at(17_999), Input::Tick);
+    assert!(controller.holding().is_some());
+    controller.step(at(18_000), Input::Tick);
+    assert_eq!(controller.holding(), None);
+}
+
+#[test]
+fn an_outcome_that_could_not_be_recorded_is_recorded_later() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    controller.step(at(10), sent(1, SendResult::Done));
+    assert!(controller.step(at(20), Input::NotStored(order(1, true).key)).is_empty());
+    let actions = controller.step(at(20) + Duration::from_secs(1), Input::Tick);
+    assert!(matches!(actions[0], Action::Store { .. }), "{actions:?}");
+}
--- /dev/null
+++ b/crates/decide/tests/testsuite/orders/mod.rs
@@ -0,0 +1,5 @@
+//! Orders to engines under a lease.
+
+mod controller;
+mod races;
+mod world;
--- /dev/null
+++ b/crates/decide/tests/testsuite/orders/world.rs
@@ -0,0 +1,225 @@
+//! Two controllers, one lease and one engine in virtual time.
+
+use std::{collections, time::Duration};
+
+use trefoildyke_decide::orders::{self, Action, Input};
+use trefoildyke_types::{resource, time::Timestamp};
+
+/// How long one turn of the world takes.
+const TURN: Duration = Duration::from_millis(100);
+/// How long the key-value service counts a lease; the holders' settings may differ in variants.
+pub(crate) const TTL: Duration = Duration::from_secs(15);
+
+pub(crate) fn order(version: u64, checks_fencing: bool) -> orders::Order {
+    orders::Order {
+        key: orders::OrderKey { name: "role".to_owned(), generation: version },
+        version,
+        endpoint: "e1".into(),
+        checks_fencing,
+        action: resource::OrderAction::SetRole { role: format!("role-{version}") },
+    }
+}
+
+/// One daemon that may carry out orders.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) controller: orders::Controller,
+    /// The daemon does nothing before this time.
+    pub(crate) paused: Timestamp,
+    /// Answers that it has not seen yet.
+    answers: Vec<Input>,
+    /// Orders that it is about to write, and when it has a connection to write them on.
+    writing: Vec<(Timestamp, Action)>,
+}
+
+/// An order on its way to the engine.
+#[derive(Debug)]
+struct Flying {
+    arrives: Timestamp,
+    daemon: usize,
+    order: orders::Order,
+    fence: u64,
+}
+
+/// Everything that the controllers meet.
+pub(crate) struct World {
+    pub(crate) now: Timestamp,
+    pub(crate) daemons: Vec<Daemon>,
+    /// The lease's holder, token and end.
+    lease: Option<(usize, u64, Timestamp)>,
+    revision: u64,
+    ended: collections::BTreeSet<orders::OrderKey>,
+    flying: Vec<Flying>,
+    /// The newest fencing token that the engine has seen.
+    newest: u64,
+    /// Versions in the order in which the engine carried them out.
+    pub(crate) applied: Vec<u64>,
+    /// How long a connection takes to open.
+    pub(crate) connect: Duration,
+    /// How long order 1 travels; the others take [`TURN`].
+    pub(crate) latency: Duration,
+    /// Whether renewals reach the key-value service.
+    pub(crate) renews: bool,
+    /// Whether daemons look at the clock once more before writing.
+    pub(crate) looks_again: bool,
+}
+
+impl World {
+    pub(crate) fn new(params: orders::Params, daemons: usize) -> Self {
+        let daemon = |_| {
+            let mut controller = orders::Controller::new(params);
+            controller.step(Timestamp::ZERO, Input::Eligible(true));
+            Daemon { controller, paused: Timestamp::ZERO, answers: Vec::new(), writing: Vec::new() }
+        };
+        Self {
+            now: Timestamp::ZERO,
+            daemons: (0..daemons).map(daemon).collect(),
+            lease: None,
+            revision: 100,
+            ended: collections::BTreeSet::new(),
+            flying: Vec::new(),
+            newest: 0,
+            applied: Vec::new(),
+            connect: Duration::from_millis(200),
+            latency: TURN,
+            renews: true,
+            looks_again: true,
+        }
+    }
+
+    /// Lets one daemon know the orders of the configuration.
+    pub(crate) fn configure(&mut self, daemon: usize, wanted: Vec<orders::Order>) {
+        self.daemons[daemon].answers.push(Input::Orders(wanted));
+    }
+
+    pub(crate) fn pause(&mut self, daemon: usize, length: Duration) {
+        self.daemons[daemon].paused = self.now + length;
+    }
+
+    pub(crate) fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        self.run_until(|world| world.now >= end);
+    }
+
+    /// Runs until `reached` holds; fails if it takes five minutes of the world's time.
+    pub(crate) fn run_until(&mut self, reached: impl Fn(&Self) -> bool) {
+        let limit = self.now + Duration::from_secs(300);
+        while !reached(self) {
+            assert!(self.now < limit, "not reached; applied {:?}", self.applied);
+            self.turn();
+        }
+    }
+
+    /// Returns whether the daemon has an order to write that it has not written.
+    pub(crate) fn is_writing(&self, daemon: usize) -> bool {
+        !self.daemons[daemon].writing.is_empty()
+    }
+
+    pub(crate) fn has_lease(&self, daemon: usize) -> bool {
+        self.lease.is_some_and(|(holder, ..)| holder == daemon)
+    }
+
+    /// Returns whether the engine carried out an order after a newer one.
+    pub(crate) fn has_gone_back(&self) -> bool {
+        !self.applied.is_sorted()
+    }
+
+    fn turn(&mut self) {
+        self.now = self.now + TURN;
+        if self.lease.is_some_and(|(_, _, end)| end <= self.now) {
+            self.lease = None;
+        }
+        self.arrive();
+        for daemon in 0..self.daemons.len() {
+            if self.daemons[daemon].paused <= self.now {
+                self.write(daemon);
+                self.decide(daemon);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let now = self.now;
+        let (arrived, flying): (Vec<_>, Vec<_>) =
+            self.flying.drain(..).partition(|flying| flying.arrives <= now);
+        self.flying = flying;
+        for Flying { daemon, order, fence, .. } in arrived {
+            let is_stale = order.checks_fencing && fence < self.newest;
+            self.newest = self.newest.max(fence);
+            let result = if is_stale {
+                orders::SendResult::Stale
+            } else {
+                self.applied.push(order.version);
+                orders::SendResult::Done
+            };
+            self.daemons[daemon].answers.push(Input::Sent { key: order.key, result });
+        }
+    }
+
+    /// Writes what has a connection by now, after a last look at the clock.
+    fn write(&mut self, index: usize) {
+        let now = self.now;
+        let writing = std::mem::take(&mut self.daemons[index].writing);
+        for (ready, action) in writing {
+            let Action::Send { order, fence, stop } = &action else { continue };
+            if ready > now {
+                self.daemons[index].writing.push((ready, action));
+            } else if self.looks_again && now >= *stop {
+                let result = orders::SendResult::NotSent;
+                let input = Input::Sent { key: order.key.clone(), result };
+                self.daemons[index].answers.push(input);
+            } else {
+                let arrives = now + if order.version == 1 { self.latency } else { TURN };
+                let (order, fence) = (order.clone(), *fence);
+                self.flying.push(Flying { arrives, daemon: index, order, fence });
+            }
+        }
+    }
+
+    fn decide(&mut self, index: usize) {
+        let mut inputs = std::mem::take(&mut self.daemons[index].answers);
+        inputs.push(Input::Tick);
+        for input in inputs {
+            let actions = self.daemons[index].controller.step(self.now, input);
+            for action in actions {
+                self.carry_out(index, action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        let begun = self.now;
+        let answer = match action {
+            Action::Acquire if self.lease.is_none() => {
+                self.revision += 1;
+                self.lease = Some((index, self.revision, begun + TTL));
+                Input::Acquired { token: self.revision, begun, ended: self.ended.clone() }
+            }
+            Action::Acquire => Input::NotAcquired,
+            Action::Renew if !self.renews => Input::NotRenewed,
+            Action::Renew => match &mut self.lease {
+                Some((holder, _, end)) if *holder == index => {
+                    *end = begun + TTL;
+                    Input::Renewed { begun }
+                }
+                _ => Input::LeaseGone,
+            },
+            Action::Release => {
+                if self.has_lease(index) {
+                    self.lease = None;
+                }
+                return;
+            }
+            Action::Send { .. } => {
+                let ready = self.now + self.connect;
+                self.daemons[index].writing.push((ready, action));
+                return;
+            }
+            Action::Store { key, .. } => {
+                self.ended.insert(key.clone());
+                Input::Stored(key)
+            }
+        };
+        self.daemons[index].answers.push(answer);
+    }
+}
