decide: aggregate up to which version planned stops have ended

A planned stop has ended only once nothing of its target is in progress on any daemon, which nobody could tell. Each daemon now reports, beside its version, the version up to which its stops have ended; the tree over the members takes the lowest of both. Ruled out: a list of stops in every digest (it grows with the stops, and digests have a budget).

--- a/crates/decide/src/members/digest.rs
+++ b/crates/decide/src/members/digest.rs
@@ -19,8 +19,8 @@
     pub config: u64,
     /// What the sender and the members below it in the aggregation tree have reported.
     pub subtree: members::Subtree,
-    /// The highest configuration version known to be in force on every member; 0 for none.
-    pub in_force: u64,
+    /// How far every member is known to have come.
+    pub in_force: members::Versions,
     /// News, the least often sent first.
     pub updates: Vec<members::Update>,
     /// One hash for each part of the table, if the tables are being compared; else empty.
--- a/crates/decide/src/members/exchange.rs
+++ b/crates/decide/src/members/exchange.rs
@@ -147,20 +147,21 @@
 
     /// Reports the subtree to the parent if it has changed.
     fn report_subtree(&mut self, now: time::Timestamp, outputs: &mut Vec<members::Output>) {
-        if let Some(agreed) = self.tree.agreed(self.config) {
+        if let Some(agreed) = self.tree.agreed(self.versions) {
             self.raise_in_force(agreed);
         }
         let Some(parent) = self.tree.parent() else { return };
-        let report = (self.table.members_hash(), self.tree.subtree(self.config));
+        let report = (self.table.members_hash(), self.tree.subtree(self.versions));
         let due = now.since(self.times.report) >= self.params.push_gap;
         if due && self.reported != Some(report) {
             self.exchange(now, members::Target::Member(parent), outputs);
         }
     }
 
-    pub(crate) fn raise_in_force(&mut self, version: u64) {
-        if version > self.in_force() {
-            self.in_force = (self.table.members_hash(), version);
+    pub(crate) fn raise_in_force(&mut self, agreed: members::Versions) {
+        let raised = self.in_force().highest(agreed);
+        if raised != self.in_force() {
+            self.in_force = (self.table.members_hash(), raised);
         }
     }
 
@@ -256,8 +257,8 @@
             from: self.own,
             members: self.table.members_hash(),
             table: self.table.hash(),
-            config: self.config,
-            subtree: self.tree.subtree(self.config),
+            config: self.versions.config,
+            subtree: self.tree.subtree(self.versions),
             in_force: self.in_force(),
             updates: first.into_iter().chain(news).collect(),
             parts: Vec::new(),
--- a/crates/decide/src/members/input.rs
+++ b/crates/decide/src/members/input.rs
@@ -32,8 +32,8 @@
         /// Whether it could be reached from there; `None` if the helper itself did not answer.
         reached: Option<bool>,
     },
-    /// The configuration in force at this daemon has a new version.
-    Config(u64),
+    /// This daemon has come further.
+    Versions(members::Versions),
     /// The addresses at which members may be found.
     Seeds(Vec<net::SocketAddr>),
     /// This daemon starts to shut down.
--- a/crates/decide/src/members/membership.rs
+++ b/crates/decide/src/members/membership.rs
@@ -24,10 +24,10 @@
     pub(crate) probes: Probes,
     pub(crate) tree: Tree,
     pub(crate) random: Random,
-    /// The configuration version of this daemon.
-    pub(crate) config: u64,
-    /// The highest version known to be in force, with the hash of the set that it holds for.
-    pub(crate) in_force: (u64, u64),
+    /// How far this daemon has come.
+    pub(crate) versions: members::Versions,
+    /// How far every member is known to have come, with the hash of the set that it holds for.
+    pub(crate) in_force: (u64, members::Versions),
     /// The version that was asked for last, and when.
     pub(crate) pulling: (u64, time::Timestamp),
     pub(crate) seeds: Vec<net::SocketAddr>,
@@ -82,8 +82,8 @@
             probes: Probes::default(),
             tree: Tree::default(),
             random: Random::default(),
-            config: 0,
-            in_force: (0, 0),
+            versions: members::Versions::default(),
+            in_force: (0, members::Versions::default()),
             pulling: (0, now),
             seeds: Vec::new(),
             partners: Vec::new(),
@@ -121,7 +121,7 @@
             }
             members::Input::Failed(target) => self.failed(now, target, &mut outputs),
             members::Input::Probed { target, reached } => self.probed(now, target, reached),
-            members::Input::Config(version) => self.config_changed(version),
+            members::Input::Versions(versions) => self.raise_versions(versions),
             members::Input::Seeds(seeds) => self.seeds = seeds,
             members::Input::Leave => self.leave(now),
         }
@@ -148,10 +148,10 @@
         self.version
     }
 
-    /// Returns the highest configuration version that every member of the view has; 0 if unknown.
-    pub fn in_force(&self) -> u64 {
-        let (set, version) = self.in_force;
-        if set == self.table.members_hash() { version } else { 0 }
+    /// Returns how far every member of the view has come.
+    pub fn in_force(&self) -> members::Versions {
+        let (set, versions) = self.in_force;
+        if set == self.table.members_hash() { versions } else { members::Versions::default() }
     }
 
     /// Returns when any peer was last heard, if ever.
@@ -164,11 +164,10 @@
         self.table.get(incarnation).map(|entry| entry.place.peer)
     }
 
-    fn config_changed(&mut self, version: u64) {
-        if version > self.config {
-            self.config = version;
-            self.push = true;
-        }
+    /// Takes over how far this daemon has come; news of a configuration is told at once.
+    fn raise_versions(&mut self, versions: members::Versions) {
+        self.push |= versions.config > self.versions.config;
+        self.versions = self.versions.highest(versions);
     }
 
     fn leave(&mut self, now: time::Timestamp) {
--- a/crates/decide/src/members/merge.rs
+++ b/crates/decide/src/members/merge.rs
@@ -158,7 +158,7 @@
     ) {
         let (asked, at) = self.pulling;
         let open = digest.config <= asked && now.since(at) < self.params.period;
-        if digest.config > self.config && !open {
+        if digest.config > self.versions.config && !open {
             self.pulling = (digest.config, now);
             let from: id::Incarnation = digest.from;
             outputs.push(members::Output::Pull { from, version: digest.config });
--- a/crates/decide/src/members/mod.rs
+++ b/crates/decide/src/members/mod.rs
@@ -21,6 +21,7 @@
 mod target;
 mod tree;
 mod update;
+mod versions;
 mod view;
 
 pub use digest::Digest;
@@ -34,4 +35,5 @@
 pub use subtree::Subtree;
 pub use target::Target;
 pub use update::Update;
+pub use versions::Versions;
 pub use view::View;
--- a/crates/decide/src/members/tree.rs
+++ b/crates/decide/src/members/tree.rs
@@ -53,22 +53,22 @@
         }
     }
 
-    /// Returns the sum of this member, at version `own`, and of the valid reports below it.
-    pub(crate) fn subtree(&self, own: u64) -> members::Subtree {
-        let mut sum = members::Subtree { count: 1, version: own };
+    /// Returns the sum of this member, at `own`, and of the valid reports below it.
+    pub(crate) fn subtree(&self, own: members::Versions) -> members::Subtree {
+        let mut sum = members::Subtree { count: 1, versions: own };
         for (set, below) in self.reports.values() {
             if *set == self.set {
                 sum.count += below.count;
-                sum.version = sum.version.min(below.version);
+                sum.versions = sum.versions.lowest(below.versions);
             }
         }
         sum
     }
 
-    /// Returns the version that every member has, if this is the root and all have reported.
-    pub(crate) fn agreed(&self, own: u64) -> Option<u64> {
+    /// Returns how far every member has come, if this is the root and all have reported.
+    pub(crate) fn agreed(&self, own: members::Versions) -> Option<members::Versions> {
         let sum = self.subtree(own);
         let all = usize::try_from(sum.count).is_ok_and(|count| count == self.order.len());
-        (self.position == 0 && all).then_some(sum.version)
+        (self.position == 0 && all).then_some(sum.versions)
     }
 }
--- a/testbed/src/gossip/group.rs
+++ b/testbed/src/gossip/group.rs
@@ -81,7 +81,13 @@
 
     /// Gives a member a new configuration version.
     pub fn configure(&mut self, number: usize, version: u64) {
-        self.input(number, members::Input::Config(version));
+        self.input(number, reaches(version));
+    }
+
+    /// Lets the planned stops of a member end up to a version.
+    pub fn settle(&mut self, number: usize, settled: u64) {
+        let versions = members::Versions { config: self.nodes[number].config, settled };
+        self.input(number, members::Input::Versions(versions));
     }
 
     /// Returns the virtual time.
@@ -143,8 +149,8 @@
         if !node.running {
             return;
         }
-        if let members::Input::Config(version) = input {
-            node.config = node.config.max(version);
+        if let members::Input::Versions(versions) = input {
+            node.config = node.config.max(versions.config);
         }
         for output in node.membership.step(self.now, input) {
             self.output(number, output);
@@ -202,7 +208,7 @@
     fn pull(&mut self, from: usize, source: id::Incarnation, version: u64) {
         let source = self.find(members::Target::Member(source));
         if source.is_some_and(|source| self.arrives(from, source)) {
-            self.later(1, from, members::Input::Config(version));
+            self.later(1, from, reaches(version));
         }
     }
 
@@ -254,10 +260,15 @@
         members: 0,
         table: 0,
         config: 0,
-        subtree: members::Subtree { count: 0, version: 0 },
-        in_force: 0,
+        subtree: members::Subtree { count: 0, versions: members::Versions::default() },
+        in_force: members::Versions::default(),
         updates: Vec::new(),
         parts: Vec::new(),
         compared: Vec::new(),
     }
 }
+
+/// Returns the input that a configuration version is in force and no stop has ended since.
+const fn reaches(config: u64) -> members::Input {
+    members::Input::Versions(members::Versions { config, settled: 0 })
+}
--- a/testbed/src/measure/members/spread.rs
+++ b/testbed/src/measure/members/spread.rs
@@ -55,7 +55,7 @@
     let mut run = Run::default();
     while run.known.is_none() && group.now().since(start) < LIMIT {
         let passed = Some(group.now().since(start));
-        let in_force = |node: &gossip::Node| node.membership.in_force() >= 1;
+        let in_force = |node: &gossip::Node| node.membership.in_force().config >= 1;
         if run.reached.is_none() && group.nodes.iter().all(|node| node.config >= 1) {
             run.reached = passed;
         }
--- a/testbed/tests/testsuite/gossip.rs
+++ b/testbed/tests/testsuite/gossip.rs
@@ -48,3 +48,36 @@
     println!("suspect after {suspect:?}");
     assert!(suspect.is_some());
 }
+
+#[test]
+fn a_version_is_in_force_only_once_the_last_member_has_it() {
+    let mut group = group(8, 4);
+    group.configure(3, 5);
+    let known = |group: &gossip::Group| {
+        group.nodes.iter().any(|node| node.membership.in_force().config >= 5)
+    };
+    let took = group.run_until(secs(9), known);
+    println!("8 members: {took:?}");
+    assert!(took.is_some());
+    assert!(all_have(&group, 5));
+    assert!(group.nodes.iter().all(|node| node.membership.in_force().settled == 0));
+}
+
+#[test]
+fn stops_have_ended_only_once_they_have_at_the_last_member() {
+    let mut group = group(8, 5);
+    group.configure(0, 5);
+    assert!(group.run_until(secs(9), |group| all_have(group, 5)).is_some());
+    for number in 0..7 {
+        group.settle(number, 5);
+    }
+    group.run(secs(9));
+    let settled = |group: &gossip::Group| {
+        group.nodes.iter().all(|node| node.membership.in_force().settled >= 5)
+    };
+    assert!(!settled(&group));
+    group.settle(7, 5);
+    let took = group.run_until(secs(9), settled);
+    println!("8 members: {took:?}");
+    assert!(took.is_some());
+}
