Hold TierOrder also after a shed, and test it on arbitrary inputs

A lower tier could be granted something right after a higher one was shed, although the shed request could still have waited until its deadline. Now nothing of a lower tier is granted before that deadline has passed. A property test drives arbitrary asks, reports, losses and wake-ups and checks: nothing is granted past a waiting higher tier, nothing is shed while a lower one waits, nothing is granted after a higher one was shed and before its deadline, nothing waits past its deadline. Taking out each of the four guards made the test fail (the last one by wake-ups without end, which the test now bounds).

A request that no idle endpoint could answer in time is refused as such and counts as no shed: else one caller with deadlines of a few milliseconds would keep all lower tiers out.

--- /dev/null
+++ b/crates/decide/benches/schedule.rs
@@ -0,0 +1,113 @@
+//! The cost of one scheduling decision against the number of waiting requests.
+//!
+//! `cargo bench -p trefoildyke-decide --bench schedule` measures, at 32 busy endpoints, one ask
+//! that must wait together with one completion that grants another request. The two are one
+//! round: the printed time covers two decisions.
+
+#![allow(missing_docs, reason = "the macros of criterion make undocumented items")]
+
+use std::{hint, time};
+
+use criterion::{BenchmarkId, Criterion};
+use trefoildyke_decide::schedule;
+use trefoildyke_types::{id, request, time::Timestamp};
+
+const ENDPOINTS: u32 = 32;
+const SLOTS: u32 = 16;
+const ACCOUNTS: u64 = 20;
+const PREFIXES: u64 = 50;
+
+/// Keeps a shard full: every completion is followed by an ask.
+struct Load {
+    shard: schedule::Shard,
+    now: Timestamp,
+    next: u64,
+    /// The permitted requests in the order of their permits.
+    running: std::collections::VecDeque<id::RequestKey>,
+}
+
+impl Load {
+    fn new(waiting: usize) -> Self {
+        let shard = schedule::Shard::new(schedule::Params::default(), id::Incarnation::from_u64(1));
+        let running = std::collections::VecDeque::new();
+        let mut load = Self { shard, now: Timestamp::ZERO, next: 0, running };
+        for number in 0..ENDPOINTS {
+            let endpoint = format!("engine-{number}").as_str().into();
+            let info = schedule::EndpointInfo { endpoint, slots: SLOTS, cache_tokens: 64 * 1_024 };
+            load.step(schedule::Input::EndpointUp(info));
+        }
+        while load.shard.waiting() < waiting {
+            load.ask();
+            load.now = load.now + time::Duration::from_micros(200);
+        }
+        load
+    }
+
+    fn step(&mut self, input: schedule::Input) {
+        for output in self.shard.step(self.now, input) {
+            if let schedule::Output::Grant(permit) = output {
+                let key = permit.key;
+                self.running.push_back(key.clone());
+                // The first token comes with the dispatch, so that prompts hold nothing up.
+                self.step(schedule::Input::Report(schedule::Report::FirstToken { key }));
+            }
+        }
+    }
+
+    fn ask(&mut self) {
+        self.next += 1;
+        let number = self.next;
+        let account = format!("account-{}", number % ACCOUNTS);
+        let uuid = 0x0192_d3a4_0000_7000_8000_0000_0000_0000 | u128::from(number);
+        let id = id::RequestId::chosen(uuid::Uuid::from_u128(uuid));
+        let first = number * 7 % PREFIXES;
+        let ask = request::Ask {
+            key: id::RequestKey { account: account.as_str().into(), id },
+            coordinator: id::Incarnation::from_u64(2),
+            rank: (number % 3) as u8,
+            prompt_tokens: 1_200,
+            max_tokens: 200,
+            prefix: (0..60).map(|block| block * 1_000 + first).collect(),
+            left_ms: 100_000_000,
+        };
+        self.step(schedule::Input::Ask(ask));
+    }
+
+    fn finish(&mut self) {
+        let Some(key) = self.running.pop_front() else { return };
+        let outcome = schedule::Outcome::Whole;
+        let report = schedule::Report::Finished { key, tokens: 150, outcome };
+        self.step(schedule::Input::Report(report));
+    }
+
+    /// One ask that waits and one completion that grants another request.
+    fn round(&mut self) {
+        self.now = self.now + time::Duration::from_micros(500);
+        self.ask();
+        self.finish();
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("ask_and_finish");
+    for waiting in [10, 100, 1_000, 10_000, 40_000] {
+        let mut load = Load::new(waiting);
+        group.bench_with_input(BenchmarkId::from_parameter(waiting), &waiting, |bencher, _| {
+            bencher.iter(|| load.round());
+        });
+        let left = hint::black_box(load.shard.waiting());
+        assert!(left >= waiting, "the number waiting must not fall: {left} of {waiting}");
+        assert!(load.running.len() >= (ENDPOINTS * SLOTS) as usize - 64, "endpoints must be busy");
+    }
+    group.finish();
+}
+
+criterion::criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .warm_up_time(time::Duration::from_millis(500))
+        .measurement_time(time::Duration::from_secs(2))
+        .sample_size(20);
+    targets = decisions
+}
+criterion::criterion_main!(benches);
--- a/crates/decide/src/schedule/flow.rs
+++ b/crates/decide/src/schedule/flow.rs
@@ -70,11 +70,11 @@
         *arrivals = Arrivals { rate: arrivals.rate_at(now) + cost / ARRIVAL_SECONDS, at: now };
     }
 
-    /// Returns the work a second that is left to requests of tier `rank`.
-    pub(super) fn rate(&self, now: Timestamp, rank: u8) -> f64 {
+    /// Returns the work a second that is left to requests of tier `rank`, if any is served.
+    pub(super) fn rate(&self, now: Timestamp, rank: u8) -> Option<f64> {
         let all = self.served.value() * self.capacity;
         let above: f64 = self.arrivals.range(..rank).map(|(_, a)| a.rate_at(now)).sum();
-        (all - above).max(all * LEAST_PART).max(f64::MIN_POSITIVE)
+        (all > 0.0).then(|| (all - above).max(all * LEAST_PART))
     }
 
     /// Moves the count on.
--- a/crates/decide/src/schedule/queue/waiting.rs
+++ b/crates/decide/src/schedule/queue/waiting.rs
@@ -13,6 +13,8 @@
     pub(in crate::schedule) deadline: Timestamp,
     /// After this time no endpoint could finish before the deadline.
     pub(in crate::schedule) latest: Timestamp,
+    /// How long the fastest endpoint would surely need, in seconds.
+    pub(in crate::schedule) service: f64,
     /// The expected work, in tokens to generate or what takes as long.
     pub(in crate::schedule) cost: f64,
     /// The expected length of the answer, in tokens.
--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -27,6 +27,10 @@
             return;
         }
         let waiting = self.describe(now, ask);
+        if self.is_infeasible(now, &waiting) {
+            outputs.push(self.refuse_infeasible(&waiting.ask.key));
+            return;
+        }
         if self.is_hopeless(now, &waiting, self.params.shed_margin) {
             self.refuse_new(now, &waiting, outputs);
             return;
@@ -88,6 +92,7 @@
             ask,
             checkpoints,
             deadline,
+            service,
             expected,
             held: None,
         }
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -9,11 +9,17 @@
 const EACH: usize = 4;
 
 impl schedule::Shard {
-    /// Grants what can be granted, in tier order: nothing is granted past a waiting higher tier.
+    /// Grants what can be granted, in tier order.
+    ///
+    /// Nothing is granted past a waiting higher tier, or while a higher one that was shed could
+    /// still have waited.
     pub(super) fn grant(&mut self, now: Timestamp, outputs: &mut Vec<schedule::Output>) {
         self.hold_end = None;
         let mut candidates = Vec::with_capacity(ACCOUNTS * EACH);
         while let Some(rank) = self.queue.top_rank() {
+            if self.closed_until(rank) > now {
+                return;
+            }
             if !self.fleet.iter().any(|(_, endpoint)| endpoint.is_open(now, &self.params)) {
                 return;
             }
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -58,6 +58,10 @@
     flow: flow::Flow,
     /// When the endpoints' health is looked at next.
     check: Timestamp,
+    /// By rank, the latest deadline of the requests that were shed.
+    ///
+    /// Until then no lower tier is granted anything, which keeps `TierOrder`.
+    shed_until: collections::BTreeMap<u8, Timestamp>,
     /// When the first hold of a request ends.
     hold_end: Option<Timestamp>,
     /// Whether something happened that may let a request be granted.
@@ -83,6 +87,7 @@
             lengths: lengths::Lengths::new(),
             flow: flow::Flow::new(),
             check: Timestamp::ZERO,
+            shed_until: collections::BTreeMap::new(),
             hold_end: None,
             is_changed: false,
             wake: None,
@@ -151,7 +156,9 @@
         let lapse = self.lapses.first().map(|(lapse, _)| *lapse);
         let check = (!self.permitted.is_empty() || self.is_any_suspended()).then_some(self.check);
         let held = self.hold_end.filter(|_| !self.queue.is_empty());
-        let wake = [latest, lapse, check, held].into_iter().flatten().min();
+        let closed = self.queue.top_rank().map(|rank| self.closed_until(rank));
+        let closed = closed.filter(|until| *until > now);
+        let wake = [latest, lapse, check, held, closed].into_iter().flatten().min();
         let passed = self.wake.is_some_and(|wake| wake <= now);
         if wake != self.wake || passed {
             self.wake = wake;
--- a/crates/decide/src/schedule/shard/shed.rs
+++ b/crates/decide/src/schedule/shard/shed.rs
@@ -9,6 +9,9 @@
 /// The shortest retry-after that a refusal names.
 const RETRY_LEAST: time::Duration = time::Duration::from_millis(100);
 
+/// How many times the time left the least service must take for a request to be infeasible.
+const INFEASIBLE: f64 = 1.5;
+
 /// How many waiting requests are given up at most in one step because the outlook got worse.
 const HOPELESS_STEP: usize = 4;
 
@@ -22,22 +25,41 @@
         waiting: &queue::Waiting,
         margin: f64,
     ) -> bool {
-        let wait = self.predicted_wait(now, waiting);
+        let wait = self.predicted_wait(now, waiting, 0.0);
         wait > 0.0 && wait > self.slack(now, waiting) * margin
     }
 
+    /// Says whether no endpoint could finish the request in time even if it had nothing else to do.
+    pub(super) fn is_infeasible(&self, now: Timestamp, waiting: &queue::Waiting) -> bool {
+        waiting.service > waiting.deadline.since(now).as_secs_f64() * INFEASIBLE
+    }
+
     /// Returns how long the request may wait, in seconds.
     fn slack(&self, now: Timestamp, waiting: &queue::Waiting) -> f64 {
         waiting.latest.since(now).as_secs_f64()
     }
 
     /// Returns how long a request would wait behind what is in the queue, in seconds.
-    fn predicted_wait(&self, now: Timestamp, waiting: &queue::Waiting) -> f64 {
+    ///
+    /// `own` is the part of the queued work that is the request's own. Without any endpoint there
+    /// is nothing to predict from, and the wait counts as 0.
+    fn predicted_wait(&self, now: Timestamp, waiting: &queue::Waiting, own: f64) -> f64 {
         let (rank, account) = (waiting.ask.rank, &waiting.ask.key.account);
+        let closed = self.closed_until(rank).since(now).as_secs_f64();
+        let Some(rate) = self.flow.rate(now, rank) else { return closed };
         let weight = self.weight(account);
-        let ahead = self.queue.work_above(rank)
-            + self.queue.work_ahead(rank, account, weight, waiting.cost);
-        ahead / self.flow.rate(now, rank)
+        let cost = waiting.cost - own;
+        let tier = self.queue.work_ahead(rank, account, weight, cost) - own;
+        let ahead = self.queue.work_above(rank) + tier.max(0.0);
+        closed.max(ahead / rate)
+    }
+
+    /// Returns until when tiers above `rank` have shed requests that could still have waited.
+    ///
+    /// Until then nothing of `rank` is granted: it would be admitted after a higher tier was shed.
+    pub(super) fn closed_until(&self, rank: u8) -> Timestamp {
+        let above = self.shed_until.range(..rank).map(|(_, until)| *until);
+        above.max().unwrap_or(Timestamp::ZERO)
     }
 
     /// Refuses a request that is not in the queue, after all of lower tiers.
@@ -48,8 +70,10 @@
         outputs: &mut Vec<schedule::Output>,
     ) {
         let lower = self.queue.shed_below(waiting.ask.rank);
-        outputs.extend(lower.iter().map(|lower| self.refuse(now, lower)));
-        outputs.push(self.refuse(now, waiting));
+        for lower in &lower {
+            self.refuse(now, lower, outputs);
+        }
+        self.refuse(now, waiting, outputs);
     }
 
     /// Refuses every request that can no longer be finished in time.
@@ -67,8 +91,7 @@
         for _ in 0..HOPELESS_STEP {
             let Some(number) = self.queue.newest_of_lowest() else { return };
             let Some(waiting) = self.queue.get(number) else { return };
-            let wait = self.predicted_wait(now, waiting)
-                - waiting.cost / self.flow.rate(now, waiting.ask.rank);
+            let wait = self.predicted_wait(now, waiting, waiting.cost);
             if wait <= self.slack(now, waiting) {
                 return;
             }
@@ -78,7 +101,9 @@
 
     fn shed(&mut self, now: Timestamp, number: u64, outputs: &mut Vec<schedule::Output>) {
         let shed = self.queue.shed(number);
-        outputs.extend(shed.iter().map(|waiting| self.refuse(now, waiting)));
+        for waiting in &shed {
+            self.refuse(now, waiting, outputs);
+        }
     }
 
     /// Makes room for a request of an account with a limit; refuses the request if there is none.
@@ -107,8 +132,15 @@
         true
     }
 
-    fn refuse(&self, now: Timestamp, waiting: &queue::Waiting) -> schedule::Output {
-        let wait = self.predicted_wait(now, waiting);
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        waiting: &queue::Waiting,
+        outputs: &mut Vec<schedule::Output>,
+    ) {
+        let until = self.shed_until.entry(waiting.ask.rank).or_default();
+        *until = waiting.deadline.max(*until);
+        let wait = self.predicted_wait(now, waiting, 0.0);
         let over = (wait - self.slack(now, waiting)).max(0.0);
         let refusal = request::Refusal::new(
             request::RefusalKind::NotRun,
@@ -116,7 +148,7 @@
             "the pool is overloaded and nothing ran; send the request again after the given time",
         );
         let refusal = refusal.retry_after(self.retry_ms(over));
-        schedule::Output::Shed { key: waiting.ask.key.clone(), refusal }
+        outputs.push(schedule::Output::Shed { key: waiting.ask.key.clone(), refusal });
     }
 
     fn refuse_limit(&self, now: Timestamp, key: &id::RequestKey, rank: u8) -> schedule::Output {
@@ -126,7 +158,8 @@
             "account_limit",
             "the client account has as many requests waiting as it may; send fewer at a time",
         );
-        let refusal = refusal.retry_after(self.retry_ms(wait / self.flow.rate(now, rank)));
+        let seconds = self.flow.rate(now, rank).map_or(0.0, |rate| wait / rate);
+        let refusal = refusal.retry_after(self.retry_ms(seconds));
         schedule::Output::Shed { key: key.clone(), refusal }
     }
 
@@ -142,6 +175,18 @@
         }
     }
 
+    pub(super) fn refuse_infeasible(&self, key: &id::RequestKey) -> schedule::Output {
+        let refusal = request::Refusal::new(
+            request::RefusalKind::NotRun,
+            "deadline_too_short",
+            "no endpoint could answer before the deadline, however idle; send it with a later one",
+        );
+        schedule::Output::Shed {
+            key: key.clone(),
+            refusal: refusal.retry_after(self.retry_ms(0.0)),
+        }
+    }
+
     fn retry_ms(&self, seconds: f64) -> u64 {
         let wait = time::Duration::try_from_secs_f64(seconds).unwrap_or(self.params.retry_limit);
         wait.min(self.params.retry_limit).max(RETRY_LEAST).as_millis() as u64
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -9,3 +9,5 @@
 mod members;
 mod orders;
 mod schedule_basics;
+mod schedule_order;
+mod schedule_support;
--- a/crates/decide/tests/testsuite/schedule_basics.rs
+++ b/crates/decide/tests/testsuite/schedule_basics.rs
@@ -1,59 +1,185 @@
 //! The scheduler's plain behaviour: order, place, repeated and late inputs.
 
 use trefoildyke_decide::schedule;
-use trefoildyke_types::{id, request, time};
-
-fn key(number: u64) -> id::RequestKey {
-    let text = format!("0192d3a4-0000-7000-8000-{number:012x}");
-    id::RequestKey { account: "office".into(), id: text.parse().expect("a UUIDv7") }
-}
-
-fn ask(number: u64, rank: u8) -> request::Ask {
-    request::Ask {
-        key: key(number),
-        coordinator: id::Incarnation::from_u64(1),
-        rank,
-        prompt_tokens: 100,
-        max_tokens: 10,
-        prefix: Vec::new(),
-        left_ms: 10_000,
+
+use crate::schedule_support::{Driver, ask, granted, key, key_of, permits, shed};
+
+#[test]
+fn higher_tier_goes_first() {
+    let mut driver = Driver::new(1, 1);
+    assert_eq!(granted(&driver.ask(ask(1, 1))), [key(1)]);
+    assert_eq!(granted(&driver.ask(ask(2, 1))), []);
+    assert_eq!(granted(&driver.ask(ask(3, 0))), []);
+    assert_eq!(granted(&driver.finished(&key(1), 10)), [key(3)]);
+}
+
+#[test]
+fn earlier_deadline_goes_first_within_an_account() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    let mut urgent = ask(3, 0);
+    urgent.left_ms = 5_000;
+    driver.ask(urgent);
+    assert_eq!(granted(&driver.finished(&key(1), 10)), [key(3)]);
+}
+
+#[test]
+fn asking_again_repeats_the_permit() {
+    let mut driver = Driver::new(1, 2);
+    let first = permits(&driver.ask(ask(1, 0)));
+    let again = permits(&driver.ask(ask(1, 0)));
+    assert_eq!(first, again);
+    assert_eq!(granted(&driver.ask(ask(2, 0))), [key(2)]);
+    assert_eq!(granted(&driver.ask(ask(3, 0))), []);
+}
+
+#[test]
+fn asking_again_while_waiting_keeps_one_place() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    driver.ask(ask(2, 0));
+    assert_eq!(driver.shard.waiting(), 1);
+}
+
+#[test]
+fn unused_permit_lapses_and_frees_its_slot() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    assert_eq!(granted(&driver.pass(2_000).tick()), []);
+    assert_eq!(granted(&driver.pass(1_000).tick()), [key(2)]);
+}
+
+#[test]
+fn dispatched_request_does_not_lapse() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    driver.pass(100).first_token(&key(1));
+    driver.ask(ask(2, 0));
+    for tokens in 2..40 {
+        assert_eq!(granted(&driver.pass(100).progress(&key(1), tokens)), []);
     }
 }
 
-fn shard(slots: u32) -> schedule::Shard {
-    let mut shard = schedule::Shard::new(schedule::Params::default(), id::Incarnation::from_u64(9));
-    let info = schedule::EndpointInfo { endpoint: "e1".into(), slots, cache_tokens: 0 };
-    shard.step(time::Timestamp::ZERO, schedule::Input::EndpointUp(info));
-    shard
+#[test]
+fn permit_handed_back_is_granted_to_the_next() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    let back = schedule::Report::HandBack { key: key(1) };
+    assert_eq!(granted(&driver.report(back)), [key(2)]);
 }
 
-fn granted(outputs: &[schedule::Output]) -> Vec<id::RequestKey> {
-    let grants = outputs.iter().filter_map(|output| match output {
-        schedule::Output::Grant(permit) => Some(permit.key.clone()),
-        _ => None,
-    });
-    grants.collect()
+#[test]
+fn repeated_and_late_reports_change_nothing() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.finished(&key(1), 10);
+    driver.finished(&key(1), 10);
+    driver.started(&key(1));
+    driver.progress(&key(1), 5);
+    assert_eq!(driver.shard.permitted(), 0);
+    assert_eq!(granted(&driver.ask(ask(2, 0))), [key(2)]);
+    assert_eq!(granted(&driver.ask(ask(3, 0))), []);
 }
 
 #[test]
-fn higher_tier_goes_first() {
-    let mut shard = shard(1);
-    let now = time::Timestamp::from_millis(1);
-    assert_eq!(granted(&shard.step(now, schedule::Input::Ask(ask(1, 1)))), [key(1)]);
-    assert_eq!(granted(&shard.step(now, schedule::Input::Ask(ask(2, 1)))), []);
-    assert_eq!(granted(&shard.step(now, schedule::Input::Ask(ask(3, 0)))), []);
-    let done =
-        schedule::Report::Finished { key: key(1), tokens: 10, outcome: schedule::Outcome::Whole };
-    assert_eq!(granted(&shard.step(now, schedule::Input::Report(done))), [key(3)]);
+fn progress_alone_tells_of_start_and_first_token() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.pass(100).progress(&key(1), 3);
+    driver.pass(10_000).tick();
+    assert_eq!(driver.shard.permitted(), 1);
 }
 
 #[test]
-fn asking_again_repeats_the_permit() {
-    let mut shard = shard(2);
-    let now = time::Timestamp::from_millis(1);
-    let first = granted(&shard.step(now, schedule::Input::Ask(ask(1, 0))));
-    let again = granted(&shard.step(now, schedule::Input::Ask(ask(1, 0))));
-    assert_eq!(first, again);
-    assert_eq!(granted(&shard.step(now, schedule::Input::Ask(ask(2, 0)))), [key(2)]);
-    assert_eq!(granted(&shard.step(now, schedule::Input::Ask(ask(3, 0)))), []);
+fn leaving_endpoint_gets_nothing() {
+    let mut driver = Driver::new(2, 4);
+    driver.step(schedule::Input::EndpointLeaving("e0".into()));
+    for number in 0..4 {
+        let permits = permits(&driver.ask(ask(number, 0)));
+        assert_eq!(permits[0].endpoint.as_str(), "e1");
+    }
+    assert_eq!(granted(&driver.ask(ask(9, 0))), []);
+}
+
+#[test]
+fn unused_permit_for_a_leaving_endpoint_is_replaced() {
+    let mut driver = Driver::new(2, 1);
+    let first = permits(&driver.ask(ask(1, 0)))[0].endpoint.clone();
+    driver.step(schedule::Input::EndpointLeaving(first.clone()));
+    let second = permits(&driver.ask(ask(1, 0)))[0].endpoint.clone();
+    assert_ne!(first, second);
+}
+
+#[test]
+fn endpoint_that_comes_back_starts_empty() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.step(schedule::Input::EndpointGone("e0".into()));
+    assert_eq!(driver.shard.permitted(), 0);
+    driver.ask(ask(2, 0));
+    assert_eq!(granted(&driver.up("e0", 1)), [key(2)]);
+}
+
+#[test]
+fn adopted_work_takes_its_slot() {
+    let mut driver = Driver::new(1, 1);
+    let adopted = schedule::Adopted { ask: ask(1, 0), endpoint: "e0".into(), tokens: 0 };
+    driver.step(schedule::Input::Adopt(adopted.clone()));
+    driver.step(schedule::Input::Adopt(adopted));
+    assert_eq!(driver.shard.permitted(), 1);
+    assert_eq!(granted(&driver.ask(ask(2, 0))), []);
+    assert_eq!(granted(&driver.finished(&key(1), 10)), [key(2)]);
+}
+
+#[test]
+fn cancelled_request_is_forgotten() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    driver.report(schedule::Report::Cancel { key: key(2) });
+    assert_eq!(driver.shard.waiting(), 0);
+    driver.report(schedule::Report::Cancel { key: key(1) });
+    assert_eq!(driver.shard.permitted(), 0);
+}
+
+#[test]
+fn request_past_its_deadline_is_refused_at_once() {
+    let mut driver = Driver::new(1, 1);
+    let mut late = ask(1, 0);
+    late.left_ms = 0;
+    assert_eq!(shed(&driver.ask(late)), [key(1)]);
+    assert_eq!(driver.shard.waiting(), 0);
+}
+
+#[test]
+fn waiting_request_is_refused_when_it_can_not_be_finished() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    let mut urgent = ask(2, 0);
+    urgent.left_ms = 2_000;
+    driver.ask(urgent);
+    assert_eq!(shed(&driver.run(1_000)), []);
+    assert_eq!(shed(&driver.run(1_000)), [key(2)]);
+}
+
+#[test]
+fn account_limit_keeps_the_higher_tiers() {
+    let mut driver = Driver::new(1, 1);
+    let share =
+        schedule::AccountShare { account: "office".into(), weight: 1, max_waiting: Some(2) };
+    driver.step(schedule::Input::Account(share));
+    driver.ask(ask(1, 0));
+    driver.ask(ask(2, 0));
+    driver.ask(ask(3, 1));
+    assert_eq!(shed(&driver.ask(ask(4, 1))), [key(4)]);
+    assert_eq!(shed(&driver.ask(ask(5, 0))), [key(3)]);
+    let mut other = ask(6, 1);
+    other.key = key_of("school", 6);
+    assert_eq!(shed(&driver.ask(other)), []);
 }
