--- a/crates/decide/src/coordinate/input.rs
+++ b/crates/decide/src/coordinate/input.rs
@@ -42,6 +42,11 @@
     LookedUp(LookUp),
     /// The scheduler granted a permit.
     Permit(request::Permit),
+    /// The scheduler granted a permit whose endpoint, as this daemon knows, takes no new work.
+    ///
+    /// A permit may have been under way for long. Also if this daemon's own knowledge is too old
+    /// to say, after a pause or when cut off.
+    UnusablePermit(request::Permit),
     /// The scheduler refused: the request is shed.
     Shed(request::Refusal),
     /// The record was written, or not.
--- a/crates/decide/src/coordinate/request_state.rs
+++ b/crates/decide/src/coordinate/request_state.rs
@@ -108,6 +108,7 @@
         match input {
             Input::LookedUp(outcome) => self.looked_up(now, outcome),
             Input::Permit(permit) => self.permitted(now, permit),
+            Input::UnusablePermit(permit) => self.refuse_permit(permit),
             Input::Shed(refusal) => self.shed(refusal),
             Input::Recorded(outcome) => self.recorded(now, outcome),
             Input::ConnectFailed => self.connect_failed(),
@@ -206,6 +207,15 @@
         }
     }
 
+    /// Gives a permit back unused and asks for another.
+    fn refuse_permit(&mut self, permit: request::Permit) -> Vec<Action> {
+        let mut actions = vec![Action::HandBack(permit)];
+        if matches!(self.phase, Phase::Waiting(Waiting::Permit) | Phase::Recorded) {
+            actions.push(Action::Ask);
+        }
+        actions
+    }
+
     /// Lets the permit that is held count as expired, so that another is asked for.
     fn void_permit(&mut self) -> Vec<Action> {
         if let Phase::Waiting(Waiting::Record(held) | Waiting::ReadBack(held)) = &mut self.phase {
@@ -218,7 +228,7 @@
 /// A permit that comes after the end is given back; everything else comes too late.
 fn hand_back(input: Input) -> Vec<Action> {
     match input {
-        Input::Permit(permit) => vec![Action::HandBack(permit)],
+        Input::Permit(permit) | Input::UnusablePermit(permit) => vec![Action::HandBack(permit)],
         _ => vec![],
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod members;
 pub mod orders;
 pub mod schedule;
+pub mod stops;
--- a/crates/decide/tests/testsuite/coordinate/request_state.rs
+++ b/crates/decide/tests/testsuite/coordinate/request_state.rs
@@ -83,6 +83,17 @@
     }
 }
 
+#[test]
+fn a_permit_for_an_endpoint_that_takes_no_work_is_handed_back() {
+    let mut state = start(false);
+    let back = Action::HandBack(fixture::permit("e1"));
+    let actions = step(&mut state, Input::UnusablePermit(fixture::permit("e1")));
+    assert_eq!(actions, [back.clone(), Action::Ask]);
+    let mut state = dispatched();
+    let actions = step(&mut state, Input::UnusablePermit(fixture::permit("e1")));
+    assert_eq!(actions, [back]);
+}
+
 #[test]
 fn a_record_created_past_the_retention_proves_nothing() {
     let mut state = recording(false);
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -11,3 +11,4 @@
 mod schedule_basics;
 mod schedule_order;
 mod schedule_support;
+mod stops;
