--- a/testbed/src/experiment/compare/table.rs
+++ b/testbed/src/experiment/compare/table.rs
@@ -7,8 +7,15 @@
     let mut table = new_table();
     let mut header = vec!["load".to_owned(), "policy".to_owned()];
     header.extend(comparison.tiers.iter().map(|tier| format!("{tier} goodput")));
-    let rest =
-        ["wasted prefill", "inversions w/a", "least fair share", "cut", "msg/request", "B/request"];
+    let rest = [
+        "wasted prefill",
+        "inversions w/a",
+        "least fair share",
+        "idle while waiting",
+        "cut",
+        "msg/request",
+        "B/request",
+    ];
     header.extend(rest.map(str::to_owned));
     table.set_header(header);
     for load in comparison.loads() {
@@ -39,6 +46,7 @@
     let admitted = spread(|run| run.inversions.admitted as f64).mean;
     row.push(format!("{waiting:.0}/{admitted:.0}"));
     row.push(format!("{:.2}", spread(least_ratio).mean));
+    row.push(format!("{:.2}", spread(|run| run.idle).mean));
     row.push(format!("{:.1}", spread(|run| run.tiers.iter().map(|t| t.cut as f64).sum()).mean));
     row.push(format!("{:.1}", spread(|run| run.control.messages as f64 / arrived(run)).mean));
     row.push(format!("{:.0}", spread(|run| run.control.bytes as f64 / arrived(run)).mean));
--- a/testbed/src/experiment/figures/mod.rs
+++ b/testbed/src/experiment/figures/mod.rs
@@ -2,6 +2,7 @@
 
 mod fairness;
 mod histogram;
+mod idle;
 mod inversions;
 mod percentiles;
 mod prefill;
@@ -11,6 +12,7 @@
 
 pub use fairness::{AccountFigures, fairness};
 pub use histogram::histogram;
+pub use idle::idle_share;
 pub use inversions::Inversions;
 pub use percentiles::Percentiles;
 pub use prefill::Prefill;
--- a/testbed/src/experiment/figures/run_figures.rs
+++ b/testbed/src/experiment/figures/run_figures.rs
@@ -18,6 +18,8 @@
     pub prefill: figures::Prefill,
     /// Tier inversions.
     pub inversions: figures::Inversions,
+    /// The share of slot time that was free while requests waited.
+    pub idle: f64,
     /// Control messages.
     pub control: policy::Traffic,
     /// Requests that were dispatched more than once.
@@ -42,6 +44,7 @@
                 .collect(),
             prefill: figures::Prefill::of(&result.engines),
             inversions: figures::Inversions::count(arrivals, &result.records),
+            idle: figures::idle_share(scenario, arrivals, &result.records),
             control: result.traffic,
             doubled: result.doubled,
         }
--- a/testbed/tests/testsuite/experiment.rs
+++ b/testbed/tests/testsuite/experiment.rs
@@ -217,3 +217,14 @@
         assert!(svg.contains(word), "{word}");
     }
 }
+
+#[test]
+fn free_slots_count_only_while_requests_wait() {
+    let scenario = small();
+    let arrivals = pair();
+    let idle = |first, second| figures::idle_share(&scenario, &arrivals, &[first, second]);
+    assert_eq!(idle(placed(10), placed(10)), 0.0);
+    assert_eq!(idle(ended(20, Outcome::Shed), ended(20, Outcome::Shed)), 1.0);
+    let one_of_sixteen_runs = idle(placed(10), ended(60, Outcome::Shed));
+    assert_eq!(one_of_sixteen_runs, 15.0 / 16.0);
+}
