--- /dev/null
+++ b/crates/daemon/src/members/runner.rs
@@ -0,0 +1,237 @@
+//! The task that holds the membership.
+
+use std::{collections, net, sync, time};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task,
+};
+use trefoildyke_decide::members;
+use trefoildyke_types::{error, id};
+use trefoildyke_wire::{peer, platform::message};
+
+use crate::{
+    clock, config, hosts,
+    members::{InForce, Sources, command, handle},
+    peers,
+};
+
+/// How often the membership is given the time.
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// How long an exchange may take, a new connection included.
+const EXCHANGE: time::Duration = time::Duration::from_millis(1_500);
+
+/// How long a helper may take to say whether it reaches another member.
+const HELP: time::Duration = handle::PROBE.saturating_add(time::Duration::from_millis(800));
+
+/// Holds the membership; run it on the control thread.
+#[must_use = "a handle does nothing until the task runs"]
+pub struct Runner {
+    pub(super) clock: clock::Clock,
+    pub(super) membership: members::Membership,
+    pub(super) commands: mpsc::Receiver<command::Command>,
+    pub(super) views: watch::Sender<sync::Arc<members::View>>,
+    pub(super) newest: watch::Sender<Option<config::Newest>>,
+    pub(super) in_force: watch::Sender<InForce>,
+    pub(super) contact: watch::Sender<Option<tokio::time::Instant>>,
+}
+
+impl Runner {
+    /// Runs until every handle is gone; cancel it by dropping the future, which ends its calls.
+    pub async fn run(mut self, mut sources: Sources) {
+        let mut calls = task::JoinSet::new();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut readings = sources.hosts.as_ref().map(hosts::Handle::subscribe);
+        self.set_seeds(&sources, &mut calls);
+        self.set_versions(&mut sources, &mut calls);
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(command) => self.obey(command, &sources.peers, &mut calls),
+                    None => return,
+                },
+                _ = tick.tick() => {
+                    let random = rand::random();
+                    self.step(members::Input::Tick { random }, &sources.peers, &mut calls);
+                }
+                Some(ended) = calls.join_next() => {
+                    if let Ok(input) = ended {
+                        self.step(input, &sources.peers, &mut calls);
+                    }
+                }
+                Some(lost) = sources.lost.recv() => {
+                    let input = members::Input::Failed(members::Target::Member(lost));
+                    self.step(input, &sources.peers, &mut calls);
+                }
+                Ok(()) = sources.versions.changed() => self.set_versions(&mut sources, &mut calls),
+                true = read_again(&mut readings) => self.set_seeds(&sources, &mut calls),
+            }
+        }
+    }
+
+    fn obey(
+        &mut self,
+        command: command::Command,
+        peers: &peers::Handle,
+        calls: &mut task::JoinSet<members::Input>,
+    ) {
+        match command {
+            command::Command::Leave => self.step(members::Input::Leave, peers, calls),
+            command::Command::Received(digest, reply) => {
+                self.receive(digest, reply, peers, calls);
+            }
+        }
+    }
+
+    fn receive(
+        &mut self,
+        digest: members::Digest,
+        reply: oneshot::Sender<members::Digest>,
+        peers: &peers::Handle,
+        calls: &mut task::JoinSet<members::Input>,
+    ) {
+        let mut reply = Some(reply);
+        let outputs = self.membership.step(self.clock.mono(), members::Input::Received(digest));
+        for output in outputs {
+            match (output, reply.take()) {
+                (members::Output::Answer(answer), Some(reply)) => {
+                    // The peer may have gone since.
+                    let _ = reply.send(answer);
+                }
+                (output, waiting) => {
+                    reply = waiting;
+                    self.carry_out(output, peers, calls);
+                }
+            }
+        }
+        self.publish_contact();
+    }
+
+    fn step(
+        &mut self,
+        input: members::Input,
+        peers: &peers::Handle,
+        calls: &mut task::JoinSet<members::Input>,
+    ) {
+        for output in self.membership.step(self.clock.mono(), input) {
+            self.carry_out(output, peers, calls);
+        }
+        self.publish_contact();
+    }
+
+    fn carry_out(
+        &self,
+        output: members::Output,
+        peers: &peers::Handle,
+        calls: &mut task::JoinSet<members::Input>,
+    ) {
+        match output {
+            members::Output::Exchange { target, digest } => {
+                calls.spawn(exchange(peers.clone(), target, digest));
+            }
+            members::Output::Probe { via, target } => {
+                calls.spawn(probe(peers.clone(), via, target));
+            }
+            members::Output::Pull { from: incarnation, version } => {
+                self.newest.send_replace(Some(config::Newest { version, incarnation }));
+            }
+            members::Output::Changed => self.publish(),
+            // Answers go back to the peer where they are received.
+            members::Output::Answer(_) => {}
+        }
+    }
+
+    fn publish(&self) {
+        let members = self.membership.set_hash();
+        let versions = self.membership.in_force();
+        self.in_force.send_if_modified(|known| {
+            let now = InForce { versions, members };
+            std::mem::replace(known, now) != now
+        });
+        if self.views.borrow().version != self.membership.version() {
+            self.views.send_replace(sync::Arc::new(self.membership.view()));
+        }
+    }
+
+    fn publish_contact(&self) {
+        let contact = self.membership.contact().map(|at| self.clock.instant(at));
+        self.contact.send_if_modified(|known| std::mem::replace(known, contact) != contact);
+    }
+
+    fn set_versions(&mut self, sources: &mut Sources, calls: &mut task::JoinSet<members::Input>) {
+        let versions = *sources.versions.borrow_and_update();
+        self.step(members::Input::Versions(versions), &sources.peers, calls);
+    }
+
+    fn set_seeds(&mut self, sources: &Sources, calls: &mut task::JoinSet<members::Input>) {
+        let mut seeds: collections::BTreeSet<_> = sources.seeds.iter().copied().collect();
+        let list = sources.hosts.as_ref().and_then(hosts::Handle::list);
+        seeds.extend(list.iter().flat_map(|list| peer_addresses(list)));
+        let seeds = seeds.into_iter().collect();
+        self.step(members::Input::Seeds(seeds), &sources.peers, calls);
+    }
+}
+
+fn peer_addresses(list: &message::HostList) -> impl Iterator<Item = net::SocketAddr> {
+    let live = |host: &&message::Host| host.state == message::HostState::Live;
+    list.hosts.iter().filter(live).filter_map(|host| host.peer)
+}
+
+/// Waits for the next reading of the host list; never ends without a list.
+async fn read_again(readings: &mut Option<watch::Receiver<Option<hosts::Reading>>>) -> bool {
+    if let Some(readings) = readings
+        && readings.changed().await.is_ok()
+    {
+        return true;
+    }
+    std::future::pending().await
+}
+
+async fn exchange(
+    peers: peers::Handle,
+    target: members::Target,
+    digest: members::Digest,
+) -> members::Input {
+    match tokio::time::timeout(EXCHANGE, send(&peers, target, &digest)).await {
+        Ok(Ok(digest)) => members::Input::Answered { target, digest },
+        Ok(Err(error)) => {
+            log::debug!(target: "members", "no exchange with {target:?}: {error}");
+            members::Input::Failed(target)
+        }
+        Err(_) => members::Input::Failed(target),
+    }
+}
+
+async fn send(
+    peers: &peers::Handle,
+    target: members::Target,
+    digest: &members::Digest,
+) -> Result<members::Digest, error::Error> {
+    let client = match target {
+        members::Target::Member(incarnation) => peers.client(incarnation).await?,
+        members::Target::Address(address) => peers.client_at(address).await?,
+    };
+    let payload = peer::Payload::encode(digest)?;
+    let answer = client.exchange(peer::within(EXCHANGE), payload).await;
+    let answer = answer.map_err(|error| unanswered(&error))??;
+    Ok(answer.decode()?)
+}
+
+async fn probe(
+    peers: peers::Handle,
+    via: id::Incarnation,
+    target: id::Incarnation,
+) -> members::Input {
+    let ask = async {
+        let client = peers.client(via).await.ok()?;
+        client.probe(peer::within(HELP), target).await.ok()?.ok()
+    };
+    let reached = tokio::time::timeout(HELP, ask).await.unwrap_or_default();
+    members::Input::Probed { target, reached }
+}
+
+fn unanswered(error: &tarpc::client::RpcError) -> error::Error {
+    error::Error::new(error::ErrorKind::Unavailable, error.to_string())
+}
--- /dev/null
+++ b/crates/daemon/tests/testsuite/members/connections.rs
@@ -0,0 +1,103 @@
+//! Connections that break or go silent.
+
+use std::time;
+
+use testbed::relay;
+use trefoildyke_daemon::peers;
+use trefoildyke_decide::members::State;
+use trefoildyke_wire::peer;
+
+use crate::members::nodes;
+
+/// Starts two nodes; the first reaches the second through a relay only.
+async fn behind_relay(
+    kernel: &trefoildyke_kernel::Kernel,
+) -> (nodes::Node, nodes::Node, relay::Running) {
+    let one = nodes::Start::new(1, &[]).await.start(kernel);
+    let mut start = nodes::Start::new(2, &[one.address]).await;
+    let relay = relay::serve(start.listener.local_addr().unwrap()).await.unwrap();
+    start.advertise = Some(relay.address());
+    let two = start.start(kernel);
+    one.sees_alive(&[&one, &two]).await;
+    two.sees_alive(&[&one, &two]).await;
+    (one, two, relay)
+}
+
+async fn ping(peers: &peers::Handle, to: &nodes::Node, limit: time::Duration) -> bool {
+    let Ok(client) = peers.client(to.incarnation).await else { return false };
+    client.ping(peer::within(limit)).await.is_ok()
+}
+
+/// Pings until it works; the bound is the test's, not the product's.
+async fn ping_until_answered(from: &nodes::Node, to: &nodes::Node) {
+    let answered = async {
+        while !ping(&from.peers, to, nodes::LONG).await {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(nodes::LONG, answered).await.unwrap();
+}
+
+#[test]
+fn a_connection_that_goes_silent_is_replaced() {
+    let kernel = nodes::kernel();
+    kernel.block_on(async {
+        let (one, two, relay) = behind_relay(&kernel).await;
+        ping_until_answered(&one, &two).await;
+        relay.silence_open();
+        let opened = relay.connections();
+        ping_until_answered(&one, &two).await;
+        assert!(relay.connections() > opened);
+        one.sees_alive(&[&one, &two]).await;
+        relay.stop().await;
+    });
+    assert!(kernel.close().is_empty());
+}
+
+#[test]
+fn a_connection_that_goes_silent_one_way_is_replaced() {
+    let kernel = nodes::kernel();
+    kernel.block_on(async {
+        let (one, two, relay) = behind_relay(&kernel).await;
+        for direction in [relay::Direction::Up, relay::Direction::Down] {
+            ping_until_answered(&one, &two).await;
+            relay.silence_open_one_way(direction);
+            let opened = relay.connections();
+            ping_until_answered(&one, &two).await;
+            assert!(relay.connections() > opened, "{direction:?}");
+        }
+        relay.stop().await;
+    });
+    assert!(kernel.close().is_empty());
+}
+
+#[test]
+fn a_node_that_cannot_be_reached_is_suspect_and_comes_back() {
+    let kernel = nodes::kernel();
+    kernel.block_on(async {
+        let (one, two, relay) = behind_relay(&kernel).await;
+        relay.refuse_all();
+        one.sees(|view| view.find(two.incarnation).is_some_and(|m| m.state != State::Alive)).await;
+        relay.restore();
+        one.sees_alive(&[&one, &two]).await;
+        two.sees_alive(&[&one, &two]).await;
+        relay.stop().await;
+    });
+    assert!(kernel.close().is_empty());
+}
+
+#[test]
+fn one_connection_serves_many_calls() {
+    let kernel = nodes::kernel();
+    kernel.block_on(async {
+        let (one, two, relay) = behind_relay(&kernel).await;
+        ping_until_answered(&one, &two).await;
+        let opened = relay.connections();
+        let calls = (0..64).map(|_| ping(&one.peers, &two, nodes::LONG));
+        let answers = futures::future::join_all(calls).await;
+        assert!(answers.iter().all(|answered| *answered));
+        assert_eq!(relay.connections(), opened);
+        relay.stop().await;
+    });
+    assert!(kernel.close().is_empty());
+}
--- a/crates/decide/src/members/membership.rs
+++ b/crates/decide/src/members/membership.rs
@@ -148,6 +148,11 @@
         self.version
     }
 
+    /// Returns [`members::View::hash`] without building the view.
+    pub const fn set_hash(&self) -> u64 {
+        self.table.members_hash()
+    }
+
     /// Returns how far every member of the view has come.
     pub fn in_force(&self) -> members::Versions {
         let (set, versions) = self.in_force;
--- a/crates/wire/src/peer/methods.rs
+++ b/crates/wire/src/peer/methods.rs
@@ -25,6 +25,8 @@
 pub struct Methods {
     /// Serves [`peer::Peer::exchange`].
     pub exchange: Method<peer::Payload, Result<peer::Payload, error::Error>>,
+    /// Serves [`peer::Peer::probe`].
+    pub probe: Method<id::Incarnation, Result<bool, error::Error>>,
     /// Serves [`peer::Peer::ask`].
     pub ask: Method<peer::AskRequest, Result<request::Permit, request::Refusal>>,
     /// Serves [`peer::Peer::report`].
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Self {
             exchange: unavailable("exchange"),
+            probe: unavailable("probe"),
             ask: Self::method(|_, _| future::ready(Err(no_scheduler()))),
             report: unavailable("report"),
             read: unavailable("read"),
@@ -94,6 +97,16 @@
         (self.methods.exchange)(self.caller, digest).await
     }
 
+    async fn ping(self, _: tarpc::context::Context) {}
+
+    async fn probe(
+        self,
+        _: tarpc::context::Context,
+        target: id::Incarnation,
+    ) -> Result<bool, error::Error> {
+        (self.methods.probe)(self.caller, target).await
+    }
+
     async fn ask(
         self,
         _: tarpc::context::Context,
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -18,6 +18,12 @@
     /// Exchanges member digests; both sides merge what they get.
     async fn exchange(digest: peer::Payload) -> Result<peer::Payload, error::Error>;
 
+    /// Answers at once, to show that the process runs.
+    async fn ping();
+
+    /// Tries to reach another member and returns whether it answered.
+    async fn probe(target: id::Incarnation) -> Result<bool, error::Error>;
+
     /// Asks the scheduler of a pool shard for a permit and waits for it.
     async fn ask(ask: peer::AskRequest) -> Result<request::Permit, request::Refusal>;
 
