daemon: record requests through the owner of their bucket

One commit carries what came within a window, so writes are bounded by buckets, not requests. The owner only saves writes: without it a node commits itself, and a node that is cut off from the service asks a peer. A commit's outcomes to peers are one for each record, because one record of a batch can be unsure while another stands; PROTOCOLS' commit call carries them and no bucket, which the receiver works out itself. What must be equal on all daemons (buckets, slices, retention) stands in the key-value service and wins over settings.

--- /dev/null
+++ b/crates/daemon/src/intents/stats.rs
@@ -0,0 +1,109 @@
+//! What the records cost.
+
+use std::sync::{Arc, atomic};
+
+/// Counts what the records cost. Clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct Stats(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: atomic::AtomicU64,
+    batches: atomic::AtomicU64,
+    writes: atomic::AtomicU64,
+    reads: atomic::AtomicU64,
+    conflicts: atomic::AtomicU64,
+    lost: atomic::AtomicU64,
+    refused: atomic::AtomicU64,
+    written_bytes: atomic::AtomicU64,
+    forwarded: atomic::AtomicU64,
+    calls: atomic::AtomicU64,
+    deleted: atomic::AtomicU64,
+}
+
+/// Holds the counts at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Counts {
+    /// Records that this daemon committed, for itself and for peers.
+    pub rows: u64,
+    /// Batches that they were committed in.
+    pub batches: u64,
+    /// Writes to the key-value service.
+    pub writes: u64,
+    /// Reads from the key-value service.
+    pub reads: u64,
+    /// Writes that found another daemon's write.
+    pub conflicts: u64,
+    /// Writes whose answer was lost.
+    pub lost: u64,
+    /// Writes and reads that were refused or not answered.
+    pub refused: u64,
+    /// Bytes of the values written.
+    pub written_bytes: u64,
+    /// Records that were sent to a peer.
+    pub forwarded: u64,
+    /// Calls that they were sent in.
+    pub calls: u64,
+    /// Parts deleted after their retention.
+    pub deleted: u64,
+}
+
+impl Stats {
+    /// Returns the counts.
+    pub fn counts(&self) -> Counts {
+        let get = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
+        Counts {
+            rows: get(&self.0.rows),
+            batches: get(&self.0.batches),
+            writes: get(&self.0.writes),
+            reads: get(&self.0.reads),
+            conflicts: get(&self.0.conflicts),
+            lost: get(&self.0.lost),
+            refused: get(&self.0.refused),
+            written_bytes: get(&self.0.written_bytes),
+            forwarded: get(&self.0.forwarded),
+            calls: get(&self.0.calls),
+            deleted: get(&self.0.deleted),
+        }
+    }
+
+    pub(super) fn batch(&self, rows: usize) {
+        add(&self.0.batches, 1);
+        add(&self.0.rows, rows);
+    }
+
+    pub(super) fn call(&self, rows: usize) {
+        add(&self.0.calls, 1);
+        add(&self.0.forwarded, rows);
+    }
+
+    pub(super) fn write(&self, bytes: usize) {
+        add(&self.0.writes, 1);
+        add(&self.0.written_bytes, bytes);
+    }
+
+    pub(super) fn read(&self) {
+        add(&self.0.reads, 1);
+    }
+
+    pub(super) fn conflict(&self) {
+        add(&self.0.conflicts, 1);
+    }
+
+    pub(super) fn lose(&self) {
+        add(&self.0.lost, 1);
+    }
+
+    pub(super) fn refuse(&self) {
+        add(&self.0.refused, 1);
+    }
+
+    pub(super) fn delete(&self) {
+        add(&self.0.deleted, 1);
+    }
+}
+
+fn add(count: &atomic::AtomicU64, more: usize) {
+    count.fetch_add(more as u64, atomic::Ordering::Relaxed);
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod endpoints;
 pub mod hosts;
+pub mod intents;
 pub mod logs;
 pub mod members;
 pub mod metrics;
--- /dev/null
+++ b/crates/daemon/tests/testsuite/intents/write.rs
@@ -0,0 +1,135 @@
+//! Records are created once, whoever writes and however many at once.
+
+use std::time;
+
+use futures::future;
+use trefoildyke_daemon::intents;
+use trefoildyke_decide::coordinate::{LookUp, RecordOutcome, ServiceState};
+use trefoildyke_types::{id, request};
+
+use crate::intents::nodes::{Belief, Node, Nodes, key, patient};
+
+/// Lets all nodes record all keys at once; returns how often each key was created.
+async fn race(nodes: &[Node], keys: &[id::RequestKey]) -> Vec<usize> {
+    let races = keys.iter().enumerate().map(|(number, key)| async move {
+        let tries = nodes.iter().map(|node| {
+            let nonce = node.own.as_u64() << 32 | number as u64;
+            async move { (node.intent(nonce), node.record(key, nonce).await) }
+        });
+        let tries = future::join_all(tries).await;
+        let standing = nodes[0].handle.look_up(key).await;
+        let LookUp::Found(standing) = standing else { panic!("{standing:?}") };
+        for (record, outcome) in &tries {
+            match outcome {
+                RecordOutcome::Created => assert_eq!(*record, standing),
+                RecordOutcome::Exists(record) => assert_eq!(*record, standing),
+                _ => panic!("{outcome:?} without a fault"),
+            }
+        }
+        tries.iter().filter(|(_, outcome)| *outcome == RecordOutcome::Created).count()
+    });
+    future::join_all(races).await
+}
+
+#[tokio::test]
+async fn many_nodes_create_each_record_once_through_the_owner() {
+    let nodes = Nodes::new(patient()).await;
+    let running: Vec<_> = (1..=3).map(|n| nodes.start(n, Belief::Lowest)).collect();
+    let keys: Vec<_> = (0..200).map(|_| key()).collect();
+    let created = race(&running, &keys).await;
+    assert!(created.iter().all(|count| *count == 1), "{created:?}");
+    let counts: Vec<_> = running.iter().map(|node| node.handle.stats()).collect();
+    assert_eq!((counts[1].rows, counts[2].rows), (0, 0), "only the owner commits");
+    assert_eq!(counts[0].conflicts, 0, "one owner has nobody to conflict with");
+    for node in running {
+        node.stop().await;
+    }
+    nodes.kv.stop().await;
+}
+
+#[tokio::test]
+async fn two_owners_at_once_conflict_and_merge() {
+    let settings = intents::Settings { buckets: 1, ..patient() };
+    let nodes = Nodes::new(settings).await;
+    let running: Vec<_> = (1..=2).map(|n| nodes.start(n, Belief::Itself)).collect();
+    let keys: Vec<_> = (0..200).map(|_| key()).collect();
+    let created = race(&running, &keys).await;
+    assert!(created.iter().all(|count| *count == 1), "{created:?}");
+    let conflicts: u64 = running.iter().map(|node| node.handle.stats().conflicts).sum();
+    assert!(conflicts > 0, "the owners never met");
+}
+
+#[tokio::test]
+async fn one_commit_carries_what_came_within_the_window() {
+    let settings = intents::Settings { buckets: 1, window_ms: 100, ..patient() };
+    let nodes = Nodes::new(settings).await;
+    let node = nodes.start(1, Belief::Lowest);
+    let started = time::Instant::now();
+    let records = (0..300).map(|nonce| {
+        let node = &node;
+        async move { node.record(&key(), nonce).await }
+    });
+    let outcomes = future::join_all(records).await;
+    assert!(outcomes.iter().all(|outcome| *outcome == RecordOutcome::Created));
+    let counts = node.handle.stats();
+    let windows = started.elapsed().as_millis() / 100;
+    assert!(u128::from(counts.batches) <= windows + 1, "{counts:?} in {windows} windows");
+    assert_eq!(counts.rows, 300);
+}
+
+#[tokio::test]
+async fn full_parts_roll_over_and_every_record_is_found() {
+    let settings = intents::Settings { buckets: 1, part_bytes: 2048, ..patient() };
+    let nodes = Nodes::new(settings).await;
+    let node = nodes.start(1, Belief::Lowest);
+    let keys: Vec<_> = (0..400).map(|_| key()).collect();
+    let records = keys.iter().enumerate().map(|(nonce, key)| node.record(key, nonce as u64));
+    for outcome in future::join_all(records).await {
+        assert_eq!(outcome, RecordOutcome::Created);
+    }
+    let parts = nodes.kv.entries("intents/slots/");
+    assert!(parts.len() >= 400 * 100 / 2048, "{} parts", parts.len());
+    assert!(parts.iter().all(|part| part.value.len() <= 2048));
+    // Another node starts without any knowledge.
+    let other = nodes.start(2, Belief::Itself);
+    for (nonce, key) in keys.iter().enumerate() {
+        let standing = node.intent(nonce as u64);
+        assert_eq!(other.handle.look_up(key).await, LookUp::Found(standing.clone()));
+    }
+    let taken = RecordOutcome::Exists(node.intent(0));
+    assert_eq!(other.record(&keys[0], 9_999).await, taken);
+}
+
+#[tokio::test]
+async fn a_closed_request_cannot_be_recorded_for_dispatch() {
+    let nodes = Nodes::new(patient()).await;
+    let node = nodes.start(1, Belief::Lowest);
+    let key = key();
+    let closed = request::Record::Closed { nonce: id::Nonce(5) };
+    assert_eq!(node.handle.record(&key, &closed).await, RecordOutcome::Created);
+    assert_eq!(node.record(&key, 6).await, RecordOutcome::Exists(closed));
+}
+
+#[tokio::test]
+async fn the_same_record_again_is_still_the_writers_own() {
+    let nodes = Nodes::new(patient()).await;
+    let node = nodes.start(1, Belief::Lowest);
+    let key = key();
+    assert_eq!(node.handle.look_up(&key).await, LookUp::Absent);
+    assert_eq!(node.record(&key, 5).await, RecordOutcome::Created);
+    assert_eq!(node.record(&key, 5).await, RecordOutcome::Created);
+    assert_eq!(node.record(&key, 6).await, RecordOutcome::Exists(node.intent(5)));
+    assert_eq!(node.handle.service_state(), ServiceState::Up);
+}
+
+#[tokio::test]
+async fn the_layout_that_stands_wins() {
+    let nodes = Nodes::new(patient()).await;
+    let first = nodes.start(1, Belief::Itself);
+    let key = key();
+    assert_eq!(first.record(&key, 1).await, RecordOutcome::Created);
+    let other = intents::Settings { buckets: 3, slice_ms: 1000, keep_ms: 5000, ..nodes.settings };
+    let second = nodes.start_with(2, Belief::Itself, other);
+    assert_eq!(second.record(&key, 2).await, RecordOutcome::Exists(first.intent(1)));
+    assert_eq!(second.handle.layout(), first.handle.layout());
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod endpoints;
+mod intents;
 mod members;
 mod operators;
 mod settings;
--- a/crates/decide/src/intents/layout.rs
+++ b/crates/decide/src/intents/layout.rs
@@ -1,13 +1,14 @@
-//! How identifiers are spread over slots.
+//! What all daemons agree on.
 
 use trefoildyke_types::id;
 
 use crate::intents;
 
-/// Says how identifiers are spread over slots.
+/// Says how identifiers are spread over slots and how long slots are kept.
 ///
-/// All daemons must use the same layout, or one request could be recorded in two slots. The layout
-/// that stands in the key-value service wins over a daemon's settings.
+/// All daemons must use the same layout, or one request could be recorded in two slots or forgotten
+/// by one daemon before another. The layout that stands in the key-value service wins over a
+/// daemon's settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Layout {
@@ -15,6 +16,8 @@
     pub buckets: u32,
     /// The length of a time slice in milliseconds; at least 1.
     pub slice_ms: u64,
+    /// How long records are kept.
+    pub retention: intents::Retention,
 }
 
 impl Layout {
@@ -35,4 +38,13 @@
     pub const fn slice_end(&self, slice: u64) -> u64 {
         slice.saturating_add(1).saturating_mul(self.slice_ms)
     }
+
+    /// Returns whether the slots of a time slice can be deleted.
+    ///
+    /// One clock difference lies between the deleting host and the true time, the other between
+    /// the true time and a writer that still trusts its record.
+    pub const fn is_over(&self, slice: u64, now_ms: u64) -> bool {
+        let end = self.slice_end(slice).saturating_add(self.retention.keep_ms);
+        now_ms > end.saturating_add(self.retention.skew_ms.saturating_mul(2))
+    }
 }
--- a/crates/decide/src/intents/retention.rs
+++ b/crates/decide/src/intents/retention.rs
@@ -2,8 +2,6 @@
 
 use trefoildyke_types::id;
 
-use crate::intents;
-
 /// Says how long records are kept, so that an identifier is never used after its record may have
 /// been deleted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
@@ -30,10 +28,4 @@
     pub fn proves(&self, id: &id::RequestId, now_ms: u64) -> bool {
         now_ms.saturating_sub(id.created_ms()) <= self.keep_ms.saturating_add(self.skew_ms)
     }
-
-    /// Returns whether the slots of a time slice can be deleted.
-    pub fn is_over(&self, layout: &intents::Layout, slice: u64, now_ms: u64) -> bool {
-        let end = layout.slice_end(slice).saturating_add(self.keep_ms);
-        now_ms > end.saturating_add(self.skew_ms.saturating_mul(2))
-    }
 }
--- a/crates/decide/tests/testsuite/intents/fixture.rs
+++ b/crates/decide/tests/testsuite/intents/fixture.rs
@@ -9,7 +9,8 @@
 pub(super) const RETENTION: intents::Retention =
     intents::Retention { keep_ms: 600_000, skew_ms: 30_000 };
 
-pub(super) const LAYOUT: intents::Layout = intents::Layout { buckets: 4, slice_ms: 60_000 };
+pub(super) const LAYOUT: intents::Layout =
+    intents::Layout { buckets: 4, slice_ms: 60_000, retention: RETENTION };
 
 /// Holds two to four rows, so that parts are sealed often.
 pub(super) const SMALL_PART: usize = 700;
--- a/crates/decide/tests/testsuite/intents/retention.rs
+++ b/crates/decide/tests/testsuite/intents/retention.rs
@@ -90,7 +90,7 @@
         let sweeper_ms = writer_ms + ahead_ms;
         let slot = LAYOUT.slot(&key);
         if RETENTION.proves(&key.id, writer_ms) {
-            prop_assert!(!RETENTION.is_over(&LAYOUT, slot.slice, sweeper_ms));
+            prop_assert!(!LAYOUT.is_over(slot.slice, sweeper_ms));
         }
     }
 
@@ -99,20 +99,21 @@
     fn every_slot_is_deleted_in_the_end(number in 0..1_000_u64) {
         let slot = LAYOUT.slot(&fixture::key(number));
         let end_ms = LAYOUT.slice_end(slot.slice) + RETENTION.keep_ms + 2 * RETENTION.skew_ms;
-        prop_assert!(!RETENTION.is_over(&LAYOUT, slot.slice, end_ms));
-        prop_assert!(RETENTION.is_over(&LAYOUT, slot.slice, end_ms + 1));
+        prop_assert!(!LAYOUT.is_over(slot.slice, end_ms));
+        prop_assert!(LAYOUT.is_over(slot.slice, end_ms + 1));
     }
 }
 
 #[test]
 fn a_sweep_that_ignores_the_clocks_difference_deletes_what_is_trusted() {
-    let hasty = intents::Retention { skew_ms: 0, ..RETENTION };
+    let hasty =
+        intents::Layout { retention: intents::Retention { skew_ms: 0, ..RETENTION }, ..LAYOUT };
     let slice_start = LAYOUT.slice_end(LAYOUT.slot(&fixture::key(1)).slice - 1);
     let last_of_slice = fixture::key_at(1, slice_start + LAYOUT.slice_ms - 1);
     let now_ms = LAYOUT.slice_end(LAYOUT.slot(&last_of_slice).slice) + RETENTION.keep_ms + 1;
     assert!(RETENTION.proves(&last_of_slice.id, now_ms));
-    assert!(hasty.is_over(&LAYOUT, LAYOUT.slot(&last_of_slice).slice, now_ms));
-    assert!(!RETENTION.is_over(&LAYOUT, LAYOUT.slot(&last_of_slice).slice, now_ms));
+    assert!(hasty.is_over(LAYOUT.slot(&last_of_slice).slice, now_ms));
+    assert!(!LAYOUT.is_over(LAYOUT.slot(&last_of_slice).slice, now_ms));
 }
 
 #[test]
--- a/crates/wire/src/peer/message/commit_request.rs
+++ b/crates/wire/src/peer/message/commit_request.rs
@@ -1,13 +1,11 @@
-//! Writing records through the owner of their bucket.
+//! Writing records through the owner of their buckets.
 
 use trefoildyke_types::{id, request};
 
-/// Asks the owner of a bucket to write records, each created only if absent.
+/// Asks the owner of some buckets to write records, each created only if absent.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CommitRequest {
-    /// The bucket.
-    pub bucket: u32,
     /// The records; no key stands twice.
     pub records: Vec<(id::RequestKey, request::Record)>,
 }
--- a/crates/wire/src/peer/message/mod.rs
+++ b/crates/wire/src/peer/message/mod.rs
@@ -2,18 +2,18 @@
 
 mod ask_request;
 mod changes;
+mod commit_outcome;
 mod commit_request;
 mod payload;
 mod read_answer;
 mod read_request;
 mod report_request;
-mod settled;
 
 pub use ask_request::AskRequest;
 pub use changes::{Changes, ChangesRequest};
+pub use commit_outcome::CommitOutcome;
 pub use commit_request::CommitRequest;
 pub use payload::Payload;
 pub use read_answer::ReadAnswer;
 pub use read_request::ReadRequest;
 pub use report_request::ReportRequest;
-pub use settled::Settled;
--- a/crates/wire/src/peer/methods.rs
+++ b/crates/wire/src/peer/methods.rs
@@ -34,7 +34,7 @@
     /// Serves [`peer::Peer::read`].
     pub read: Method<peer::ReadRequest, Result<peer::ReadAnswer, error::Error>>,
     /// Serves [`peer::Peer::commit`].
-    pub commit: Method<peer::CommitRequest, Result<Vec<peer::Settled>, error::Error>>,
+    pub commit: Method<peer::CommitRequest, Result<Vec<peer::CommitOutcome>, error::Error>>,
     /// Serves [`peer::Peer::look_up`].
     pub look_up: Method<id::RequestKey, Result<Option<request::Record>, error::Error>>,
     /// Serves [`peer::Peer::changes`].
@@ -135,7 +135,7 @@
         self,
         _: tarpc::context::Context,
         commit: peer::CommitRequest,
-    ) -> Result<Vec<peer::Settled>, error::Error> {
+    ) -> Result<Vec<peer::CommitOutcome>, error::Error> {
         (self.methods.commit)(self.caller, commit).await
     }
 
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -27,8 +27,8 @@
 pub use keys::Keys;
 pub use limits::Limits;
 pub use message::{
-    AskRequest, Changes, ChangesRequest, CommitRequest, Payload, ReadAnswer, ReadRequest,
-    ReportRequest, Settled,
+    AskRequest, Changes, ChangesRequest, CommitOutcome, CommitRequest, Payload, ReadAnswer,
+    ReadRequest, ReportRequest,
 };
 pub use methods::{Caller, Method, Methods};
 pub use serve::{Identity, serve};
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -34,7 +34,7 @@
     async fn read(read: peer::ReadRequest) -> Result<peer::ReadAnswer, error::Error>;
 
     /// Writes records through the owner of a bucket; the answers are in the order of the records.
-    async fn commit(commit: peer::CommitRequest) -> Result<Vec<peer::Settled>, error::Error>;
+    async fn commit(commit: peer::CommitRequest) -> Result<Vec<peer::CommitOutcome>, error::Error>;
 
     /// Looks a record up through the owner of its bucket.
     async fn look_up(key: id::RequestKey) -> Result<Option<request::Record>, error::Error>;
