--- a/crates/spec/src/commits/next.rs
+++ b/crates/spec/src/commits/next.rs
@@ -95,9 +95,9 @@
         if self.bounds.ageing && self.world.age + 1 < AGES_MS.len() {
             self.add(Step::Grow(AGES_MS[self.world.age + 1]), |world| world.age += 1);
         }
-        let layout = intents::Layout { buckets: 1, slice_ms: 1 };
         let retention = self.bounds.retention();
-        let over = retention.is_over(&layout, CREATED_MS, self.world.now_ms());
+        let layout = intents::Layout { buckets: 1, slice_ms: 1, retention };
+        let over = layout.is_over(CREATED_MS, self.world.now_ms());
         if over && !self.world.parts.is_empty() {
             self.add(Step::Delete, |world| world.parts.clear());
         }
