testbed: measure what the configuration and a scheduler cost by size

Cause: docs/CAPACITY.md needs slopes for the two roles whose state grows with client accounts and with waiting requests.

--- a/testbed/src/command/measure.rs
+++ b/testbed/src/command/measure.rs
@@ -7,7 +7,7 @@
 pub(crate) struct Options {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "what to measure: members")]
+    #[options(free, help = "what to measure: config, members or scheduler")]
     subject: String,
     #[options(no_short, help = "sizes to measure at", meta = "N,N,...")]
     sizes: Option<String>,
@@ -17,8 +17,10 @@
 
 pub(crate) fn run(options: &Options) -> anyhow::Result<()> {
     match options.subject.as_str() {
+        "config" => config(options),
         "members" => members(options),
-        other => anyhow::bail!("cannot measure `{other}`; name one of: members"),
+        "scheduler" => scheduler(options),
+        other => anyhow::bail!("cannot measure `{other}`; name config, members or scheduler"),
     }
 }
 
@@ -33,6 +35,20 @@
     Ok(())
 }
 
+fn config(options: &Options) -> anyhow::Result<()> {
+    let sizes = sizes(options.sizes.as_deref().unwrap_or("5,100,1000,8800"))?;
+    println!("Cost of the configuration, 600 changes each\n");
+    println!("{}", measure::config::cost(&sizes)?);
+    Ok(())
+}
+
+fn scheduler(options: &Options) -> anyhow::Result<()> {
+    let sizes = sizes(options.sizes.as_deref().unwrap_or("4,8,16,32"))?;
+    println!("Cost of a shard's scheduler\n");
+    println!("{}", measure::scheduler::cost(&sizes, &[100, 1_000, 10_000]));
+    Ok(())
+}
+
 fn sizes(text: &str) -> anyhow::Result<Vec<usize>> {
     let parse = |word: &str| Ok(word.trim().parse::<usize>()?);
     text.split(',').map(parse).collect()
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -1,7 +1,9 @@
 //! Measurements of what control costs, for docs/CAPACITY.md.
 
+pub mod config;
 pub mod members;
 mod process;
+pub mod scheduler;
 mod table;
 
 pub use process::{busy_time, resident_bytes};
