Add the operators' command line

Commands apply, get, watch, delete, status, timeline, stop and key; exit codes tell a refusal, a conflict, an outage and an unsure change apart. The operators' face for tests moved into the testbed, since both the daemon's and the command line's tests need it.

--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,66 @@
+//! How the program ends.
+
+use std::process;
+
+use trefoildyke_types::error;
+
+/// Says how a command ended; the numbers are stable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// All was done.
+    Done = 0,
+    /// Something else failed.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// The input was refused; nothing was changed.
+    Invalid = 3,
+    /// Another operator was first; nothing was changed.
+    Conflict = 4,
+    /// No daemon, or not the key-value service, answers; nothing was changed.
+    Unavailable = 5,
+    /// The change may or may not have been made.
+    Unsure = 6,
+    /// The resource does not exist.
+    NotFound = 7,
+    /// The operator token is missing or wrong.
+    Unauthorized = 8,
+    /// The change was accepted, but what was waited for did not come in time.
+    Late = 9,
+}
+
+/// Explains the numbers, for `--help`.
+pub(crate) const HELP: &str = "\
+Exit codes:
+  0  done
+  1  something else failed
+  2  the command line is wrong
+  3  the input was refused; nothing was changed
+  4  another operator was first; nothing was changed
+  5  no daemon, or not the key-value service, answers; nothing was changed
+  6  the change may or may not have been made: get the resources and compare
+  7  the resource does not exist
+  8  the operator token is missing or wrong
+  9  the change was accepted, but what was waited for did not come in time
+";
+
+impl From<Exit> for process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+impl From<error::ErrorKind> for Exit {
+    fn from(kind: error::ErrorKind) -> Self {
+        match kind {
+            error::ErrorKind::Invalid | error::ErrorKind::TooLarge => Self::Invalid,
+            error::ErrorKind::Conflict => Self::Conflict,
+            error::ErrorKind::Unavailable => Self::Unavailable,
+            error::ErrorKind::Unsure => Self::Unsure,
+            error::ErrorKind::NotFound => Self::NotFound,
+            error::ErrorKind::Unauthorized => Self::Unauthorized,
+            _ => Self::Failed,
+        }
+    }
+}
--- a/crates/daemon/tests/testsuite/operators/bad_input.rs
+++ b/crates/daemon/tests/testsuite/operators/bad_input.rs
@@ -1,12 +1,11 @@
 //! Input that no operator should send.
 
 use proptest::prelude::*;
+use testbed::operators::Server;
 use trefoildyke_daemon::operators;
 use trefoildyke_types::error;
 use trefoildyke_wire::http;
 
-use crate::operators::server::Server;
-
 /// Returns the kind of the typed error that a refusal carries.
 fn kind(reply: &hyper::Response<bytes::Bytes>) -> error::ErrorKind {
     let error: error::Error = http::parse(reply).unwrap();
@@ -16,7 +15,7 @@
 
 #[tokio::test]
 async fn without_the_token_nothing_is_told() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     let wrong =
         ["", "Bearer", "Bearer ", "Bearer wrong", "Basic YTpi", "bearer an operator's token"];
     for authorization in wrong {
@@ -32,7 +31,7 @@
 
 #[tokio::test]
 async fn wrong_paths_parameters_and_bodies_are_named() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     let tier = br#"{"kind": "Tier", "name": "b", "spec": {"rank": 0, "deadline_ms": 5}}"#;
     let cases: [(&str, &str, &[u8]); 11] = [
         ("GET", "/", b""),
@@ -59,7 +58,7 @@
 #[tokio::test]
 async fn bodies_over_the_limit_are_refused() {
     let limits = operators::Settings { resource_bytes: 100, ..operators::Settings::default() };
-    let server = Server::new(limits).await;
+    let server = Server::new(limits).await.unwrap();
     let reply = server.call("PUT", "/v1/resources/Tier/a", &[b' '; 101]).await.unwrap();
     assert_eq!((reply.status().as_u16(), kind(&reply)), (413, error::ErrorKind::TooLarge));
 }
@@ -67,7 +66,7 @@
 #[tokio::test]
 async fn watches_over_the_limit_are_refused_at_once() {
     let limits = operators::Settings { watches: 0, ..operators::Settings::default() };
-    let server = Server::new(limits).await;
+    let server = Server::new(limits).await.unwrap();
     let reply = server.call("GET", "/v1/watch?after=0&wait_ms=20000", b"").await.unwrap();
     assert_eq!((reply.status().as_u16(), kind(&reply)), (503, error::ErrorKind::Unavailable));
     assert_eq!(reply.headers()["retry-after"], "1");
@@ -99,7 +98,7 @@
 #[test]
 fn any_call_gets_an_answer_or_a_typed_error() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    let server = runtime.block_on(Server::new(operators::Settings::default()));
+    let server = runtime.block_on(Server::new(operators::Settings::default())).unwrap();
     let method = prop::sample::select(vec!["GET", "PUT", "POST", "DELETE", "PATCH"]);
     let path = prop_oneof![
         prop::sample::select(vec![
--- a/crates/daemon/tests/testsuite/operators/calls.rs
+++ b/crates/daemon/tests/testsuite/operators/calls.rs
@@ -1,12 +1,10 @@
 //! Calls and their answers.
 
-use testbed::switch;
+use testbed::{operators::Server, switch};
 use trefoildyke_daemon::operators;
 use trefoildyke_types::{error, resource};
 use trefoildyke_wire::{http, operators::Watch};
 
-use crate::operators::server::Server;
-
 fn tier(deadline_ms: u64, resource_version: u64) -> serde_json::Value {
     serde_json::json!({
         "kind": "Tier",
@@ -28,24 +26,24 @@
 
 #[tokio::test]
 async fn a_resource_is_created_replaced_and_deleted() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     let (status, accepted) = put(&server, &tier(5, 0)).await;
     assert_eq!((status, &accepted["version"]), (200, &1.into()));
     let (status, _) = put(&server, &tier(6, 1)).await;
     assert_eq!(status, 200);
-    let standing = server.client().get(&key()).await.unwrap();
+    let standing = server.client().unwrap().get(&key()).await.unwrap();
     assert_eq!((standing.generation, standing.resource_version), (2, 2));
     let path = "/v1/resources/Tier/urgent?resource_version=1";
     assert_eq!(server.call("DELETE", path, b"").await.unwrap().status(), 409);
     let path = "/v1/resources/Tier/urgent?resource_version=2";
     assert_eq!(server.call("DELETE", path, b"").await.unwrap().status(), 200);
-    let error = server.client().get(&key()).await.unwrap_err();
+    let error = server.client().unwrap().get(&key()).await.unwrap_err();
     assert_eq!(error.kind, error::ErrorKind::NotFound);
 }
 
 #[tokio::test]
 async fn of_racing_operators_one_wins_and_the_other_learns_the_version() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     put(&server, &tier(1, 0)).await;
     for version in 1..6 {
         let bodies = (tier(10, version), tier(20, version));
@@ -57,7 +55,7 @@
         };
         assert_eq!(won["version"], version + 1);
         assert_eq!(lost["context"]["current"], version + 1);
-        let standing = server.client().get(&key()).await.unwrap();
+        let standing = server.client().unwrap().get(&key()).await.unwrap();
         let spec = serde_json::to_value(&standing.spec).unwrap();
         assert_eq!(spec["spec"]["deadline_ms"], deadline_ms);
     }
@@ -65,11 +63,11 @@
 
 #[tokio::test]
 async fn of_a_list_all_resources_are_accepted_or_none() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     let dangling = serde_json::json!({
         "kind": "PlannedStop", "name": "s", "spec": {"target": {"pool": "gone"}},
     });
-    let client = server.client();
+    let client = server.client().unwrap();
     let error = client.apply(&[tier(5, 0), dangling]).await.unwrap_err();
     assert_eq!(error.context.field.as_deref(), Some("spec.target.pool"));
     assert_eq!(server.handle.snapshot().version(), 0);
@@ -82,8 +80,8 @@
 
 #[tokio::test]
 async fn status_is_in_force_only_once_every_live_daemon_has_reported() {
-    let server = Server::new(operators::Settings::default()).await;
-    let client = server.client();
+    let server = Server::new(operators::Settings::default()).await.unwrap();
+    let client = server.client().unwrap();
     client.apply(&[tier(5, 0)]).await.unwrap();
     let report = |in_force, settled| {
         server.progress.send_replace(operators::Progress { in_force, settled, live: 3 });
@@ -99,8 +97,8 @@
 
 #[tokio::test]
 async fn a_planned_stop_is_stopped_only_once_it_has_ended_everywhere() {
-    let server = Server::new(operators::Settings::default()).await;
-    let client = server.client();
+    let server = Server::new(operators::Settings::default()).await.unwrap();
+    let client = server.client().unwrap();
     let stop = serde_json::json!({
         "kind": "PlannedStop", "name": "s", "spec": {"target": {"host": "h1"}},
     });
@@ -119,11 +117,11 @@
 
 #[tokio::test]
 async fn a_watch_answers_when_something_changes() {
-    let server = Server::new(operators::Settings::default()).await;
-    let client = server.client();
+    let server = Server::new(operators::Settings::default()).await.unwrap();
+    let client = server.client().unwrap();
     let watch = Watch { wait_ms: 20_000, in_force: Some(0), ..Watch::default() };
     let (watched, accepted) = tokio::join!(client.watch(&watch), async {
-        server.client().apply(&[tier(5, 0)]).await.unwrap()
+        server.client().unwrap().apply(&[tier(5, 0)]).await.unwrap()
     });
     let watched = watched.unwrap();
     assert_eq!((watched.version, watched.resources.len()), (accepted.version, 1));
@@ -136,9 +134,10 @@
 
 #[tokio::test]
 async fn a_long_list_and_a_long_watch_come_in_pages() {
-    let server =
-        Server::new(operators::Settings { page: 2, ..operators::Settings::default() }).await;
-    let client = server.client();
+    let server = Server::new(operators::Settings { page: 2, ..operators::Settings::default() })
+        .await
+        .unwrap();
+    let client = server.client().unwrap();
     for rank in 0..5 {
         let tier = serde_json::json!({
             "kind": "Tier", "name": format!("t{rank}"), "spec": {"rank": rank, "deadline_ms": 5},
@@ -167,14 +166,14 @@
 
 #[tokio::test]
 async fn events_are_read_to_the_end() {
-    let server = Server::new(operators::Settings::default()).await;
-    let events = server.client().all_events(server.http.address(), 0).await.unwrap();
+    let server = Server::new(operators::Settings::default()).await.unwrap();
+    let events = server.client().unwrap().all_events(server.address(), 0).await.unwrap();
     assert_eq!(events.iter().map(|event| event.seq).collect::<Vec<_>>(), [1, 2, 3]);
 }
 
 #[tokio::test]
 async fn an_outage_is_told_and_nothing_changes() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     server.kv.set_mode(switch::Mode::new(switch::ModeKind::Down));
     let (status, body) = put(&server, &tier(5, 0)).await;
     assert_eq!((status, body["kind"].as_str()), (503, Some("unavailable")));
@@ -184,12 +183,12 @@
 
 #[tokio::test]
 async fn a_client_goes_on_to_the_next_daemon() {
-    let server = Server::new(operators::Settings::default()).await;
+    let server = Server::new(operators::Settings::default()).await.unwrap();
     let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let daemons = vec![gone.local_addr().unwrap(), server.http.address()];
+    let daemons = vec![gone.local_addr().unwrap(), server.address()];
     drop(gone);
     let deadline = std::time::Duration::from_secs(20);
-    let token = crate::operators::server::TOKEN;
+    let token = testbed::operators::TOKEN;
     let client = trefoildyke_wire::operators::Client::new(daemons, token, deadline).unwrap();
     assert_eq!(client.apply(&[tier(5, 0)]).await.unwrap().version, 1);
     assert_eq!(client.overview().await.unwrap().version, 1);
--- a/crates/daemon/tests/testsuite/operators/mod.rs
+++ b/crates/daemon/tests/testsuite/operators/mod.rs
@@ -2,4 +2,3 @@
 
 mod bad_input;
 mod calls;
-mod server;
--- a/crates/wire/src/operators/client.rs
+++ b/crates/wire/src/operators/client.rs
@@ -97,6 +97,18 @@
         self.read("/v1/status", self.deadline).await
     }
 
+    /// Returns the state of the whole as the daemon at `address` knows it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::list`], but only this daemon is asked.
+    pub async fn overview_of(
+        &self,
+        address: net::SocketAddr,
+    ) -> Result<message::Overview, error::Error> {
+        self.read_from(address, "/v1/status").await
+    }
+
     /// Waits for changes.
     ///
     /// # Errors
@@ -124,10 +136,7 @@
         address: net::SocketAddr,
         after: u64,
     ) -> Result<message::EventPage, error::Error> {
-        let path = format!("/v1/events?after={after}");
-        let empty = bytes::Bytes::new();
-        let reply = self.send(address, &Method::GET, &path, &empty, self.deadline).await;
-        parse(&reply.map_err(|error| error.reading().about(&address))?)
+        self.read_from(address, &format!("/v1/events?after={after}")).await
     }
 
     /// Returns all events that the daemon at `address` keeps after a sequence number.
@@ -163,6 +172,16 @@
         self.change(&Method::POST, "/v1/apply", body).await
     }
 
+    async fn read_from<T: serde::de::DeserializeOwned>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+    ) -> Result<T, error::Error> {
+        let empty = bytes::Bytes::new();
+        let reply = self.send(address, &Method::GET, path, &empty, self.deadline).await;
+        parse(&reply.map_err(|error| error.reading().about(&address))?)
+    }
+
     async fn read<T: serde::de::DeserializeOwned>(
         &self,
         path: &str,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod kv;
 pub mod measure;
 pub mod model;
+pub mod operators;
 pub mod relay;
 pub mod service;
 pub mod switch;
--- a/crates/daemon/tests/testsuite/operators/server.rs
+++ b/testbed/src/operators/mod.rs
@@ -1,36 +1,48 @@
-//! A daemon's operator face without the rest of the daemon.
+//! A daemon's operator face over a key-value stand-in, without the rest of the daemon.
 
-use std::{sync, time};
+use std::{io, sync, time};
 
-use testbed::kv;
+use sha2::Digest as _;
 use tokio::{sync::watch, task};
 use trefoildyke_daemon::{config as service, operators};
 use trefoildyke_decide::config;
-use trefoildyke_types::{event, id};
+use trefoildyke_types::{error, event, id};
 use trefoildyke_wire::{
     http,
     operators::{Client, message},
     platform,
 };
 
-pub(crate) const TOKEN: &str = "an operator's token";
+use crate::kv;
+
+/// The token that [`Server`] accepts.
+pub const TOKEN: &str = "an operator's token";
 
 const DEADLINE: time::Duration = time::Duration::from_secs(20);
 
 /// Serves operators until it is dropped.
-pub(crate) struct Server {
-    pub(crate) kv: kv::Running,
-    pub(crate) http: http::Server,
-    pub(crate) handle: service::Handle,
-    pub(crate) progress: watch::Sender<operators::Progress>,
+pub struct Server {
+    /// The key-value service.
+    pub kv: kv::Running,
+    /// The HTTP server.
+    pub http: http::Server,
+    /// The configuration.
+    pub handle: service::Handle,
+    /// What the face shows of the other daemons.
+    pub progress: watch::Sender<operators::Progress>,
     _keeper: task::JoinSet<()>,
 }
 
 impl Server {
-    pub(crate) async fn new(settings: operators::Settings) -> Self {
+    /// Starts the face, which shows three events of its own making.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn new(settings: operators::Settings) -> io::Result<Self> {
         let unlimited =
             kv::Settings { writes_per_s: 100_000, reads_per_s: 100_000, ..kv::Settings::default() };
-        let kv = kv::serve(unlimited).await.unwrap();
+        let kv = kv::serve(unlimited).await?;
         let client = platform::KvClient::new(platform::KvSettings::new(kv.address()));
         let (handle, keeper) = service::new(service::Settings::default(), client);
         let mut tasks = task::JoinSet::new();
@@ -42,23 +54,37 @@
                 host: id::HostName::new("entry-1"),
                 incarnation: id::Incarnation::from_u64(7),
             },
-            operators::Tokens::parse(&[hash(TOKEN)]).unwrap(),
+            operators::Tokens::parse(&[hash(TOKEN)]).map_err(io::Error::other)?,
             handle.clone(),
             seen,
             sync::Arc::new(events),
         ));
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let answer = move |call| sync::Arc::clone(&face).answer(call);
-        let http = http::Server::start(listener, http::ServerLimits::default(), answer).unwrap();
-        Self { kv, http, handle, progress, _keeper: tasks }
+        let http = http::Server::start(listener, http::ServerLimits::default(), answer)?;
+        Ok(Self { kv, http, handle, progress, _keeper: tasks })
+    }
+
+    /// Returns the address for operators.
+    pub const fn address(&self) -> std::net::SocketAddr {
+        self.http.address()
     }
 
-    pub(crate) fn client(&self) -> Client {
-        Client::new(vec![self.http.address()], TOKEN, DEADLINE).unwrap()
+    /// Returns a client with the operator's token.
+    ///
+    /// # Errors
+    ///
+    /// None at present.
+    pub fn client(&self) -> Result<Client, error::Error> {
+        Client::new(vec![self.address()], TOKEN, DEADLINE)
     }
 
     /// Sends a call with the operator's token.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer comes.
+    pub async fn call(
         &self,
         method: &str,
         path: &str,
@@ -68,7 +94,11 @@
     }
 
     /// Sends a call with any authorization.
-    pub(crate) async fn call_as(
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer comes.
+    pub async fn call_as(
         &self,
         authorization: &str,
         method: &str,
@@ -77,16 +107,15 @@
     ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
         let request = hyper::Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.http.address()))
+            .uri(format!("http://{}{path}", self.address()))
             .header("authorization", authorization)
             .body(bytes::Bytes::copy_from_slice(body))
-            .unwrap();
+            .map_err(|error| http::CallError::NotSent(error.to_string()))?;
         http::Client::default().call(request, DEADLINE).await
     }
 }
 
 fn hash(token: &str) -> String {
-    use sha2::Digest as _;
     config::KeyHash::new(sha2::Sha256::digest(token).into()).to_string()
 }
 
