--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod endpoints;
+mod examples;
 mod intents;
 mod members;
 mod operators;
