--- a/crates/decide/src/orders/action.rs
+++ b/crates/decide/src/orders/action.rs
@@ -5,7 +5,7 @@
 use crate::orders;
 
 /// Asks the caller of the controller for one action.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Action {
     /// Take the lease, with a time to live of [`orders::Params::ttl`].
     Acquire,
--- a/crates/decide/src/orders/controller.rs
+++ b/crates/decide/src/orders/controller.rs
@@ -7,14 +7,14 @@
 use crate::orders::{self, Action, Input, open};
 
 /// How the lease's renewal stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Renewal {
     /// Not to be asked for before the time given.
     Due(Timestamp),
     Asked,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Phase {
     /// Without the lease; not to be taken before the time given.
     Idle(Timestamp),
@@ -29,7 +29,7 @@
 ///
 /// It takes the lease only while there may be orders to carry out, and gives it up afterwards.
 /// Orders to one engine are carried out one at a time, in the order in which they were accepted.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Controller {
     params: orders::Params,
     phase: Phase,
--- a/crates/decide/src/orders/holding.rs
+++ b/crates/decide/src/orders/holding.rs
@@ -10,7 +10,7 @@
 ///
 /// The key-value service counts the time to live from when it takes a call, which is not before the
 /// call began. So the lease lasts at least until `begun` plus its time to live.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Holding {
     /// The fencing token.
     pub token: u64,
--- a/crates/decide/src/orders/input.rs
+++ b/crates/decide/src/orders/input.rs
@@ -7,7 +7,7 @@
 use crate::orders;
 
 /// Tells the controller of one event.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Input {
     /// All orders of the configuration.
     Orders(Vec<orders::Order>),
--- a/crates/decide/src/orders/open.rs
+++ b/crates/decide/src/orders/open.rs
@@ -5,7 +5,7 @@
 use crate::orders;
 
 /// How far an order has come.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Step {
     /// To be sent, not before the time given.
     Waiting(Timestamp),
@@ -18,7 +18,7 @@
 }
 
 /// Holds an order that has not ended, or whose end is not recorded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Open {
     pub(super) order: orders::Order,
     pub(super) step: Step,
--- a/crates/decide/src/orders/order.rs
+++ b/crates/decide/src/orders/order.rs
@@ -23,7 +23,7 @@
 }
 
 /// Describes an order to one engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Order {
     /// The order.
     pub key: OrderKey,
--- a/crates/decide/src/orders/outcome.rs
+++ b/crates/decide/src/orders/outcome.rs
@@ -1,7 +1,7 @@
 //! How an order ended.
 
 /// Says how an order ended for good.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The engine carried it out.
--- a/crates/decide/src/orders/params.rs
+++ b/crates/decide/src/orders/params.rs
@@ -9,7 +9,7 @@
 /// at the lease's end (`settle`); a new holder waits `margin` before its first order; and one order
 /// at a time is in flight at an engine. A holder that is paused between its last look at the clock
 /// and the write does no harm for pauses up to `guard + margin`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Params {
     /// How long a lease lasts without renewal; more than `guard + settle`.
     pub ttl: time::Duration,
--- a/crates/decide/src/orders/send_result.rs
+++ b/crates/decide/src/orders/send_result.rs
@@ -1,7 +1,7 @@
 //! How sending an order ended.
 
 /// Says what is known after an order was to be sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum SendResult {
     /// The engine carried it out.
     Done,
--- a/crates/spec/src/invariant.rs
+++ b/crates/spec/src/invariant.rs
@@ -1,4 +1,4 @@
-//! The invariants by name.
+//! The invariants by name: the nine of the design, and one for orders to engines.
 
 use std::fmt;
 
@@ -23,6 +23,8 @@
     ConfigMonotone,
     /// A request that was given up on is answered at once.
     FinalAtOnce,
+    /// No order of a former lease holder takes effect after one of a later holder.
+    FencedOrders,
 }
 
 impl fmt::Display for Invariant {
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod configuration;
 pub mod explore;
 pub mod invariant;
+pub mod orders;
 pub mod requests;
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 
 mod commits;
 mod configuration;
+mod orders;
 mod requests;
--- a/crates/types/src/resource/engine_order.rs
+++ b/crates/types/src/resource/engine_order.rs
@@ -3,7 +3,7 @@
 use crate::id;
 
 /// Says what an engine is told to do.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum OrderAction {
     /// Load a model version from the weight store.
@@ -26,7 +26,7 @@
 }
 
 /// Describes an order to one engine.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineOrderSpec {
     /// The engine that gets the order.
