testbed: load tool against real daemons

`testbed load` sends a scenario's arrivals open loop over HTTP, checks that each answer is whole and the caller's own, and can obey retry-after and go on at the next daemon with the same id and offset. `--overhead ENGINE` measures what a daemon adds to the time to the first token, idempotent and not. Tested against scripted daemons; not yet run against trefoildyked.

--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod goals;
 mod hosts;
 mod kv;
+mod load;
 mod measure;
 mod plot;
 mod service;
@@ -25,6 +26,8 @@
     Experiment(experiment::Options),
     #[options(help = "measure and judge the goals of the decisions")]
     Goals(goals::Options),
+    #[options(help = "put load on daemons over HTTP")]
+    Load(load::Options),
     #[options(help = "plot goodput by tier against load")]
     Plot(plot::Options),
     #[options(help = "run a key-value service")]
@@ -44,6 +47,7 @@
     match options.command {
         Some(Command::Experiment(options)) => experiment::run(&options),
         Some(Command::Goals(options)) => goals::run(options),
+        Some(Command::Load(options)) => load::run(options).await,
         Some(Command::Plot(options)) => plot::run(&options),
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod gossip;
 pub mod hosts;
 pub mod kv;
+pub mod load;
 pub mod measure;
 pub mod model;
 pub mod operators;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod hosts;
 mod kv;
+mod load;
 mod model;
 mod relay;
 mod scenario;
