--- a/testbed/src/measure/members/failure.rs
+++ b/testbed/src/measure/members/failure.rs
@@ -53,7 +53,8 @@
         node.traffic = gossip::Traffic::default();
     }
     // Comparing all views takes longer than a step of the group.
-    let look = |group: &gossip::Group| group.now().as_millis() % 500 == 0 && group.agrees();
+    let look =
+        |group: &gossip::Group| group.now().as_millis().is_multiple_of(500) && group.agrees();
     let took = group.run_until(LIMIT, look);
     let seconds = took.unwrap_or(LIMIT).as_secs_f64().max(1.0);
     let bytes = group.nodes.iter().map(|node| node.traffic.bytes).max().unwrap_or_default();
