--- a/crates/decide/src/stops/settled.rs
+++ b/crates/decide/src/stops/settled.rs
@@ -17,8 +17,8 @@
 ///
 /// `is_busy` says whether anything is in progress at an endpoint: a request that this daemon has
 /// dispatched, or, at the endpoint's scheduler, work that the endpoint's own load report shows. The
-/// report counts because a coordinator may have died and its request gone on; a scheduler without
-/// a report from after the stop was in force must answer yes.
+/// report counts because a coordinator may have died and its request gone on. A scheduler without
+/// a report from after the stop was in force on every live daemon must answer yes.
 ///
 /// Once a stop is in force here nothing new starts at its target, so what has ended stays ended. A
 /// stop has ended when every live daemon reports its version as settled.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod invariant;
 pub mod orders;
 pub mod requests;
+pub mod stops;
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod configuration;
 mod orders;
 mod requests;
+mod stops;
