--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -5,6 +5,7 @@
 //! surroundings do (delays, losses, deaths, outages) is left free, so a model that holds, holds
 //! whatever they do within the stated bounds.
 
+pub mod answers;
 pub mod commits;
 pub mod configuration;
 pub mod explore;
--- a/crates/spec/tests/testsuite/requests/mod.rs
+++ b/crates/spec/tests/testsuite/requests/mod.rs
@@ -3,3 +3,4 @@
 mod guards;
 mod holds;
 mod reach;
+mod walks;
