testbed: measure membership over real sockets

`testbed measure peers` runs the membership and connections of several daemons in one process behind counting relays. The node it uses replaces the one in the daemon's tests.

--- a/crates/daemon/tests/testsuite/members/connections.rs
+++ b/crates/daemon/tests/testsuite/members/connections.rs
@@ -13,11 +13,11 @@
 async fn behind_relay(
     kernel: &trefoildyke_kernel::Kernel,
 ) -> (nodes::Node, nodes::Node, relay::Running) {
-    let one = nodes::Start::new(1, &[]).await.start(kernel);
-    let mut start = nodes::Start::new(2, &[one.address]).await;
+    let one = nodes::run(nodes::prepare(1, &[]).await, kernel);
+    let mut start = nodes::prepare(2, &[one.address]).await;
     let relay = relay::serve(start.listener.local_addr().unwrap()).await.unwrap();
     start.advertise = Some(relay.address());
-    let two = start.start(kernel);
+    let two = nodes::run(start, kernel);
     one.sees_alive(&[&one, &two]).await;
     two.sees_alive(&[&one, &two]).await;
     (one, two, relay)
--- a/crates/daemon/tests/testsuite/members/nodes.rs
+++ b/crates/daemon/tests/testsuite/members/nodes.rs
@@ -1,100 +1,47 @@
-//! Nodes that have a membership and connections and nothing else.
+//! Nodes with short intervals, and waits on their views.
 
-use std::{net, time};
+use std::{net, ops, time};
 
-use tokio::sync::watch;
-use trefoildyke_daemon::{clock, members as service, peers};
+use testbed::member;
 use trefoildyke_decide::members;
 use trefoildyke_kernel as kernel;
-use trefoildyke_types::id;
 use trefoildyke_wire::peer;
 
 pub(crate) const KEY: &str = "a key of 16 bytes or more";
 pub(crate) const LONG: time::Duration = time::Duration::from_secs(40);
 
-pub(crate) struct Node {
-    pub(crate) incarnation: id::Incarnation,
-    pub(crate) members: service::Handle,
-    pub(crate) peers: peers::Handle,
-    /// Where the node listens.
-    pub(crate) address: net::SocketAddr,
-    pub(crate) versions: watch::Sender<members::Versions>,
-    scope: kernel::Scope,
+/// A node; everything of [`member::Node`] can be used.
+pub(crate) struct Node(member::Node);
+
+impl ops::Deref for Node {
+    type Target = member::Node;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
 }
 
-/// How a node starts.
-pub(crate) struct Start<'a> {
-    pub(crate) number: u64,
-    pub(crate) key: &'a str,
-    pub(crate) seeds: Vec<net::SocketAddr>,
-    pub(crate) listener: tokio::net::TcpListener,
-    /// Where others are told to connect, if not to the listener.
-    pub(crate) advertise: Option<net::SocketAddr>,
+/// Prepares a node with short intervals.
+pub(crate) async fn prepare(number: u64, seeds: &[net::SocketAddr]) -> member::Start {
+    let mut start = member::Start::new(number, keys(KEY)).await.unwrap();
+    start.seeds = seeds.to_vec();
+    start.params = params();
+    start.limits = limits();
+    start
 }
 
-impl Start<'_> {
-    pub(crate) async fn new(number: u64, seeds: &[net::SocketAddr]) -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        Self { number, key: KEY, seeds: seeds.to_vec(), listener, advertise: None }
-    }
+pub(crate) fn keys(key: &str) -> peer::Keys {
+    peer::Keys::new(&[key]).unwrap()
+}
 
-    pub(crate) fn start(self, kernel: &kernel::Kernel) -> Node {
-        let scope = kernel.traffic().child();
-        let address = self.listener.local_addr().unwrap();
-        let incarnation = id::Incarnation::new(self.number, 0);
-        let place = members::Place {
-            host: id::HostName::new(&format!("host-{}", self.number)),
-            zone: id::ZoneName::new("zone"),
-            peer: self.advertise.unwrap_or(address),
-        };
-        let keys = peer::Keys::new(&[self.key]).unwrap();
-        let identity = peer::Identity { incarnation, keys };
-        let (members, runner) = service::new(incarnation, place, params(), clock::Clock::start());
-        let find = members.clone();
-        let (peers, lost) = peers::new(
-            identity.clone(),
-            limits(),
-            peers::Settings::default(),
-            scope.clone(),
-            move |incarnation| find.address(incarnation),
-        );
-        let mut methods = peer::Methods::default();
-        members.serve_peers(&peers, &mut methods);
-        let (versions, own) = watch::channel(members::Versions::default());
-        let sources = service::Sources {
-            peers: peers.clone(),
-            lost,
-            versions: own,
-            hosts: None,
-            seeds: self.seeds,
-        };
-        let stop = scope.token().clone();
-        let server = peer::serve(self.listener, identity, limits(), methods, stop.clone());
-        scope.spawn("peer server", server);
-        scope.spawn("members", async move {
-            tokio::select! {
-                () = stop.cancelled() => {}
-                () = runner.run(sources) => {}
-            }
-            Ok::<_, std::convert::Infallible>(())
-        });
-        Node { incarnation, members, peers, address, versions, scope }
-    }
+pub(crate) fn run(start: member::Start, kernel: &kernel::Kernel) -> Node {
+    Node(start.start(kernel).unwrap())
 }
 
 impl Node {
     /// Ends the node as if its process were killed.
     pub(crate) async fn kill(&self) {
-        assert!(self.scope.close(LONG).await);
-    }
-
-    /// Gives this node a configuration version.
-    pub(crate) fn configure(&self, config: u64) {
-        self.versions.send_replace(members::Versions { config, settled: 0 });
-    }
-
-    pub(crate) fn state_of(&self, other: &Self) -> Option<members::State> {
-        self.members.view().find(other.incarnation).map(|member| member.state)
+        assert!(self.0.kill(LONG).await);
     }
 
     /// Waits until the view of this node satisfies `done`.
@@ -121,7 +68,7 @@
     let mut nodes: Vec<Node> = Vec::new();
     for number in 1..=count {
         let seeds: Vec<_> = nodes.iter().take(1).map(|node| node.address).collect();
-        nodes.push(Start::new(number, &seeds).await.start(kernel));
+        nodes.push(run(prepare(number, &seeds).await, kernel));
     }
     let all: Vec<_> = nodes.iter().collect();
     for node in &nodes {
@@ -147,7 +94,7 @@
     }
 }
 
-pub(crate) fn limits() -> peer::Limits {
+fn limits() -> peer::Limits {
     peer::Limits {
         heartbeat_ms: 100,
         silence_ms: 1_000,
--- a/crates/daemon/tests/testsuite/members/views.rs
+++ b/crates/daemon/tests/testsuite/members/views.rs
@@ -67,13 +67,13 @@
     let kernel = nodes::kernel();
     kernel.block_on(async {
         let nodes = nodes::start(&kernel, 2).await;
-        let mut start = nodes::Start::new(9, &[nodes[0].address, nodes[1].address]).await;
-        start.key = "another key, long enough";
-        let stranger = start.start(&kernel);
+        let mut start = nodes::prepare(9, &[nodes[0].address, nodes[1].address]).await;
+        start.keys = nodes::keys("another key, long enough");
+        let stranger = nodes::run(start, &kernel);
         let refused = stranger.peers.client_at(nodes[0].address).await.err().unwrap();
         assert_eq!(refused.kind, trefoildyke_types::error::ErrorKind::Unauthorized);
         // A node that starts later with the right key is let in by the same seeds.
-        let friend = nodes::Start::new(10, &[nodes[0].address]).await.start(&kernel);
+        let friend = nodes::run(nodes::prepare(10, &[nodes[0].address]).await, &kernel);
         friend.sees_alive(&[&nodes[0], &nodes[1], &friend]).await;
         assert_eq!(stranger.members.view().members.len(), 1);
         assert_eq!(nodes[0].state_of(&stranger), None);
@@ -88,9 +88,9 @@
         let nodes = nodes::start(&kernel, 3).await;
         let address = nodes[2].address;
         nodes[2].kill().await;
-        let mut start = nodes::Start::new(50, &[nodes[0].address]).await;
+        let mut start = nodes::prepare(50, &[nodes[0].address]).await;
         start.listener = tokio::net::TcpListener::bind(address).await.unwrap();
-        let again = start.start(&kernel);
+        let again = nodes::run(start, &kernel);
         nodes[0].sees_alive(&[&nodes[0], &nodes[1], &again]).await;
         assert_eq!(nodes[0].state_of(&nodes[2]), Some(State::Dead));
         let old = nodes[0].peers.client(nodes[2].incarnation).await.err().unwrap();
--- a/testbed/src/command/measure.rs
+++ b/testbed/src/command/measure.rs
@@ -7,7 +7,7 @@
 pub(crate) struct Options {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "what to measure: config, members or scheduler")]
+    #[options(free, help = "what to measure: config, members, peers or scheduler")]
     subject: String,
     #[options(no_short, help = "sizes to measure at", meta = "N,N,...")]
     sizes: Option<String>,
@@ -19,8 +19,11 @@
     match options.subject.as_str() {
         "config" => config(options),
         "members" => members(options),
+        "peers" => peers(options),
         "scheduler" => scheduler(options),
-        other => anyhow::bail!("cannot measure `{other}`; name config, members or scheduler"),
+        other => {
+            anyhow::bail!("cannot measure `{other}`; name config, members, peers or scheduler")
+        }
     }
 }
 
@@ -35,6 +38,15 @@
     Ok(())
 }
 
+fn peers(options: &Options) -> anyhow::Result<()> {
+    let sizes = sizes(options.sizes.as_deref().unwrap_or("3,8,24"))?;
+    println!("Membership of each daemon over real sockets\n");
+    // The daemons bring their own threads.
+    let table = tokio::task::block_in_place(|| measure::members::loopback(&sizes))?;
+    println!("{table}");
+    Ok(())
+}
+
 fn config(options: &Options) -> anyhow::Result<()> {
     let sizes = sizes(options.sizes.as_deref().unwrap_or("5,100,1000,8800"))?;
     println!("Cost of the configuration, 600 changes each\n");
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod kv;
 pub mod load;
 pub mod measure;
+pub mod member;
 pub mod model;
 pub mod operators;
 pub mod relay;
--- a/testbed/src/measure/members/mod.rs
+++ b/testbed/src/measure/members/mod.rs
@@ -2,8 +2,10 @@
 
 mod cost;
 mod failure;
+mod loopback;
 mod spread;
 
 pub use cost::cost;
 pub use failure::failure;
+pub use loopback::loopback;
 pub use spread::spread;
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -6,4 +6,4 @@
 pub mod scheduler;
 mod table;
 
-pub use process::{busy_time, resident_bytes};
+pub use process::{busy_time, process_time, resident_bytes};
--- a/testbed/src/relay/running.rs
+++ b/testbed/src/relay/running.rs
@@ -14,6 +14,7 @@
     flow: watch::Sender<Flow>,
     /// The number of the next connection.
     next: sync::Arc<atomic::AtomicU64>,
+    passed: sync::Arc<copy::Passed>,
     stop: CancellationToken,
     accepting: task::JoinHandle<()>,
 }
@@ -30,16 +31,18 @@
     let address = listener.local_addr()?;
     let (flow, watching) = watch::channel(Flow::default());
     let next = sync::Arc::new(atomic::AtomicU64::new(0));
+    let passed = sync::Arc::new(copy::Passed::default());
     let stop = CancellationToken::new();
     let acceptor = Acceptor {
         listener,
         target,
         flow: watching,
         next: sync::Arc::clone(&next),
+        passed: sync::Arc::clone(&passed),
         stop: stop.clone(),
     };
     let accepting = tokio::spawn(acceptor.run());
-    Ok(Running { address, flow, next, stop, accepting })
+    Ok(Running { address, flow, next, passed, stop, accepting })
 }
 
 impl Running {
@@ -92,6 +95,16 @@
         self.next.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns how many bytes have passed, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.passed.bytes.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns how many pieces of data have passed, both ways.
+    pub fn pieces(&self) -> u64 {
+        self.passed.pieces.load(atomic::Ordering::Relaxed)
+    }
+
     /// Stops at once and joins every task.
     pub async fn stop(self) {
         self.stop.cancel();
@@ -112,6 +125,7 @@
     target: net::SocketAddr,
     flow: watch::Receiver<Flow>,
     next: sync::Arc<atomic::AtomicU64>,
+    passed: sync::Arc<copy::Passed>,
     stop: CancellationToken,
 }
 
@@ -128,7 +142,13 @@
             let refuse = self.flow.borrow().refuse;
             if !refuse {
                 let number = self.next.fetch_add(1, atomic::Ordering::SeqCst);
-                connections.spawn(copy::run(near, self.target, number, self.flow.clone()));
+                connections.spawn(copy::run(
+                    near,
+                    self.target,
+                    number,
+                    self.flow.clone(),
+                    sync::Arc::clone(&self.passed),
+                ));
             }
         }
         connections.shutdown().await;
