--- a/crates/daemon/src/config/learner.rs
+++ b/crates/daemon/src/config/learner.rs
@@ -13,7 +13,10 @@
 
 use crate::config::{Handle, Peers};
 
-/// Reads changes from a peer that announced a higher version, and now and then from any peer.
+/// Reads changes from a peer that announced a higher version.
+///
+/// A daemon that has no version yet asks any peer, without waiting for an announcement. Otherwise
+/// nothing is asked at random, since that would open a connection to every peer in time.
 pub(crate) async fn run(handle: Handle, mut peers: Peers) {
     let mut poll = time::interval(handle.settings.poll());
     poll.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -35,11 +38,15 @@
     }
 }
 
-/// Returns whom to ask: who announced a higher version, else some peer that is alive.
+/// Returns whom to ask, if anybody.
 fn source(handle: &Handle, peers: &Peers) -> Option<id::Incarnation> {
     let own = handle.snapshot().version();
     let announced = peers.newest.borrow().filter(|newest| newest.version > own);
-    announced.map(|newest| newest.incarnation).or_else(|| any_peer(&peers.view.borrow(), peers.own))
+    match announced {
+        Some(newest) => Some(newest.incarnation),
+        None if own == 0 => any_peer(&peers.view.borrow(), peers.own),
+        None => None,
+    }
 }
 
 fn any_peer(view: &members::View, own: id::Incarnation) -> Option<id::Incarnation> {
--- a/crates/daemon/src/config/settings.rs
+++ b/crates/daemon/src/config/settings.rs
@@ -12,7 +12,7 @@
     pub watch_ms: u64,
     /// How long to wait after a failed read of the key-value service, in milliseconds.
     pub retry_ms: u64,
-    /// How often a daemon asks some peer for changes that it heard nothing of, in milliseconds.
+    /// How often a daemon tries again to read what a peer has announced, in milliseconds.
     pub poll_ms: u64,
     /// How long a call to a peer may take, in milliseconds.
     pub peer_ms: u64,
