Carry out orders to engines under a lease

One daemon at a time sends orders: rendezvous hashing names it, a lease in the key-value service decides, and the lease's revision is the fencing token. The holder looks at its clock after the connection is open, as the last thing before the write.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod members;
 pub mod metrics;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod settings;
 pub mod timeline;
--- /dev/null
+++ b/crates/daemon/src/orders/handle.rs
@@ -0,0 +1,52 @@
+//! How other services see what became of orders.
+
+use std::sync;
+
+use tokio::sync::watch;
+use trefoildyke_decide::{config, members, orders as decisions};
+use trefoildyke_types::{error, id};
+use trefoildyke_wire::platform;
+
+use crate::orders::{self, keys};
+
+/// Tells how orders ended.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    kv: platform::KvClient,
+}
+
+/// What the service learns from.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    /// The configuration in force.
+    pub config: watch::Receiver<sync::Arc<config::Snapshot>>,
+    /// The daemons, one of which carries out orders.
+    pub view: watch::Receiver<sync::Arc<members::View>>,
+}
+
+/// Creates the service: the handle for the others and the service to run.
+pub fn new(
+    settings: orders::Settings,
+    kv: platform::KvClient,
+    incarnation: id::Incarnation,
+    sources: Sources,
+) -> (Handle, orders::Service) {
+    let service = orders::Service::new(settings, kv.clone(), incarnation, sources);
+    (Handle { kv }, service)
+}
+
+impl Handle {
+    /// Returns how an order ended, or `None` if it has not.
+    ///
+    /// Costs one read of the key-value service. Fails with kind `Unavailable` if that does not
+    /// answer.
+    pub async fn ended(
+        &self,
+        key: &decisions::OrderKey,
+    ) -> Result<Option<orders::Ended>, error::Error> {
+        let Some(entry) = self.kv.get(&keys::ended(key)).await?.entry else { return Ok(None) };
+        serde_json::from_str(&entry.value).map(Some).map_err(|error| {
+            error::Error::new(error::ErrorKind::Protocol, error.to_string()).about(&entry.key)
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/orders/lease.rs
@@ -0,0 +1,162 @@
+//! The lease in the key-value service.
+
+use std::{collections, time};
+
+use trefoildyke_decide::orders;
+use trefoildyke_types::{id, time::Timestamp};
+use trefoildyke_wire::platform::{self, message};
+
+use crate::orders::{Clock, Ended, keys};
+
+/// The value of the lease's key.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Holder {
+    incarnation: id::Incarnation,
+    /// Tells this attempt to take the lease from every other.
+    nonce: id::Nonce,
+}
+
+/// A lease that was taken.
+#[derive(Debug)]
+pub(super) struct Taken {
+    pub(super) lease: message::LeaseNumber,
+    pub(super) token: u64,
+    pub(super) begun: Timestamp,
+    /// The version that was confirmed.
+    pub(super) version: u64,
+    /// Every order recorded as ended, with the revision of its record.
+    pub(super) ended: collections::BTreeMap<orders::OrderKey, (Ended, u64)>,
+}
+
+/// Tries to take the lease and to confirm the version.
+///
+/// Returns `None` if somebody else has it, a higher version was confirmed before, or the service
+/// does not answer.
+pub(super) async fn take(
+    kv: &platform::KvClient,
+    clock: &Clock,
+    incarnation: id::Incarnation,
+    version: u64,
+    ttl: time::Duration,
+) -> Option<Taken> {
+    let begun = clock.now();
+    let lease = kv.grant(ttl).await.ok()?;
+    let taken = take_key(kv, lease, incarnation, version).await;
+    if taken.is_none() {
+        // If this fails as well, the lease ends by itself.
+        let _ = kv.revoke(lease).await;
+    }
+    let (token, ended) = taken?;
+    Some(Taken { lease, token, begun, version, ended })
+}
+
+/// Writes the lease's key and, once it stands, reads what a holder must know.
+async fn take_key(
+    kv: &platform::KvClient,
+    lease: message::LeaseNumber,
+    incarnation: id::Incarnation,
+    version: u64,
+) -> Option<(u64, collections::BTreeMap<orders::OrderKey, (Ended, u64)>)> {
+    let token = put_holder(kv, lease, incarnation).await?;
+    if confirm(kv, version).await != Confirmation::Confirmed {
+        return None;
+    }
+    Some((token, read_ended(kv).await?))
+}
+
+/// How confirming a version ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    Confirmed,
+    /// A higher version was confirmed before.
+    Old,
+    /// Another writer was first, or the service does not answer.
+    Failed,
+}
+
+/// Records a version as the lowest with which anybody may carry out orders.
+pub(super) async fn confirm(kv: &platform::KvClient, version: u64) -> Confirmation {
+    let Ok(reply) = kv.get(keys::VERSION).await else { return Confirmation::Failed };
+    let (current, revision) = match &reply.entry {
+        Some(entry) => (entry.value.parse().unwrap_or(u64::MAX), entry.revision),
+        None => (0, 0),
+    };
+    if current >= version {
+        return if current == version { Confirmation::Confirmed } else { Confirmation::Old };
+    }
+    let put = message::Put {
+        key: keys::VERSION.to_owned(),
+        value: version.to_string(),
+        expect: Some(revision),
+        lease: None,
+    };
+    match kv.put(&put).await {
+        Ok(_) => Confirmation::Confirmed,
+        Err(_) => Confirmation::Failed,
+    }
+}
+
+/// Writes the lease's key and returns its revision; an unsure write is read back.
+async fn put_holder(
+    kv: &platform::KvClient,
+    lease: message::LeaseNumber,
+    incarnation: id::Incarnation,
+) -> Option<u64> {
+    let holder = Holder { incarnation, nonce: id::Nonce(rand::random()) };
+    let value = serde_json::to_string(&holder).ok()?;
+    let put =
+        message::Put { key: keys::HOLDER.to_owned(), value, expect: Some(0), lease: Some(lease) };
+    match kv.put(&put).await {
+        Ok(written) => Some(written.revision),
+        Err(platform::WriteError::Unsure(_)) => {
+            let entry = kv.get(keys::HOLDER).await.ok()?.entry?;
+            let found = serde_json::from_str::<Holder>(&entry.value).ok()?;
+            (found == holder).then_some(entry.revision)
+        }
+        Err(_) => None,
+    }
+}
+
+async fn read_ended(
+    kv: &platform::KvClient,
+) -> Option<collections::BTreeMap<orders::OrderKey, (Ended, u64)>> {
+    let (entries, _) = kv.list_all(keys::ENDED).await.ok()?;
+    let parse = |entry: message::Entry| {
+        let ended: Ended = serde_json::from_str(&entry.value).ok()?;
+        Some((ended.key.clone(), (ended, entry.revision)))
+    };
+    Some(entries.into_iter().filter_map(parse).collect())
+}
+
+/// Renews the lease.
+pub(super) async fn renew(
+    kv: &platform::KvClient,
+    clock: &Clock,
+    lease: message::LeaseNumber,
+) -> orders::Input {
+    let begun = clock.now();
+    match kv.renew(lease).await {
+        Ok(()) => orders::Input::Renewed { begun },
+        Err(platform::WriteError::LeaseGone) => orders::Input::LeaseGone,
+        Err(_) => orders::Input::NotRenewed,
+    }
+}
+
+/// Records how an order ended.
+pub(super) async fn store(kv: &platform::KvClient, ended: &Ended) -> orders::Input {
+    let key = ended.key.clone();
+    let Ok(value) = serde_json::to_string(ended) else { return orders::Input::NotStored(key) };
+    let put = message::Put { key: keys::ended(&key), value, expect: Some(0), lease: None };
+    match kv.put(&put).await {
+        Ok(_) | Err(platform::WriteError::Conflict(_)) => orders::Input::Stored(key),
+        Err(_) => orders::Input::NotStored(key),
+    }
+}
+
+/// Deletes the record of an order that the configuration no longer names.
+pub(super) async fn forget(kv: &platform::KvClient, key: &orders::OrderKey, revision: u64) {
+    let delete = message::Delete { key: keys::ended(key), expect: Some(revision) };
+    // A record that stays is deleted by a later holder.
+    let _ = kv.delete(&delete).await;
+}
--- /dev/null
+++ b/crates/daemon/src/orders/send.rs
@@ -0,0 +1,43 @@
+//! Sends one order.
+
+use std::{net, time};
+
+use trefoildyke_decide::orders;
+use trefoildyke_types::time::Timestamp;
+use trefoildyke_wire::endpoint::{self, message};
+
+use crate::orders::Clock;
+
+/// Sends an order once, unless it is `stop` or later when it can be written.
+pub(super) async fn send(
+    clock: Clock,
+    address: Option<net::SocketAddr>,
+    order: orders::Order,
+    fence: u64,
+    stop: Timestamp,
+    wait: time::Duration,
+) -> orders::Input {
+    let key = order.key.clone();
+    let Some(address) = address else {
+        let why = format!("there is no endpoint `{}`", order.endpoint);
+        return orders::Input::Sent { key, result: orders::SendResult::Refused(why) };
+    };
+    let client = endpoint::EngineClient::new(address, endpoint::Limits::default());
+    let message = message::Order { order: key.to_string(), fence, action: order.action };
+    let sent = client.order(&message, wait, || clock.now() < stop).await;
+    orders::Input::Sent { key, result: judge(sent) }
+}
+
+fn judge(sent: Result<(), endpoint::OrderError>) -> orders::SendResult {
+    match sent {
+        Ok(()) => orders::SendResult::Done,
+        Err(endpoint::OrderError::NotSent(_) | endpoint::OrderError::TooLate) => {
+            orders::SendResult::NotSent
+        }
+        Err(endpoint::OrderError::Stale { .. }) => orders::SendResult::Stale,
+        Err(endpoint::OrderError::Refused { status, detail }) => orders::SendResult::Refused(
+            format!("the engine answered with status {status}: {detail}"),
+        ),
+        Err(endpoint::OrderError::Unknown(_)) => orders::SendResult::Unknown,
+    }
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod intents;
 mod members;
 mod operators;
+mod orders;
 mod settings;
 mod timeline;
--- a/crates/decide/src/orders/action.rs
+++ b/crates/decide/src/orders/action.rs
@@ -7,8 +7,19 @@
 /// Asks the caller of the controller for one action.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Action {
-    /// Take the lease, with a time to live of [`orders::Params::ttl`].
-    Acquire,
+    /// Take the lease, with a time to live of [`orders::Params::ttl`], and then confirm the version.
+    ///
+    /// If a higher version was ever confirmed, this daemon's configuration is old: give the lease
+    /// back and answer [`orders::Input::NotAcquired`].
+    Acquire {
+        /// The version of the configuration that this daemon knows.
+        version: u64,
+    },
+    /// Confirm a version: record it as the lowest with which anybody may carry out orders.
+    Confirm {
+        /// The version.
+        version: u64,
+    },
     /// Renew the lease.
     Renew,
     /// Give the lease up; there is no answer.
--- a/crates/decide/src/orders/controller.rs
+++ b/crates/decide/src/orders/controller.rs
@@ -6,12 +6,23 @@
 
 use crate::orders::{self, Action, Input, open};
 
-/// How the lease's renewal stands.
+/// How a call that is repeated stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Renewal {
-    /// Not to be asked for before the time given.
+enum Call {
+    /// Not to be made before the time given.
     Due(Timestamp),
-    Asked,
+    InProgress,
+}
+
+impl Call {
+    /// Begins the call if it is due; says whether it was.
+    fn begin(&mut self, now: Timestamp) -> bool {
+        let is_due = matches!(self, Self::Due(from) if now >= *from);
+        if is_due {
+            *self = Self::InProgress;
+        }
+        is_due
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -21,7 +32,7 @@
     Acquiring,
     Holding {
         holding: orders::Holding,
-        renewal: Renewal,
+        renewal: Call,
     },
 }
 
@@ -36,8 +47,15 @@
     is_eligible: bool,
     /// Whether there may be orders that were not carried out.
     has_work: bool,
+    /// The version of the configuration that `wanted` is from.
+    version: u64,
     /// All orders of the configuration.
     wanted: Vec<orders::Order>,
+    /// The version confirmed last; nothing that a later one accepted is sent.
+    ///
+    /// So whoever takes the lease with an older configuration learns that it is old.
+    confirmed: u64,
+    confirming: Call,
     /// The orders known to have ended; complete while the lease is held.
     ended: collections::BTreeSet<orders::OrderKey>,
     /// The orders that have not ended, by the version that accepted them; empty without the lease,
@@ -56,7 +74,10 @@
             phase: Phase::Idle(Timestamp::ZERO),
             is_eligible: false,
             has_work: false,
+            version: 0,
             wanted: Vec::new(),
+            confirmed: 0,
+            confirming: Call::Due(Timestamp::ZERO),
             ended: collections::BTreeSet::new(),
             open: collections::BTreeMap::new(),
             quiet: collections::BTreeMap::new(),
@@ -75,7 +96,7 @@
             Phase::Idle(from) => {
                 if self.is_eligible && self.has_work && now >= *from {
                     self.phase = Phase::Acquiring;
-                    actions.push(Action::Acquire);
+                    actions.push(Action::Acquire { version: self.version });
                 }
             }
             Phase::Acquiring => {}
@@ -99,12 +120,16 @@
 
     fn take_in(&mut self, now: Timestamp, input: Input) {
         match input {
-            Input::Orders(wanted) => self.want(wanted),
+            Input::Orders { version, wanted } => self.want(version, wanted),
             Input::Eligible(eligible) => {
                 self.has_work |= eligible && !self.is_eligible && !self.wanted.is_empty();
                 self.is_eligible = eligible;
             }
-            Input::Acquired { token, begun, ended } => self.acquire(now, token, begun, ended),
+            Input::Acquired { token, begun, version, ended } => {
+                self.confirmed = version;
+                self.confirming = Call::Due(now);
+                self.acquire(now, token, begun, ended);
+            }
             Input::NotAcquired => self.phase = Phase::Idle(now + self.params.retry),
             Input::Renewed { begun } => self.renewed(begun),
             Input::NotRenewed => self.renew_from(now + self.params.retry),
@@ -115,11 +140,17 @@
                 self.ended.insert(key);
             }
             Input::NotStored(key) => self.not_stored(now, &key),
+            Input::Confirmed(version) => {
+                self.confirmed = self.confirmed.max(version);
+                self.confirming = Call::Due(now);
+            }
+            Input::NotConfirmed => self.confirming = Call::Due(now + self.params.retry),
             Input::Tick => {}
         }
     }
 
-    fn want(&mut self, wanted: Vec<orders::Order>) {
+    fn want(&mut self, version: u64, wanted: Vec<orders::Order>) {
+        self.version = version;
         self.has_work = !wanted.is_empty();
         self.wanted = wanted;
         if self.holding().is_some() {
@@ -150,7 +181,7 @@
         ended: collections::BTreeSet<orders::OrderKey>,
     ) {
         let holding = orders::Holding { token, took: now, begun };
-        let renewal = Renewal::Due(begun + self.params.ttl / 3);
+        let renewal = Call::Due(begun + self.params.ttl / 3);
         self.phase = Phase::Holding { holding, renewal };
         self.ended = ended;
         self.reopen();
@@ -165,7 +196,7 @@
 
     fn renew_from(&mut self, from: Timestamp) {
         if let Phase::Holding { renewal, .. } = &mut self.phase {
-            *renewal = Renewal::Due(from);
+            *renewal = Call::Due(from);
         }
     }
 
@@ -233,11 +264,13 @@
             return;
         }
         let Phase::Holding { holding, renewal } = &mut self.phase else { return };
-        if matches!(renewal, Renewal::Due(from) if now >= *from) {
-            *renewal = Renewal::Asked;
+        if renewal.begin(now) {
             actions.push(Action::Renew);
         }
         let holding = *holding;
+        if self.version > self.confirmed && self.confirming.begin(now) {
+            actions.push(Action::Confirm { version: self.version });
+        }
         self.store(now, &holding, actions);
         self.send(now, &holding, actions);
     }
@@ -268,6 +301,7 @@
             let is_due = matches!(open.step, open::Step::Waiting(from) if now >= from);
             if is_due
                 && is_next
+                && open.order.version <= self.confirmed
                 && !self.quiet.contains_key(&open.order.endpoint)
                 && in_flight < self.params.in_flight
                 && holding.may_send(now, &self.params, checks)
--- a/crates/decide/src/orders/input.rs
+++ b/crates/decide/src/orders/input.rs
@@ -9,8 +9,13 @@
 /// Tells the controller of one event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Input {
-    /// All orders of the configuration.
-    Orders(Vec<orders::Order>),
+    /// All orders of a version of the configuration.
+    Orders {
+        /// The root version.
+        version: u64,
+        /// The orders.
+        wanted: Vec<orders::Order>,
+    },
     /// Whether this daemon is the one that should carry out orders, as far as it knows.
     Eligible(bool),
     /// Answers [`orders::Action::Acquire`]: the lease was taken.
@@ -19,6 +24,8 @@
         token: u64,
         /// When the last call began that granted or renewed the lease.
         begun: time::Timestamp,
+        /// The version that was named in the action; it is confirmed.
+        version: u64,
         /// The orders recorded as ended, read after the lease was taken.
         ended: collections::BTreeSet<orders::OrderKey>,
     },
@@ -44,6 +51,10 @@
     Stored(orders::OrderKey),
     /// Answers [`orders::Action::Store`]: the outcome may not be recorded.
     NotStored(orders::OrderKey),
+    /// Answers [`orders::Action::Confirm`]: the version is confirmed.
+    Confirmed(u64),
+    /// Answers [`orders::Action::Confirm`]: it may not be.
+    NotConfirmed,
     /// Time has passed.
     Tick,
 }
--- a/crates/decide/tests/testsuite/orders/controller.rs
+++ b/crates/decide/tests/testsuite/orders/controller.rs
@@ -15,9 +15,12 @@
 fn holder(wanted: Vec<orders::Order>) -> (orders::Controller, Vec<Action>) {
     let mut controller = orders::Controller::new(orders::Params::default());
     controller.step(at(0), Input::Eligible(true));
-    assert_eq!(controller.step(at(0), Input::Orders(wanted)), [Action::Acquire]);
+    let version = 9;
+    let actions = controller.step(at(0), Input::Orders { version, wanted });
+    assert_eq!(actions, [Action::Acquire { version }]);
     let ended = collections::BTreeSet::new();
-    let actions = controller.step(at(0), Input::Acquired { token: 7, begun: at(0), ended });
+    let actions =
+        controller.step(at(0), Input::Acquired { token: 7, begun: at(0), version, ended });
     (controller, actions)
 }
 
@@ -36,11 +39,13 @@
 #[test]
 fn the_lease_is_taken_only_by_the_eligible_and_only_for_work() {
     let mut controller = orders::Controller::new(orders::Params::default());
-    assert!(controller.step(at(0), Input::Orders(vec![order(1, true)])).is_empty());
+    let wanted = Input::Orders { version: 3, wanted: vec![order(1, true)] };
+    assert!(controller.step(at(0), wanted).is_empty());
     assert!(!controller.is_busy());
-    assert_eq!(controller.step(at(0), Input::Eligible(true)), [Action::Acquire]);
+    let actions = controller.step(at(0), Input::Eligible(true));
+    assert_eq!(actions, [Action::Acquire { version: 3 }]);
     let ended = collections::BTreeSet::from([order(1, true).key]);
-    let acquired = Input::Acquired { token: 7, begun: at(0), ended };
+    let acquired = Input::Acquired { token: 7, begun: at(0), version: 3, ended };
     assert_eq!(controller.step(at(0), acquired), [Action::Release]);
     assert!(!controller.is_busy());
 }
@@ -75,7 +80,8 @@
     let (mut controller, _) = holder(vec![order(1, true)]);
     assert!(controller.step(at(10), sent(1, SendResult::Unknown)).is_empty());
     // Order 1 is replaced; it may still take effect, so order 2 waits.
-    assert!(controller.step(at(20), Input::Orders(vec![order(2, true)])).is_empty());
+    let replaced = Input::Orders { version: 9, wanted: vec![order(2, true)] };
+    assert!(controller.step(at(20), replaced).is_empty());
     assert!(sends(&controller.step(at(5_000), Input::Tick)).is_empty());
     assert_eq!(sends(&controller.step(at(5_010), Input::Tick)), [2]);
 }
@@ -89,6 +95,19 @@
     assert_eq!(sends(&actions), [1]);
 }
 
+#[test]
+fn a_newer_order_waits_until_its_version_is_confirmed() {
+    let (mut controller, _) = holder(vec![order(1, true)]);
+    controller.step(at(10), sent(1, SendResult::Done));
+    let newer = Input::Orders { version: 12, wanted: vec![order(1, true), order(12, true)] };
+    let confirm = Action::Confirm { version: 12 };
+    assert_eq!(controller.step(at(20), newer), std::slice::from_ref(&confirm));
+    assert!(sends(&controller.step(at(30), Input::Stored(order(1, true).key))).is_empty());
+    assert!(controller.step(at(40), Input::NotConfirmed).is_empty());
+    assert_eq!(controller.step(at(1_040), Input::Tick), [confirm]);
+    assert_eq!(sends(&controller.step(at(1_050), Input::Confirmed(12))), [12]);
+}
+
 #[test]
 fn renewals_that_fail_end_the_holding_before_the_lease_ends() {
     let (mut controller, _) = holder(vec![order(1, true)]);
--- a/crates/decide/tests/testsuite/orders/races.rs
+++ b/crates/decide/tests/testsuite/orders/races.rs
@@ -125,6 +125,25 @@
     assert!(overtakes_at_one_engine(orders::Params { per_engine: 2, ..usual }));
 }
 
+/// Daemon 1 carries out order 2, which replaced order 1 before that was carried out; then daemon 0,
+/// which has not heard of that, takes the lease.
+fn goes_back_by_an_old_configuration(minds_version: bool) -> bool {
+    let mut world = World::new(Variant::usual(true).params, 2);
+    world.minds_version = minds_version;
+    world.configure(1, vec![order(2, true)]);
+    world.run_until(|world| world.applied == [2] && !world.has_lease(1));
+    world.configure(0, vec![order(1, true)]);
+    world.run(LONG);
+    world.has_gone_back()
+}
+
+#[test]
+fn an_old_configuration_orders_nothing() {
+    assert!(!goes_back_by_an_old_configuration(true));
+    // A fencing token does not help here: the old configuration comes with the newest one.
+    assert!(goes_back_by_an_old_configuration(false));
+}
+
 #[test]
 fn two_controllers_that_race_carry_an_order_out_once() {
     let mut world = World::new(Variant::usual(false).params, 2);
--- a/crates/decide/tests/testsuite/orders/world.rs
+++ b/crates/decide/tests/testsuite/orders/world.rs
@@ -49,6 +49,8 @@
     lease: Option<(usize, u64, Timestamp)>,
     revision: u64,
     ended: collections::BTreeSet<orders::OrderKey>,
+    /// The highest version that was confirmed.
+    confirmed: u64,
     flying: Vec<Flying>,
     /// The newest fencing token that the engine has seen.
     newest: u64,
@@ -60,6 +62,8 @@
     pub(crate) latency: Duration,
     /// Whether renewals reach the key-value service.
     pub(crate) renews: bool,
+    /// Whether the lease is refused to a daemon whose configuration is old.
+    pub(crate) minds_version: bool,
     /// Whether daemons look at the clock once more before writing.
     pub(crate) looks_again: bool,
 }
@@ -77,19 +81,22 @@
             lease: None,
             revision: 100,
             ended: collections::BTreeSet::new(),
+            confirmed: 0,
             flying: Vec::new(),
             newest: 0,
             applied: Vec::new(),
             connect: Duration::from_millis(200),
             latency: TURN,
             renews: true,
+            minds_version: true,
             looks_again: true,
         }
     }
 
     /// Lets one daemon know the orders of the configuration.
     pub(crate) fn configure(&mut self, daemon: usize, wanted: Vec<orders::Order>) {
-        self.daemons[daemon].answers.push(Input::Orders(wanted));
+        let version = wanted.iter().map(|order| order.version).max().unwrap_or(0);
+        self.daemons[daemon].answers.push(Input::Orders { version, wanted });
     }
 
     pub(crate) fn pause(&mut self, daemon: usize, length: Duration) {
@@ -190,12 +197,20 @@
     fn carry_out(&mut self, index: usize, action: Action) {
         let begun = self.now;
         let answer = match action {
-            Action::Acquire if self.lease.is_none() => {
+            Action::Acquire { version }
+                if self.lease.is_none() && (version >= self.confirmed || !self.minds_version) =>
+            {
                 self.revision += 1;
                 self.lease = Some((index, self.revision, begun + TTL));
-                Input::Acquired { token: self.revision, begun, ended: self.ended.clone() }
+                self.confirmed = self.confirmed.max(version);
+                let (token, ended) = (self.revision, self.ended.clone());
+                Input::Acquired { token, begun, version, ended }
+            }
+            Action::Acquire { .. } => Input::NotAcquired,
+            Action::Confirm { version } => {
+                self.confirmed = self.confirmed.max(version);
+                Input::Confirmed(version)
             }
-            Action::Acquire => Input::NotAcquired,
             Action::Renew if !self.renews => Input::NotRenewed,
             Action::Renew => match &mut self.lease {
                 Some((holder, _, end)) if *holder == index => {
--- a/crates/spec/src/orders/daemon.rs
+++ b/crates/spec/src/orders/daemon.rs
@@ -5,6 +5,9 @@
 
 use crate::orders::Bounds;
 
+/// The one version of the configuration, which every daemon knows.
+pub(super) const VERSION: u64 = 1;
+
 /// Holds a call to the service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Call {
@@ -44,7 +47,8 @@
     pub(super) fn new(bounds: &Bounds) -> Self {
         let controller = orders::Controller::new(bounds.params());
         let mut daemon = Self { controller, call: None, sending: None };
-        daemon.step(0, orders::Input::Orders(vec![order(bounds)]));
+        let wanted = vec![order(bounds)];
+        daemon.step(0, orders::Input::Orders { version: VERSION, wanted });
         daemon.step(0, orders::Input::Eligible(true));
         daemon
     }
@@ -53,13 +57,16 @@
     pub(super) fn step(&mut self, now: u64, input: orders::Input) {
         for action in self.controller.step(timestamp(now), input) {
             match action {
-                orders::Action::Acquire => self.call = Some(Call::Acquire(now)),
+                orders::Action::Acquire { .. } => self.call = Some(Call::Acquire(now)),
                 orders::Action::Renew => self.call = Some(Call::Renew(now)),
                 orders::Action::Send { order, fence, stop } => {
                     let key = order.key;
                     self.sending = Some(Sending { key, fence, stop, looked: None });
                 }
-                orders::Action::Release | orders::Action::Store { .. } => {}
+                // There is one version, and taking the lease confirms it.
+                orders::Action::Confirm { .. }
+                | orders::Action::Release
+                | orders::Action::Store { .. } => {}
             }
         }
     }
@@ -72,7 +79,7 @@
 fn order(bounds: &Bounds) -> orders::Order {
     orders::Order {
         key: orders::OrderKey { name: "o".to_owned(), generation: 1 },
-        version: 1,
+        version: VERSION,
         endpoint: "e".into(),
         checks_fencing: bounds.checks_fencing,
         action: resource::OrderAction::SetRole { role: "r".to_owned() },
--- a/crates/spec/src/orders/next.rs
+++ b/crates/spec/src/orders/next.rs
@@ -5,7 +5,7 @@
 use trefoildyke_decide::orders;
 
 use crate::orders::{
-    Bounds, Call, Daemon, Lease, Sending, Step, World, bounds::SETTLE, daemon::timestamp,
+    Bounds, Call, Daemon, Lease, Sending, Step, World, bounds::SETTLE, daemon, daemon::timestamp,
 };
 
 /// Collects the steps that are possible in one state.
@@ -127,7 +127,8 @@
     let token = world.token;
     world.lease = Some(Lease { daemon, token, end: world.now + ttl });
     let ended = collections::BTreeSet::new();
-    orders::Input::Acquired { token, begun: timestamp(begun), ended }
+    let version = daemon::VERSION;
+    orders::Input::Acquired { token, begun: timestamp(begun), version, ended }
 }
 
 fn renew(world: &mut World, daemon: usize, ttl: u64, begun: u64) -> orders::Input {
--- a/crates/wire/src/endpoint/engine_client.rs
+++ b/crates/wire/src/endpoint/engine_client.rs
@@ -2,11 +2,11 @@
 
 use std::{net, time};
 
-use hyper::{Method, StatusCode};
+use hyper::{Method, StatusCode, header};
 use trefoildyke_types::{engine, error, id};
 
 use crate::{
-    endpoint::{self, message},
+    endpoint::{self, message, order_call},
     http,
 };
 
@@ -104,20 +104,20 @@
     }
 
     /// Sends an order once, on a connection of its own, and waits for its end for at most `wait`.
+    ///
+    /// `may_write` is asked when the connection is open, as the last thing before anything is
+    /// written; if it says no, nothing is.
     pub async fn order(
         &self,
         order: &message::Order,
         wait: time::Duration,
+        may_write: impl FnOnce() -> bool,
     ) -> Result<(), endpoint::OrderError> {
-        let request = http::json_request(Method::POST, &self.uri("/v1/orders"), order)
+        let request = http::json_request(Method::POST, "/v1/orders", order)
+            .and_then(|request| self.with_host(request))
             .map_err(|error| endpoint::OrderError::NotSent(error.to_string()))?;
-        let response = self.streams.call(request, wait).await.map_err(|error| match error {
-            http::CallError::NotSent(detail) => endpoint::OrderError::NotSent(detail),
-            http::CallError::Lost(detail) | http::CallError::Unusable(detail) => {
-                endpoint::OrderError::Unknown(detail)
-            }
-        })?;
-        judge_order(&response, &order.order)
+        let sending = order_call::send(self.address, request, &self.limits, wait, may_write);
+        judge_order(&sending.await?, &order.order)
     }
 
     /// Opens the stream of a request from token `offset` on; `None` if the engine does not know it.
@@ -168,6 +168,16 @@
             .map_err(|error| error::Error::new(error::ErrorKind::Invalid, error.to_string()))
     }
 
+    fn with_host(
+        &self,
+        mut request: hyper::Request<bytes::Bytes>,
+    ) -> Result<hyper::Request<bytes::Bytes>, error::Error> {
+        let host = header::HeaderValue::from_str(&self.address.to_string())
+            .map_err(|error| error::Error::new(error::ErrorKind::Invalid, error.to_string()))?;
+        request.headers_mut().insert(header::HOST, host);
+        Ok(request)
+    }
+
     fn unexpected(&self, status: StatusCode) -> error::Error {
         let message = format!("the engine answered with status {status}");
         error::Error::new(error::ErrorKind::Unavailable, message).about(&self.address)
--- a/crates/wire/src/endpoint/mod.rs
+++ b/crates/wire/src/endpoint/mod.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod limits;
 pub mod message;
+mod order_call;
 mod order_error;
 mod service_client;
 mod start_error;
--- /dev/null
+++ b/crates/wire/src/endpoint/order_call.rs
@@ -0,0 +1,50 @@
+//! One order over a connection of its own.
+
+use std::{net, time};
+
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt;
+
+use crate::endpoint;
+
+type Response = hyper::Response<bytes::Bytes>;
+
+/// Sends a request once and returns the answer.
+///
+/// `may_write` is asked when the connection is open, as the last thing before the request is
+/// written; opening takes long, so a permission from before says little.
+pub(super) async fn send(
+    address: net::SocketAddr,
+    request: hyper::Request<bytes::Bytes>,
+    limits: &endpoint::Limits,
+    wait: time::Duration,
+    may_write: impl FnOnce() -> bool,
+) -> Result<Response, endpoint::OrderError> {
+    let not_sent = |error: &dyn std::fmt::Display| endpoint::OrderError::NotSent(error.to_string());
+    let opening = tokio::time::timeout(limits.connect, tokio::net::TcpStream::connect(address));
+    let stream = opening.await.map_err(|_| not_sent(&"connecting took too long"))?;
+    let io = rt::TokioIo::new(stream.map_err(|error| not_sent(&error))?);
+    let (sender, connection) = http1::handshake(io).await.map_err(|error| not_sent(&error))?;
+    if !may_write() {
+        return Err(endpoint::OrderError::TooLate);
+    }
+    let exchange = exchange(sender, request, limits.size);
+    let both = async { tokio::join!(exchange, connection).0 };
+    let answer = tokio::time::timeout(wait, both).await;
+    answer.unwrap_or_else(|_| Err(endpoint::OrderError::Unknown("no answer in time".to_owned())))
+}
+
+/// Exchanges request and answer, and then drops the sender, which ends the connection.
+async fn exchange(
+    mut sender: http1::SendRequest<Full<bytes::Bytes>>,
+    request: hyper::Request<bytes::Bytes>,
+    size: usize,
+) -> Result<Response, endpoint::OrderError> {
+    let unknown = |error: &dyn std::fmt::Display| endpoint::OrderError::Unknown(error.to_string());
+    let response = sender.send_request(request.map(Full::new)).await;
+    let (head, body) = response.map_err(|error| unknown(&error))?.into_parts();
+    let body = Limited::new(body, size).collect().await;
+    let body = body.map_err(|error| unknown(&error))?.to_bytes();
+    Ok(hyper::Response::from_parts(head, body))
+}
--- a/crates/wire/src/endpoint/order_error.rs
+++ b/crates/wire/src/endpoint/order_error.rs
@@ -6,6 +6,9 @@
     /// Nothing was sent, so the order was not carried out and will not be.
     #[error("nothing was sent to the engine: {0}; check that it runs and is reachable")]
     NotSent(String),
+    /// The time for it was over when the connection was open; nothing was sent.
+    #[error("the order was too late to be sent; take the lease again")]
+    TooLate,
     /// The engine has seen a newer fencing token: this sender's lease is over.
     #[error("the engine has seen fencing token {current}; stop and take the lease again")]
     Stale {
--- a/crates/wire/tests/testsuite/endpoint.rs
+++ b/crates/wire/tests/testsuite/endpoint.rs
@@ -146,10 +146,29 @@
     let client = endpoint::EngineClient::new(server.address(), endpoint::Limits::default());
     let action = resource::OrderAction::SetRole { role: "decode".to_owned() };
     let order = message::Order { order: "role".to_owned(), fence: 1, action };
-    let error = client.order(&order, WAIT).await.unwrap_err();
+    let error = client.order(&order, WAIT, || true).await.unwrap_err();
     assert!(matches!(error, endpoint::OrderError::Unknown(_)), "{error}");
 }
 
+#[tokio::test]
+async fn an_order_that_is_too_late_once_connected_is_not_sent() {
+    let calls = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counted = sync::Arc::clone(&calls);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = http::Server::start(listener, http::ServerLimits::default(), move |_call| {
+        counted.fetch_add(1, atomic::Ordering::SeqCst);
+        async { Ok(http::json(StatusCode::OK, &"no")) }
+    })
+    .unwrap();
+    let client = endpoint::EngineClient::new(server.address(), endpoint::Limits::default());
+    let action = resource::OrderAction::SetRole { role: "decode".to_owned() };
+    let order = message::Order { order: "role".to_owned(), fence: 1, action };
+    let error = client.order(&order, WAIT, || false).await.unwrap_err();
+    assert_eq!(error, endpoint::OrderError::TooLate);
+    server.stop(WAIT).await;
+    assert_eq!(calls.load(atomic::Ordering::SeqCst), 0);
+}
+
 #[tokio::test]
 async fn a_reply_of_a_service_to_another_request_is_refused() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/testbed/tests/testsuite/engine.rs
+++ b/testbed/tests/testsuite/engine.rs
@@ -221,8 +221,8 @@
 #[tokio::test]
 async fn an_engine_that_checks_refuses_an_old_fencing_token() {
     let (running, client) = start(Default::default()).await;
-    client.order(&order("new", 9), WAIT).await.unwrap();
-    let stale = client.order(&order("old", 8), WAIT).await;
+    client.order(&order("new", 9), WAIT, || true).await.unwrap();
+    let stale = client.order(&order("old", 8), WAIT, || true).await;
     assert_eq!(stale, Err(endpoint::OrderError::Stale { current: 9 }));
     assert_eq!(running.ledger().orders.len(), 1);
     running.stop().await;
@@ -232,8 +232,8 @@
 async fn an_engine_that_does_not_check_takes_any_order() {
     let settings = engine::Settings { checks_fencing: false, ..Default::default() };
     let (running, client) = start(settings).await;
-    client.order(&order("new", 9), WAIT).await.unwrap();
-    client.order(&order("old", 8), WAIT).await.unwrap();
+    client.order(&order("new", 9), WAIT, || true).await.unwrap();
+    client.order(&order("old", 8), WAIT, || true).await.unwrap();
     assert_eq!(running.ledger().orders.len(), 2);
     running.stop().await;
 }
