--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod operators;
 pub mod orders;
 pub mod peers;
+pub mod schedule;
 pub mod settings;
 pub mod timeline;
--- /dev/null
+++ b/crates/daemon/src/schedule/actor.rs
@@ -0,0 +1,165 @@
+//! The actor that runs one shard's scheduler on the control thread.
+
+use std::{collections, sync};
+
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+use trefoildyke_decide::{config, schedule as decide};
+use trefoildyke_types::{id, request, time::Timestamp};
+
+use crate::{
+    clock, endpoints,
+    schedule::{Links, command, shares},
+};
+
+/// How long to wait before looking again whether the endpoints' standings are current.
+const LOOK_AGAIN: time::Duration = time::Duration::from_millis(10);
+
+pub(super) struct Actor {
+    pub(super) shard: decide::Shard,
+    pub(super) name: endpoints::Shard,
+    pub(super) clock: clock::Clock,
+    pub(super) links: Links,
+    pub(super) idle: time::Duration,
+    pub(super) commands: mpsc::UnboundedReceiver<command::Command>,
+    pub(super) feed: mpsc::Receiver<decide::Input>,
+    pub(super) watcher: endpoints::Handle,
+    pub(super) config: watch::Receiver<sync::Arc<config::Snapshot>>,
+    pub(super) shares: shares::Shares,
+    /// Who waits for an answer; two coordinators may ask for one request.
+    pub(super) waiting: collections::HashMap<id::RequestKey, Vec<command::Reply>>,
+    pub(super) wake: Option<Timestamp>,
+}
+
+impl Actor {
+    /// Runs until the shard belongs to another daemon and has no work left here.
+    pub(super) async fn run(mut self) {
+        self.read_config();
+        let mut idle_since = None;
+        loop {
+            let wake = self.wake.map(|at| self.clock.instant(at));
+            // Nothing is granted on standings that a pause of the process has made old.
+            let current = self.watcher.is_current();
+            tokio::select! {
+                biased;
+                Some(input) = self.feed.recv() => self.step(input),
+                Ok(()) = self.config.changed() => self.read_config(),
+                () = sleep_until(wake), if current => self.tick(),
+                command = self.commands.recv(), if current => match command {
+                    Some(command) => self.take(command),
+                    None => break,
+                },
+                () = time::sleep(LOOK_AGAIN), if !current => {}
+                () = time::sleep(self.idle) => {}
+            }
+            if !self.is_idle() {
+                idle_since = None;
+            } else if idle_since.get_or_insert_with(time::Instant::now).elapsed() >= self.idle {
+                break;
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let empty = self.waiting.is_empty() && self.shard.permitted() == 0;
+        empty && !self.links.is_own(&self.name)
+    }
+
+    fn read_config(&mut self) {
+        let snapshot = sync::Arc::clone(&self.config.borrow_and_update());
+        for share in self.shares.take_in(&snapshot) {
+            self.step(decide::Input::Account(share));
+        }
+    }
+
+    fn tick(&mut self) {
+        self.wake = None;
+        self.step(decide::Input::Tick);
+    }
+
+    fn take(&mut self, command: command::Command) {
+        match command {
+            command::Command::Ask(ask, reply) => {
+                self.waiting.entry(ask.key.clone()).or_default().push(reply);
+                self.step(decide::Input::Ask(ask));
+            }
+            command::Command::Dropped(key) => self.dropped(key),
+            command::Command::Entries(entries) => {
+                for entry in entries {
+                    self.step(entry.into());
+                }
+            }
+        }
+    }
+
+    fn dropped(&mut self, key: id::RequestKey) {
+        let report = match self.waiting.get_mut(&key) {
+            None => decide::Report::HandBack { key },
+            Some(replies) => {
+                replies.retain(|reply| !reply.is_closed());
+                if !replies.is_empty() {
+                    return;
+                }
+                self.waiting.remove(&key);
+                decide::Report::Cancel { key }
+            }
+        };
+        self.step(decide::Input::Report(report));
+    }
+
+    fn step(&mut self, input: decide::Input) {
+        let mut inputs = collections::VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            for output in self.shard.step(self.clock.mono(), input) {
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    /// Carries an output out; returns what the scheduler must be told in turn.
+    fn carry_out(&mut self, output: decide::Output) -> Option<decide::Input> {
+        match output {
+            decide::Output::Grant(permit) => self.grant(permit),
+            decide::Output::Shed { key, refusal } => {
+                self.answer(&key, &Err(refusal));
+                None
+            }
+            decide::Output::Probe(endpoint) => {
+                self.watcher.probe(&endpoint);
+                None
+            }
+            decide::Output::WakeAt(at) => {
+                self.wake = Some(at);
+                None
+            }
+        }
+    }
+
+    fn grant(&mut self, permit: request::Permit) -> Option<decide::Input> {
+        let key = permit.key.clone();
+        if self.answer(&key, &Ok(permit)) {
+            return None;
+        }
+        Some(decide::Input::Report(decide::Report::HandBack { key }))
+    }
+
+    /// Answers everyone who waits for the request; says whether anyone did.
+    fn answer(
+        &mut self,
+        key: &id::RequestKey,
+        answer: &Result<request::Permit, request::Refusal>,
+    ) -> bool {
+        let replies = self.waiting.remove(key).unwrap_or_default();
+        let taken = replies.into_iter().filter_map(|reply| reply.send(answer.clone()).ok());
+        taken.count() > 0
+    }
+}
+
+async fn sleep_until(at: Option<time::Instant>) {
+    match at {
+        Some(at) => time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/schedule/handle.rs
@@ -0,0 +1,140 @@
+//! How coordinators ask and report.
+
+use std::{sync, time};
+
+use tokio::sync::mpsc;
+use trefoildyke_types::{request, time::Timestamp};
+use trefoildyke_wire::peer;
+
+use crate::{
+    clock, endpoints,
+    schedule::{Links, Note, Settings, local, outbox},
+};
+
+/// The reason of a refusal that stands for a daemon that does not schedule the shard.
+const NO_SCHEDULER: &str = "no_scheduler";
+
+/// Says that a scheduler gave no answer; another one is to be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the scheduler of the shard is lost; ask the one that took over")]
+pub struct Lost;
+
+/// Asks for permits and reports on what was permitted; published as `schedule`.
+#[derive(Clone)]
+pub struct Handle {
+    pub(super) settings: Settings,
+    pub(super) clock: clock::Clock,
+    pub(super) links: Links,
+    pub(super) local: sync::Arc<local::Local>,
+    pub(super) notes: mpsc::UnboundedSender<outbox::Posted>,
+}
+
+impl Handle {
+    /// Asks the scheduler of a shard for a permit and waits for it until `deadline`.
+    ///
+    /// A scheduler that is lost is replaced by the one that took over, which is asked again. To
+    /// give up, drop the future: the scheduler is told.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the request was shed or no scheduler answered until the deadline.
+    pub async fn ask(
+        &self,
+        shard: &endpoints::Shard,
+        mut ask: request::Ask,
+        deadline: Timestamp,
+    ) -> Result<request::Permit, request::Refusal> {
+        loop {
+            let left = deadline.since(self.clock.mono());
+            if left.is_zero() {
+                return Err(no_scheduler());
+            }
+            ask.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+            let mut view = self.links.view.clone();
+            let scheduler = self.links.scheduler(shard);
+            let moved = view.wait_for(|_| self.links.scheduler(shard) != scheduler);
+            tokio::select! {
+                answer = self.ask_once(scheduler, shard, ask.clone(), left) => match answer {
+                    Ok(answer) => return answer,
+                    Err(Lost) => tokio::time::sleep(self.settings.retry()).await,
+                },
+                _ = moved => {}
+            }
+        }
+    }
+
+    /// Reports on a request that was permitted; never waits.
+    pub fn report(&self, shard: &endpoints::Shard, note: Note) {
+        // While the daemon ends, nobody needs reports any more.
+        let _ = self.notes.send(outbox::Posted { shard: shard.clone(), note });
+    }
+
+    /// Serves the calls of peers that concern schedulers.
+    pub fn serve_peers(&self, methods: &mut peer::Methods) {
+        let here = self.clone();
+        methods.ask = peer::Methods::method(move |_, request| {
+            let here = here.clone();
+            async move { here.ask_for_peer(request).await }
+        });
+        let here = self.clone();
+        methods.report = peer::Methods::method(move |_, request| {
+            let here = here.clone();
+            async move { here.report_for_peer(&request) }
+        });
+    }
+
+    async fn ask_once(
+        &self,
+        scheduler: Option<trefoildyke_types::id::Incarnation>,
+        shard: &endpoints::Shard,
+        ask: request::Ask,
+        left: time::Duration,
+    ) -> Result<Result<request::Permit, request::Refusal>, Lost> {
+        let scheduler = scheduler.ok_or(Lost)?;
+        if scheduler == self.links.own {
+            return self.local.ask(shard, ask).await;
+        }
+        let request =
+            peer::AskRequest { pool: shard.pool.clone(), shard: u32::from(shard.number), ask };
+        match (self.links.ask)(scheduler, request, left).await {
+            Ok(Err(refusal)) if refusal.reason == NO_SCHEDULER => Err(Lost),
+            Ok(answer) => Ok(answer),
+            Err(error) => {
+                log::info!(target: "schedule", "the scheduler {scheduler} did not answer: {error}");
+                Err(Lost)
+            }
+        }
+    }
+
+    async fn ask_for_peer(
+        &self,
+        request: peer::AskRequest,
+    ) -> Result<request::Permit, request::Refusal> {
+        let shard = shard_of(request.pool, request.shard);
+        match self.local.ask(&shard, request.ask).await {
+            Ok(answer) => answer,
+            Err(Lost) => Err(no_scheduler()),
+        }
+    }
+
+    fn report_for_peer(
+        &self,
+        request: &peer::ReportRequest,
+    ) -> Result<(), trefoildyke_types::error::Error> {
+        let entries = request.reports.decode()?;
+        let shard = shard_of(request.pool.clone(), request.shard);
+        self.local.report(&shard, entries).map_err(|lost| {
+            let kind = trefoildyke_types::error::ErrorKind::Unavailable;
+            trefoildyke_types::error::Error::new(kind, lost.to_string())
+        })
+    }
+}
+
+fn shard_of(pool: trefoildyke_types::id::PoolName, number: u32) -> endpoints::Shard {
+    endpoints::Shard { pool, number: u16::try_from(number).unwrap_or(u16::MAX) }
+}
+
+fn no_scheduler() -> request::Refusal {
+    let remedy = "no scheduler could be reached: send the request again";
+    request::Refusal::new(request::RefusalKind::NotRun, NO_SCHEDULER, remedy).retry_after(200)
+}
--- /dev/null
+++ b/crates/daemon/src/schedule/outbox.rs
@@ -0,0 +1,181 @@
+//! Reports on their way to the schedulers.
+
+use std::{collections, sync};
+
+use tokio::{sync::mpsc, time};
+use trefoildyke_decide::schedule as decide;
+use trefoildyke_types::id;
+use trefoildyke_wire::peer;
+
+use crate::{
+    endpoints,
+    schedule::{Entry, Links, Lost, Note, Settings, local},
+};
+
+/// A note and the shard that it concerns.
+pub(super) struct Posted {
+    pub(super) shard: endpoints::Shard,
+    pub(super) note: Note,
+}
+
+/// What one shard's scheduler is still to be told.
+#[derive(Default)]
+struct Box {
+    /// The scheduler that was reported to last.
+    scheduler: Option<id::Incarnation>,
+    /// Whether that scheduler has every report up to now but the pending ones.
+    synced: bool,
+    /// Everything dispatched here that has not ended.
+    running: collections::HashMap<id::RequestKey, decide::Adopted>,
+    /// Requests with tokens that were not reported yet.
+    moved: collections::HashSet<id::RequestKey>,
+    pending: Vec<Entry>,
+}
+
+/// Collects notes and sends them in batches; runs on the control thread.
+pub(super) struct Outbox {
+    pub(super) settings: Settings,
+    pub(super) links: Links,
+    pub(super) local: sync::Arc<local::Local>,
+    pub(super) notes: mpsc::UnboundedReceiver<Posted>,
+}
+
+impl Outbox {
+    pub(super) async fn run(mut self) {
+        let mut boxes: collections::HashMap<endpoints::Shard, Box> = collections::HashMap::new();
+        let mut view = self.links.view.clone();
+        let mut progress = time::interval(self.settings.progress());
+        progress.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                posted = self.notes.recv() => match posted {
+                    Some(posted) => self.collect(posted, &mut boxes).await,
+                    None => return,
+                },
+                Ok(()) = view.changed() => {}
+                _ = progress.tick() => boxes.values_mut().for_each(Box::add_progress),
+            }
+            for (shard, notes) in &mut boxes {
+                self.send(shard, notes).await;
+            }
+            boxes.retain(|_, notes| !notes.running.is_empty() || !notes.pending.is_empty());
+        }
+    }
+
+    /// Takes in a note and those that follow within the batch time.
+    async fn collect(
+        &mut self,
+        posted: Posted,
+        boxes: &mut collections::HashMap<endpoints::Shard, Box>,
+    ) {
+        let end = time::Instant::now() + self.settings.batch();
+        boxes.entry(posted.shard).or_default().take_in(posted.note);
+        while let Ok(Some(posted)) = time::timeout_at(end, self.notes.recv()).await {
+            boxes.entry(posted.shard).or_default().take_in(posted.note);
+        }
+    }
+
+    async fn send(&self, shard: &endpoints::Shard, notes: &mut Box) {
+        let Some(scheduler) = self.links.scheduler(shard) else { return };
+        notes.address(scheduler);
+        if notes.pending.is_empty() {
+            return;
+        }
+        let entries = std::mem::take(&mut notes.pending);
+        let sent = if scheduler == self.links.own {
+            self.local.report(shard, entries.clone())
+        } else {
+            self.send_to_peer(scheduler, shard, &entries).await
+        };
+        if sent.is_err() {
+            notes.synced = false;
+            notes.pending = entries.into_iter().filter(is_end).collect();
+        }
+    }
+
+    async fn send_to_peer(
+        &self,
+        scheduler: id::Incarnation,
+        shard: &endpoints::Shard,
+        entries: &[Entry],
+    ) -> Result<(), Lost> {
+        let reports = peer::Payload::encode(&entries).map_err(|_| Lost)?;
+        let shard_number = u32::from(shard.number);
+        let request =
+            peer::ReportRequest { pool: shard.pool.clone(), shard: shard_number, reports };
+        (self.links.report)(scheduler, request, self.settings.report()).await.map_err(|_| Lost)
+    }
+}
+
+impl Box {
+    fn take_in(&mut self, note: Note) {
+        match note {
+            Note::Started { ask, permit } => {
+                let key = ask.key.clone();
+                let adopted = decide::Adopted { ask, endpoint: permit.endpoint, tokens: 0 };
+                self.running.insert(key.clone(), adopted.clone());
+                if self.scheduler.is_none() {
+                    self.scheduler = Some(permit.scheduler);
+                    self.synced = true;
+                }
+                if self.scheduler == Some(permit.scheduler) {
+                    self.pending.push(Entry::Report(decide::Report::Started { key }));
+                } else {
+                    self.pending.push(Entry::Adopt(adopted));
+                }
+            }
+            Note::Tokens { key, tokens } => self.tokens(key, tokens),
+            Note::Finished { key, tokens, outcome } => {
+                self.running.remove(&key);
+                self.moved.remove(&key);
+                let report = decide::Report::Finished { key, tokens, outcome };
+                self.pending.push(Entry::Report(report));
+            }
+            Note::HandBack { key } => {
+                self.pending.push(Entry::Report(decide::Report::HandBack { key }));
+            }
+        }
+    }
+
+    fn tokens(&mut self, key: id::RequestKey, tokens: u32) {
+        let Some(adopted) = self.running.get_mut(&key) else { return };
+        let first = adopted.tokens == 0 && tokens > 0;
+        adopted.tokens = tokens;
+        if first {
+            let report = decide::Report::FirstToken { key: key.clone() };
+            self.pending.push(Entry::Report(report));
+        }
+        self.moved.insert(key);
+    }
+
+    fn add_progress(&mut self) {
+        for key in std::mem::take(&mut self.moved) {
+            if let Some(adopted) = self.running.get(&key) {
+                let report = decide::Report::Progress { key, tokens: adopted.tokens };
+                self.pending.push(Entry::Report(report));
+            }
+        }
+    }
+
+    /// Prepares the pending entries for the scheduler; one that lacks reports learns of all that
+    /// runs.
+    fn address(&mut self, scheduler: id::Incarnation) {
+        if self.scheduler != Some(scheduler) {
+            // A new scheduler does not know what has ended.
+            self.pending.clear();
+            self.scheduler = Some(scheduler);
+            self.synced = false;
+        }
+        if !self.synced {
+            self.pending.retain(is_end);
+            self.pending.extend(self.running.values().cloned().map(Entry::Adopt));
+            self.synced = true;
+        }
+    }
+}
+
+/// Returns whether the entry must not be lost.
+fn is_end(entry: &Entry) -> bool {
+    let Entry::Report(report) = entry else { return false };
+    matches!(report, decide::Report::Finished { .. } | decide::Report::HandBack { .. })
+}
