Wait for the endpoints' standings before an ask is judged

A new scheduler knows no endpoint until the host list was read; an ask in that time was shed as overloaded. The watcher now counts as current only once it was decided which endpoints get work.

--- a/crates/daemon/src/endpoints/watcher.rs
+++ b/crates/daemon/src/endpoints/watcher.rs
@@ -121,7 +121,9 @@
             self.follow_endpoints();
         }
         tell(&self.feed, told).await?;
-        self.reviewed.store(now.as_micros(), atomic::Ordering::Release);
+        if self.standings.is_decided(now) {
+            self.reviewed.store(now.as_micros(), atomic::Ordering::Release);
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/schedule/handle.rs
+++ b/crates/daemon/src/schedule/handle.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use tokio::sync::mpsc;
-use trefoildyke_types::{request, time::Timestamp};
+use trefoildyke_types::{error, id, request, time::Timestamp};
 use trefoildyke_wire::peer;
 
 use crate::{
@@ -50,15 +50,14 @@
                 return Err(no_scheduler());
             }
             ask.left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-            let mut view = self.links.view.clone();
             let scheduler = self.links.scheduler(shard);
-            let moved = view.wait_for(|_| self.links.scheduler(shard) != scheduler);
-            tokio::select! {
-                answer = self.ask_once(scheduler, shard, ask.clone(), left) => match answer {
-                    Ok(answer) => return answer,
-                    Err(Lost) => tokio::time::sleep(self.settings.retry()).await,
-                },
-                _ = moved => {}
+            let answer = tokio::select! {
+                answer = self.ask_once(scheduler, shard, ask.clone(), left) => answer,
+                () = self.links.moved(shard, scheduler) => continue,
+            };
+            match answer {
+                Ok(answer) => return answer,
+                Err(Lost) => tokio::time::sleep(self.settings.retry()).await,
             }
         }
     }
@@ -85,7 +84,7 @@
 
     async fn ask_once(
         &self,
-        scheduler: Option<trefoildyke_types::id::Incarnation>,
+        scheduler: Option<id::Incarnation>,
         shard: &endpoints::Shard,
         ask: request::Ask,
         left: time::Duration,
@@ -117,20 +116,17 @@
         }
     }
 
-    fn report_for_peer(
-        &self,
-        request: &peer::ReportRequest,
-    ) -> Result<(), trefoildyke_types::error::Error> {
+    fn report_for_peer(&self, request: &peer::ReportRequest) -> Result<(), error::Error> {
         let entries = request.reports.decode()?;
         let shard = shard_of(request.pool.clone(), request.shard);
         self.local.report(&shard, entries).map_err(|lost| {
-            let kind = trefoildyke_types::error::ErrorKind::Unavailable;
-            trefoildyke_types::error::Error::new(kind, lost.to_string())
+            let kind = error::ErrorKind::Unavailable;
+            error::Error::new(kind, lost.to_string())
         })
     }
 }
 
-fn shard_of(pool: trefoildyke_types::id::PoolName, number: u32) -> endpoints::Shard {
+fn shard_of(pool: id::PoolName, number: u32) -> endpoints::Shard {
     endpoints::Shard { pool, number: u16::try_from(number).unwrap_or(u16::MAX) }
 }
 
--- a/crates/daemon/src/schedule/links.rs
+++ b/crates/daemon/src/schedule/links.rs
@@ -51,7 +51,16 @@
 impl Links {
     /// Returns the daemon that schedules the shard, as this daemon sees it.
     pub(super) fn scheduler(&self, shard: &endpoints::Shard) -> Option<id::Incarnation> {
-        self.view.borrow().owner(role(shard)).map(|member| member.incarnation)
+        scheduler_in(&self.view.borrow(), shard)
+    }
+
+    /// Waits until another daemon than `scheduler` schedules the shard.
+    pub(super) async fn moved(&self, shard: &endpoints::Shard, scheduler: Option<id::Incarnation>) {
+        let mut view = self.view.clone();
+        let ended = view.wait_for(|view| scheduler_in(view, shard) != scheduler).await.is_err();
+        if ended {
+            future::pending::<()>().await;
+        }
     }
 
     /// Returns whether this daemon schedules the shard, as it sees it itself.
@@ -60,6 +69,10 @@
     }
 }
 
+fn scheduler_in(view: &members::View, shard: &endpoints::Shard) -> Option<id::Incarnation> {
+    view.owner(role(shard)).map(|member| member.incarnation)
+}
+
 fn role(shard: &endpoints::Shard) -> u64 {
     xxh3::xxh3_64_with_seed(shard.pool.as_str().as_bytes(), u64::from(shard.number))
 }
--- a/crates/decide/src/endpoints/standings.rs
+++ b/crates/decide/src/endpoints/standings.rs
@@ -101,6 +101,14 @@
         inputs
     }
 
+    /// Returns whether it was decided which endpoints get work.
+    ///
+    /// Before that the scheduler knows of none, which does not mean that there is none.
+    pub fn is_decided(&self, now: Timestamp) -> bool {
+        let waited = self.since.is_some_and(|since| now.since(since) >= self.params.list_wait);
+        self.hosts.is_some() || waited
+    }
+
     /// Notes that an endpoint answered a call.
     pub fn answered(&mut self, now: Timestamp, name: &id::EndpointName) -> Vec<schedule::Input> {
         let mut inputs = self.notice_pause(now);
@@ -114,8 +122,7 @@
     /// Looks at what time alone changes; to be called several times a second.
     pub fn review(&mut self, now: Timestamp) -> Vec<schedule::Input> {
         let mut inputs = self.notice_pause(now);
-        let waited = self.since.is_some_and(|since| now.since(since) >= self.params.list_wait);
-        if self.hosts.is_none() && !waited {
+        if !self.is_decided(now) {
             return inputs;
         }
         let unread = endpoints::Hosts::default();
