Coordinate requests and assemble the daemon

The coordinator carries out what decide::coordinate decides, in one task a request that no caller's connection can end; answers stay readable for a bounded time and size. Daemon::start starts every service in order and publishes the handles by name; a stop closes the gate, refuses what waits and lets the rest finish. Calls between daemons are no longer a log line each.

--- /dev/null
+++ b/crates/daemon/src/coordinate/conditions.rs
@@ -0,0 +1,31 @@
+//! What a daemon knows when a request arrives.
+
+use trefoildyke_decide::coordinate;
+
+use crate::coordinate::{entry, handle};
+
+impl handle::Context {
+    /// Returns the conditions for a request, given the one with the same key here.
+    pub(super) fn conditions(
+        &self,
+        local: Option<&entry::Entry>,
+        stopping: bool,
+    ) -> coordinate::Conditions {
+        coordinate::Conditions {
+            own: self.links.own,
+            unix_ms: self.clock.now().unix_ms,
+            service: self.intents.service_state(),
+            isolated: self.isolation.is_isolated(),
+            stopping,
+            policy: self.settings.outage,
+            retention_ms: self.retention_ms(),
+            skew_ms: self.settings.skew_ms,
+            local: local.map(|entry| coordinate::Local { fingerprint: entry.fingerprint }),
+        }
+    }
+
+    /// Returns how long after its creation an identifier can be used, in milliseconds.
+    pub(super) const fn retention_ms(&self) -> u64 {
+        self.intents.settings().keep_ms
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinate/operations.rs
@@ -0,0 +1,201 @@
+//! What a driver waits for: each operation is a stream of inputs for the request's state.
+
+use std::{sync, time};
+
+use futures::{StreamExt, stream};
+use trefoildyke_decide::coordinate::Input;
+use trefoildyke_types::{id, request, resource, time::Timestamp};
+use trefoildyke_wire::{endpoint, peer};
+
+use crate::{
+    callers,
+    coordinate::{handle, reader},
+    endpoints,
+};
+
+/// How long one call waits for a chunk at a coordinator.
+const READ_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// How much longer the call itself may take.
+const READ_MARGIN: time::Duration = time::Duration::from_millis(2_000);
+
+/// Inputs in order; it ends with the operation.
+pub(super) type Operation = stream::BoxStream<'static, Input>;
+
+type Context = sync::Arc<handle::Context>;
+
+fn once(input: impl Future<Output = Input> + Send + 'static) -> Operation {
+    stream::once(input).boxed()
+}
+
+/// Waits for nothing.
+pub(super) fn none() -> Operation {
+    stream::pending().boxed()
+}
+
+/// Asks the scheduler for a permit, after a pause.
+pub(super) fn ask(
+    context: Context,
+    shard: endpoints::Shard,
+    ask: request::Ask,
+    deadline: Timestamp,
+    pause: time::Duration,
+) -> Operation {
+    once(async move {
+        tokio::time::sleep(pause).await;
+        match context.schedule.ask(&shard, ask, deadline).await {
+            Ok(permit) => Input::Permit(permit),
+            Err(refusal) => Input::Shed(refusal),
+        }
+    })
+}
+
+/// Writes a record.
+pub(super) fn record(context: Context, key: id::RequestKey, record: request::Record) -> Operation {
+    once(async move {
+        let begun = time::Instant::now();
+        let outcome = context.intents.record(&key, &record).await;
+        context.metrics.record.record(begun.elapsed().as_secs_f64() * 1_000.0, &[]);
+        Input::Recorded(outcome)
+    })
+}
+
+/// Reads the record.
+pub(super) fn look_up(context: Context, key: id::RequestKey) -> Operation {
+    once(async move { Input::LookedUp(context.intents.look_up(&key).await) })
+}
+
+/// Sends the request to an endpoint, once, and follows the answer.
+pub(super) fn dispatch(
+    context: &handle::Context,
+    spec: &resource::EndpointSpec,
+    key: id::RequestKey,
+    submission: &callers::Submission,
+    left: time::Duration,
+) -> Operation {
+    match &submission.spec.target {
+        request::Target::Model(_) => {
+            let generate = endpoint::message::Generate {
+                id: key.id,
+                account: key.account,
+                prompt_tokens: submission.prompt_tokens,
+                prefix: submission.spec.prefix.clone(),
+                max_tokens: submission.spec.max_tokens,
+                input: submission.spec.input.clone(),
+            };
+            generate_at(context.clients.engine(spec.address), generate)
+        }
+        request::Target::Service(operation) => {
+            let client = endpoint::ServiceClient::new(spec.address, endpoint::Limits::default());
+            call(client, key, operation.clone(), submission.spec.input.clone(), left)
+        }
+    }
+}
+
+fn generate_at(client: endpoint::EngineClient, generate: endpoint::message::Generate) -> Operation {
+    let started = async move {
+        match client.start(&generate).await {
+            Ok(answer) => chunks(answer),
+            Err(error) => once(async move { start_failed(&error) }),
+        }
+    };
+    stream::once(started).flatten().boxed()
+}
+
+fn call(
+    client: endpoint::ServiceClient,
+    key: id::RequestKey,
+    operation: String,
+    input: String,
+    left: time::Duration,
+) -> Operation {
+    once(async move {
+        match client.call(&key, &operation, &input, left).await {
+            Ok(reply) => Input::Chunk(request::Chunk {
+                id: reply.id,
+                offset: 0,
+                tokens: vec![reply.output],
+                finish: Some(request::Finish::Whole),
+            }),
+            Err(error) => start_failed(&error),
+        }
+    })
+}
+
+fn start_failed(error: &endpoint::StartError) -> Input {
+    match error {
+        endpoint::StartError::NotSent(_) => Input::ConnectFailed,
+        endpoint::StartError::Refused { .. } => {
+            let kind = request::RefusalKind::Failed;
+            Input::EndpointFailed(request::Refusal::new(
+                kind,
+                "endpoint_refused",
+                error.to_string(),
+            ))
+        }
+        endpoint::StartError::Unknown(_) | endpoint::StartError::Protocol(_) => Input::StreamLost,
+    }
+}
+
+/// Follows the stream at an engine from token `offset` on.
+pub(super) fn resume(
+    context: &handle::Context,
+    spec: &resource::EndpointSpec,
+    key: &id::RequestKey,
+    offset: u64,
+) -> Operation {
+    chunks(context.clients.engine(spec.address).resume(key, offset))
+}
+
+/// The stream resumes by itself; what it reports as an error is final.
+fn chunks(answer: endpoint::AnswerStream) -> Operation {
+    stream::unfold(Some(answer), |answer| async move {
+        let mut answer = answer?;
+        match answer.next().await {
+            Ok(Some(chunk)) => Some((Input::Chunk(chunk), Some(answer))),
+            Ok(None) => None,
+            Err(_) => Some((Input::ResumeFailed, None)),
+        }
+    })
+    .boxed()
+}
+
+/// Follows the answer at its coordinator from token `offset` on.
+pub(super) fn attach(
+    context: Context,
+    coordinator: id::Incarnation,
+    key: id::RequestKey,
+    offset: u64,
+) -> Operation {
+    let wait_ms = u64::try_from(READ_WAIT.as_millis()).unwrap_or(u64::MAX);
+    let first = peer::ReadRequest { key, offset, wait_ms };
+    stream::unfold(Some(first), move |request| {
+        let context = sync::Arc::clone(&context);
+        async move {
+            let request = request?;
+            let (inputs, next) = read(&context, coordinator, request).await;
+            Some((stream::iter(inputs), next))
+        }
+    })
+    .flatten()
+    .boxed()
+}
+
+/// Reads once; returns what came and the next call, if there is to be one.
+async fn read(
+    context: &handle::Context,
+    coordinator: id::Incarnation,
+    mut request: peer::ReadRequest,
+) -> (Vec<Input>, Option<peer::ReadRequest>) {
+    let call = (context.links.read)(coordinator, request.clone(), READ_WAIT + READ_MARGIN);
+    match call.await {
+        Ok(peer::ReadAnswer::Chunks(chunks)) => {
+            let tokens: usize = chunks.iter().map(|chunk| chunk.tokens.len()).sum();
+            request.offset += tokens as u64;
+            let is_last = chunks.last().is_some_and(reader::is_last);
+            let inputs = chunks.into_iter().map(Input::Chunk).collect();
+            (inputs, (!is_last).then_some(request))
+        }
+        Ok(peer::ReadAnswer::Refused(refusal)) => (vec![Input::Refused(refusal)], None),
+        Ok(peer::ReadAnswer::Unknown) | Err(_) => (vec![Input::AttachFailed], None),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinate/resume.rs
@@ -0,0 +1,101 @@
+//! Coming back for an answer without sending the request again.
+
+use std::{sync, time};
+
+use trefoildyke_decide::coordinate;
+use trefoildyke_types::{id, request, resource};
+
+use crate::{
+    callers,
+    coordinate::{entry, handle, job},
+};
+
+/// How long a caller that came back can follow an answer.
+const FOLLOW: time::Duration = time::Duration::from_secs(3_600);
+
+impl handle::Handle {
+    /// Returns to the answer of a request from an output offset; nothing is ever dispatched.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if no answer can be found.
+    pub async fn resume(
+        &self,
+        key: id::RequestKey,
+        offset: u64,
+    ) -> Result<callers::Answer, request::Refusal> {
+        if let Some(entry) = self.context.table.get(&key) {
+            return Ok(self.read_from(entry, offset));
+        }
+        let found = self.context.intents.look_up(&key).await;
+        let (fingerprint, resumable) = match &found {
+            coordinate::LookUp::Found(request::Record::Intent(intent)) => {
+                (intent.fingerprint, self.is_engine(&intent.endpoint))
+            }
+            coordinate::LookUp::Found(request::Record::Closed { .. }) => {
+                return Err(coordinate::Reason::IdClosed.not_run());
+            }
+            coordinate::LookUp::Absent | coordinate::LookUp::Unavailable => {
+                self.check_issuer(&key)?;
+                (0, false)
+            }
+        };
+        let entry = self.follow(key, found, fingerprint, resumable)?;
+        Ok(self.read_from(entry, offset))
+    }
+
+    /// Without a record, only the daemon that issued the identifier can know the request.
+    fn check_issuer(&self, key: &id::RequestKey) -> Result<(), request::Refusal> {
+        if key.id.issuer().is_some_and(|issuer| issuer != self.context.links.own) {
+            return Ok(());
+        }
+        let remedy = "no answer is known under this id: send the request again with the same id \
+                      and `attempt` 2";
+        let kind = request::RefusalKind::OutcomeUnknown;
+        Err(request::Refusal::new(kind, "unknown_id", remedy))
+    }
+
+    fn is_engine(&self, endpoint: &id::EndpointName) -> bool {
+        let snapshot = self.context.config.snapshot();
+        let pool = snapshot.endpoint(endpoint).and_then(|spec| snapshot.pool(&spec.pool));
+        pool.is_some_and(|pool| matches!(pool.protocol, resource::PoolProtocol::Engine { .. }))
+    }
+
+    fn follow(
+        &self,
+        key: id::RequestKey,
+        found: coordinate::LookUp,
+        fingerprint: u64,
+        resumable: bool,
+    ) -> Result<sync::Arc<entry::Entry>, request::Refusal> {
+        let pass = self.context.gate.enter();
+        let pass = pass.ok_or_else(|| coordinate::Reason::Stopping.unknown())?;
+        let opening = coordinate::Opening {
+            key: key.clone(),
+            fingerprint,
+            own: self.context.links.own,
+            nonce: id::Nonce(rand::random()),
+            second: true,
+            resumable,
+            offset: 0,
+            retention_ms: self.context.retention_ms(),
+        };
+        let is_recorded = matches!(found, coordinate::LookUp::Found(_));
+        let (mut state, _) =
+            coordinate::RequestState::start(opening, coordinate::Admission::LookUp);
+        // What is not recorded counts as not to be found out, so that it is never dispatched.
+        let found = if is_recorded { found } else { coordinate::LookUp::Unavailable };
+        let actions = state.step(self.context.clock.now(), coordinate::Input::LookedUp(found));
+        let (entry, signals) = entry::Entry::new(key, fingerprint);
+        let accepted = self.context.clock.mono();
+        let deadline = accepted + FOLLOW;
+        let shared = sync::Arc::clone(&entry);
+        let submission = None;
+        self.start(
+            job::Job { entry, state, actions, submission, accepted, deadline },
+            signals,
+            pass,
+        );
+        Ok(shared)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon/routes.rs
@@ -0,0 +1,140 @@
+//! How the services reach their counterparts at other daemons.
+
+use std::{sync, time};
+
+use futures::FutureExt;
+use trefoildyke_types::{error, id};
+use trefoildyke_wire::peer;
+
+use crate::{config, coordinate, intents, members, peers, schedule};
+
+/// How long a peer may take to answer with configuration changes.
+const PULL: time::Duration = time::Duration::from_secs(2);
+
+/// Makes the services' calls over the connections to peers.
+#[derive(Clone)]
+pub(super) struct Routes {
+    pub(super) own: id::Incarnation,
+    pub(super) members: members::Handle,
+    pub(super) peers: peers::Handle,
+}
+
+impl Routes {
+    pub(super) fn config(&self) -> config::Peers {
+        let peers = self.peers.clone();
+        config::Peers {
+            own: self.own,
+            view: self.members.subscribe(),
+            newest: self.members.newest(),
+            pull: sync::Arc::new(move |member, request| {
+                let peers = peers.clone();
+                let call = async move {
+                    let client = peers.client(member).await?;
+                    client
+                        .changes(peer::within(PULL), request)
+                        .await
+                        .map_err(|error| lost(&error))?
+                };
+                call.boxed()
+            }),
+        }
+    }
+
+    pub(super) fn intents(&self) -> intents::Route {
+        let views = self.members.subscribe();
+        let (committing, looking) = (self.peers.clone(), self.peers.clone());
+        intents::Route {
+            own: self.own,
+            owners: sync::Arc::new(move |key, count| {
+                let view = views.borrow();
+                view.owners(key, count).into_iter().map(|member| member.incarnation).collect()
+            }),
+            commit: sync::Arc::new(move |member, request, timeout| {
+                let peers = committing.clone();
+                let call = async move {
+                    let client = reach(&peers, member).await?;
+                    client
+                        .commit(peer::within(timeout), request)
+                        .await
+                        .map_err(|error| unsure(&error))?
+                };
+                call.boxed()
+            }),
+            look_up: sync::Arc::new(move |member, key, timeout| {
+                let peers = looking.clone();
+                let call = async move {
+                    let client = peers.client(member).await?;
+                    client
+                        .look_up(peer::within(timeout), key)
+                        .await
+                        .map_err(|error| lost(&error))?
+                };
+                call.boxed()
+            }),
+        }
+    }
+
+    pub(super) fn schedule(&self) -> schedule::Links {
+        let (asking, reporting) = (self.peers.clone(), self.peers.clone());
+        schedule::Links {
+            own: self.own,
+            view: self.members.subscribe(),
+            ask: sync::Arc::new(move |member, request, timeout| {
+                let peers = asking.clone();
+                let call = async move {
+                    let client = peers.client(member).await?;
+                    client.ask(peer::within(timeout), request).await.map_err(|error| lost(&error))
+                };
+                call.boxed()
+            }),
+            report: sync::Arc::new(move |member, request, timeout| {
+                let peers = reporting.clone();
+                let call = async move {
+                    let client = peers.client(member).await?;
+                    client
+                        .report(peer::within(timeout), request)
+                        .await
+                        .map_err(|error| lost(&error))?
+                };
+                call.boxed()
+            }),
+        }
+    }
+
+    pub(super) fn coordinate(&self) -> coordinate::Links {
+        let peers = self.peers.clone();
+        coordinate::Links {
+            own: self.own,
+            read: sync::Arc::new(move |member, request, timeout| {
+                let peers = peers.clone();
+                let call = async move {
+                    let client = peers.client(member).await?;
+                    client
+                        .read(peer::within(timeout), request)
+                        .await
+                        .map_err(|error| lost(&error))?
+                };
+                call.boxed()
+            }),
+        }
+    }
+}
+
+/// Returns a client; a failure says that nothing was sent.
+async fn reach(
+    peers: &peers::Handle,
+    member: id::Incarnation,
+) -> Result<peers::Client, error::Error> {
+    let unavailable = |error: error::Error| {
+        error::Error::new(error::ErrorKind::Unavailable, error.message).remedy(error.remedy)
+    };
+    peers.client(member).await.map_err(unavailable)
+}
+
+fn lost(error: &impl ToString) -> error::Error {
+    error::Error::new(error::ErrorKind::Unavailable, error.to_string())
+}
+
+fn unsure(error: &impl ToString) -> error::Error {
+    error::Error::new(error::ErrorKind::Unsure, error.to_string())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod callers;
 pub mod clock;
 pub mod config;
+pub mod coordinate;
+pub mod daemon;
 pub mod endpoints;
 pub mod hosts;
 pub mod intents;
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -14,9 +14,12 @@
         .target(console::Target::Stderr)
         .encoder(Box::new(json::JsonEncoder::new()))
         .build();
+    // Every call between daemons is a line at level info otherwise.
+    let calls =
+        config::Logger::builder().build("tarpc", log::LevelFilter::Warn.min(settings.level));
     let root = config::Root::builder().appender("stderr").build(settings.level);
     let appender = config::Appender::builder().build("stderr", Box::new(appender));
-    let config = log4rs::Config::builder().appender(appender).build(root)?;
+    let config = log4rs::Config::builder().appender(appender).logger(calls).build(root)?;
     log4rs::init_config(config)?;
     Ok(())
 }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -15,6 +15,7 @@
         self.check_peers()?;
         operators::Tokens::parse(&self.operators.token_hashes)
             .map_err(|error| settings::Error::Form(format!("operators.{error}")))?;
+        self.intents.check().map_err(|error| settings::Error::Form(error.to_string()))?;
         self.check_callers()?;
         self.check_coordinate()?;
         let call = self.platform.call_ms;
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::id;
 
-use crate::{config, settings};
+use crate::{config, endpoints, hosts, intents, schedule, settings};
 
 /// Holds the settings of one daemon.
 ///
@@ -39,6 +39,14 @@
     pub coordinate: settings::Coordinate,
     /// Settings of the configuration service.
     pub config: config::Settings,
+    /// Settings of the reading of the host list.
+    pub hosts: hosts::Settings,
+    /// Settings of the watch over endpoints.
+    pub endpoints: endpoints::Settings,
+    /// Settings of the records.
+    pub intents: intents::Settings,
+    /// Settings of the schedulers.
+    pub schedule: schedule::Settings,
     /// The most events that the time line keeps; at least 1.
     pub events: usize,
     /// What is logged.
@@ -58,6 +66,10 @@
             operators: settings::Operators::default(),
             coordinate: settings::Coordinate::default(),
             config: config::Settings::default(),
+            hosts: hosts::Settings::default(),
+            endpoints: endpoints::Settings::default(),
+            intents: intents::Settings::default(),
+            schedule: schedule::Settings::default(),
             events: 20_000,
             logs: settings::Logs::default(),
         }
