Add trefoildyked and tests of whole systems of processes

kv, hosts, two engines, a plain service and three daemons run as processes; requests to each daemon give whole answers in order, and a letter whose daemon is killed is started once at its service.

--- /dev/null
+++ b/crates/trefoildyked/tests/testsuite/harness/cluster.rs
@@ -0,0 +1,156 @@
+//! A whole system of processes.
+
+use std::{collections, fs, net, path, time};
+
+use trefoildyke_types::{id, resource};
+use trefoildyke_wire::{http, operators};
+
+use super::{Layout, Process, layout, until};
+
+const CALL: time::Duration = time::Duration::from_secs(10);
+
+/// One daemon of the system.
+pub(crate) struct Daemon {
+    pub(crate) process: Process,
+    pub(crate) callers: net::SocketAddr,
+    pub(crate) operators: net::SocketAddr,
+    pub(crate) peers: net::SocketAddr,
+}
+
+/// A whole system of processes, ended when dropped.
+pub(crate) struct Cluster {
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) engines: Vec<Process>,
+    pub(crate) services: Vec<Process>,
+    pub(crate) kv: Process,
+    pub(crate) hosts: Process,
+    folder: path::PathBuf,
+    http: http::Client,
+    started: usize,
+}
+
+impl Cluster {
+    /// Starts every process, applies the resources and waits until they are in force everywhere.
+    pub(crate) async fn start(name: &str, layout: Layout) -> Self {
+        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).unwrap();
+        let testbed = |name: &str, arguments: &[&str]| {
+            Process::testbed(arguments, folder.join(format!("{name}.log")))
+        };
+        let slots = layout.slots.to_string();
+        let call_ms = layout.call_ms.to_string();
+        let engine = ["engine", "--slots", &slots];
+        let service = ["service", "--slots", &slots, "--call-ms", &call_ms];
+        let engines: Vec<_> =
+            (0..layout.engines).map(|n| testbed(&format!("engine-{n}"), &engine)).collect();
+        let services: Vec<_> =
+            (0..layout.services).map(|n| testbed(&format!("service-{n}"), &service)).collect();
+        let kv = testbed("kv", &["kv"]);
+        let hosts = testbed("hosts", &["hosts"]);
+        let mut cluster = Self {
+            daemons: vec![],
+            engines,
+            services,
+            kv,
+            hosts,
+            folder,
+            http: http::Client::default(),
+            started: 0,
+        };
+        for _ in 0..layout.daemons {
+            cluster.add_daemon();
+        }
+        cluster.apply(&cluster.resources(&layout)).await;
+        cluster
+    }
+
+    /// Starts one more daemon, which finds the others by their addresses.
+    pub(crate) fn add_daemon(&mut self) {
+        let host = format!("entry-{}", self.started);
+        let file = self.folder.join(format!("{host}.yaml"));
+        fs::write(&file, self.settings(&host)).unwrap();
+        let log = self.folder.join(format!("{host}.log"));
+        let process = Process::daemon(&["--config", file.to_str().unwrap()], log);
+        self.daemons.push(Daemon {
+            callers: process.address("callers"),
+            operators: process.address("operators"),
+            peers: process.address("peers"),
+            process,
+        });
+        self.started += 1;
+    }
+
+    fn settings(&self, host: &str) -> String {
+        let seeds: Vec<_> = self.daemons.iter().map(|daemon| daemon.peers.to_string()).collect();
+        let any = "127.0.0.1:0";
+        serde_json::json!({
+            "host": host,
+            "zone": "salem",
+            "listen": {"callers": any, "operators": any, "peers": any, "metrics": any},
+            "platform": {"kv": self.kv.address(""), "hosts": self.hosts.address("")},
+            "peers": {"keys": ["a key of 16 bytes or more"], "seeds": seeds},
+            "operators": {"token_hashes": [layout::hash(layout::TOKEN)]},
+        })
+        .to_string()
+    }
+
+    fn resources(&self, layout: &Layout) -> Vec<resource::Resource> {
+        let addresses = |processes: &[Process]| -> Vec<_> {
+            processes.iter().map(|process| process.address("")).collect()
+        };
+        layout::resources(layout, &addresses(&self.engines), &addresses(&self.services))
+    }
+
+    /// Returns an operator's client of one daemon.
+    pub(crate) fn operator(&self, daemon: usize) -> operators::Client {
+        let address = self.daemons[daemon].operators;
+        operators::Client::new(vec![address], layout::TOKEN, CALL).unwrap()
+    }
+
+    /// Applies resources and waits until they are in force on every living daemon.
+    pub(crate) async fn apply(&self, resources: &[resource::Resource]) -> u64 {
+        let operator = self.operator(0);
+        let accepted =
+            until("a change is accepted", async || operator.apply(&resources).await.ok());
+        let version = accepted.await.version;
+        for index in 0..self.daemons.len() {
+            self.in_force(index, version).await;
+        }
+        version
+    }
+
+    /// Waits until a daemon says that the version is in force on every daemon.
+    async fn in_force(&self, daemon: usize, version: u64) {
+        let operator = self.operator(daemon);
+        let live = u32::try_from(self.daemons.len()).unwrap();
+        until("a version is in force", async || {
+            let overview = operator.overview().await.ok()?;
+            (overview.in_force >= version && overview.live == live).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns how often each request was started, over all endpoints.
+    pub(crate) async fn starts(&self) -> collections::BTreeMap<String, u32> {
+        let mut starts = collections::BTreeMap::new();
+        for endpoint in self.engines.iter().chain(&self.services) {
+            let ledger = self.ledger(endpoint).await;
+            for (key, count) in ledger["starts"].as_object().unwrap() {
+                *starts.entry(key.clone()).or_default() +=
+                    u32::try_from(count.as_u64().unwrap()).unwrap();
+            }
+        }
+        starts
+    }
+
+    async fn ledger(&self, endpoint: &Process) -> serde_json::Value {
+        let uri = format!("http://{}/v1/ledger", endpoint.address(""));
+        let request = hyper::Request::get(uri).body(bytes::Bytes::new()).unwrap();
+        http::parse(&self.http.call(request, CALL).await.unwrap()).unwrap()
+    }
+
+    /// Returns how often one request was started.
+    pub(crate) async fn starts_of(&self, id: id::RequestId) -> u32 {
+        self.starts().await.get(&format!("cascadia/{id}")).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of whole systems of processes on loopback, one module a feature.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
+
+mod binary;
+mod harness;
+mod kill;
+mod whole_path;
