Refuse settings of config and operators that would stop a service

Found by the fuzz of the settings: a page of 0 resources and a poll of 0 ms made a service panic, and too many places at once did so at the start. Both tests failed before the ranges were checked. The setting peer_ms was read by nobody.

--- a/crates/daemon/src/config/settings.rs
+++ b/crates/daemon/src/config/settings.rs
@@ -8,28 +8,20 @@
 pub struct Settings {
     /// How many daemons watch the key-value service; at least 1.
     pub watchers: usize,
-    /// How long one watch waits for a change, in milliseconds.
+    /// How long one watch waits for a change, in milliseconds; at least 100.
     pub watch_ms: u64,
-    /// How long to wait after a failed read of the key-value service, in milliseconds.
+    /// How long to wait after a failed read of the key-value service, in milliseconds; at least 10.
     pub retry_ms: u64,
-    /// How often a daemon tries again to read what a peer has announced, in milliseconds.
+    /// How often a daemon tries again to read what a peer has announced, in milliseconds; at
+    /// least 10.
     pub poll_ms: u64,
-    /// How long a call to a peer may take, in milliseconds.
-    pub peer_ms: u64,
-    /// How long a write is tried before its outcome is called unsure, in milliseconds.
+    /// How long a write is tried before its outcome is called unsure, in milliseconds; at least 100.
     pub write_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self {
-            watchers: 3,
-            watch_ms: 10_000,
-            retry_ms: 500,
-            poll_ms: 1_000,
-            peer_ms: 2_000,
-            write_ms: 8_000,
-        }
+        Self { watchers: 3, watch_ms: 10_000, retry_ms: 500, poll_ms: 1_000, write_ms: 8_000 }
     }
 }
 
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -17,6 +17,8 @@
             .map_err(|error| settings::Error::Form(format!("operators.{error}")))?;
         self.intents.check().map_err(|error| settings::Error::Form(error.to_string()))?;
         self.check_callers()?;
+        self.check_operators()?;
+        self.check_config()?;
         self.check_coordinate()?;
         let call = self.platform.call_ms;
         within("platform.call_ms", call, 10..=60_000, "allow 10 to 60000 milliseconds")
@@ -50,6 +52,37 @@
         within("callers.beat_ms", callers.beat_ms, 1..=1_000, "use 1 to 1000 milliseconds")
     }
 
+    fn check_operators(&self) -> Result<(), settings::Error> {
+        let limits = &self.operators.limits;
+        let remedy = "allow 1024 bytes to 64 MiB";
+        let bytes = 1_024..=(64 << 20);
+        let name = "operators.limits.resource_bytes";
+        within(name, limits.resource_bytes, bytes.clone(), remedy)?;
+        within("operators.limits.change_bytes", limits.change_bytes, bytes, remedy)?;
+        let remedy = "allow 1 to 1000 changes";
+        within("operators.limits.changes", limits.changes, 1..=1_000, remedy)?;
+        let remedy = "allow 1 to 100000 watches";
+        within("operators.limits.watches", limits.watches, 1..=100_000, remedy)?;
+        let remedy = "use pages of 1 to 100000 resources";
+        within("operators.limits.page", limits.page, 1..=100_000, remedy)?;
+        let remedy = "allow 1 to 600000 milliseconds";
+        within("operators.limits.watch_ms", limits.watch_ms, 1..=600_000, remedy)?;
+        within("operators.limits.body_ms", limits.body_ms, 1..=600_000, remedy)
+    }
+
+    fn check_config(&self) -> Result<(), settings::Error> {
+        let config = &self.config;
+        let remedy = "let 1 to 1000 daemons watch";
+        within("config.watchers", config.watchers, 1..=1_000, remedy)?;
+        let remedy = "use 100 to 600000 milliseconds";
+        within("config.watch_ms", config.watch_ms, 100..=600_000, remedy)?;
+        let remedy = "use 10 to 60000 milliseconds";
+        within("config.retry_ms", config.retry_ms, 10..=60_000, remedy)?;
+        within("config.poll_ms", config.poll_ms, 10..=60_000, remedy)?;
+        let remedy = "use 100 to 60000 milliseconds";
+        within("config.write_ms", config.write_ms, 100..=60_000, remedy)
+    }
+
     fn check_coordinate(&self) -> Result<(), settings::Error> {
         let coordinate = &self.coordinate;
         let remedy = "allow 1 to 1000000 requests";
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod examples;
 mod intents;
+mod limits;
 mod members;
 mod operators;
 mod orders;
