Take an identifier's age limits from what all daemons agree on

The coordinator admitted by its own settings while records are kept by the layout in the key-value service. With a longer keep_ms of its own, an id between the two ages would have been recorded as expired and refused as not run, although it may have run. The setting coordinate.skew_ms goes: the records' is the one that counts. intents.coverage now takes effect.

--- a/crates/daemon/src/coordinate/conditions.rs
+++ b/crates/daemon/src/coordinate/conditions.rs
@@ -11,6 +11,7 @@
         local: Option<&entry::Entry>,
         stopping: bool,
     ) -> coordinate::Conditions {
+        let retention = self.intents.layout().retention;
         coordinate::Conditions {
             own: self.links.own,
             unix_ms: self.clock.now().unix_ms,
@@ -18,14 +19,15 @@
             isolated: self.isolation.is_isolated(),
             stopping,
             policy: self.settings.outage,
-            retention_ms: self.retention_ms(),
-            skew_ms: self.settings.skew_ms,
+            retention_ms: retention.keep_ms,
+            skew_ms: retention.skew_ms,
             local: local.map(|entry| coordinate::Local { fingerprint: entry.fingerprint }),
         }
     }
 
-    /// Returns how long after its creation an identifier can be used, in milliseconds.
-    pub(super) const fn retention_ms(&self) -> u64 {
-        self.intents.settings().keep_ms
+    /// Returns how long after its creation an identifier can be used, in milliseconds; the same on
+    /// all daemons.
+    pub(super) fn retention_ms(&self) -> u64 {
+        self.intents.layout().retention.keep_ms
     }
 }
--- a/crates/daemon/src/coordinate/submit.rs
+++ b/crates/daemon/src/coordinate/submit.rs
@@ -53,7 +53,8 @@
         let key = arrival.id.map(|id| id::RequestKey { account: submission.account.clone(), id });
         let local = key.as_ref().and_then(|key| entries.get(key)).cloned();
         let conditions = self.context.conditions(local.as_deref(), pass.is_none());
-        let admission = coordinate::admit(&arrival, &conditions)?;
+        let coverage = self.context.intents.settings().coverage;
+        let admission = coverage.apply(coordinate::admit(&arrival, &conditions)?);
         if let (coordinate::Admission::Attach, Some(local)) = (admission, local) {
             return Ok(local);
         }
--- a/crates/daemon/src/settings/coordinate.rs
+++ b/crates/daemon/src/settings/coordinate.rs
@@ -17,8 +17,6 @@
     /// How long the daemon may reach neither the key-value service nor any peer before it refuses
     /// new work, in milliseconds; at least 100.
     pub isolation_ms: u64,
-    /// How far ahead of this host's clock an identifier's time may lie, in milliseconds.
-    pub skew_ms: u64,
     /// Which requests go on while the key-value service is down.
     pub outage: coordinate::OutagePolicy,
     /// How long a graceful stop waits for requests in progress, in milliseconds.
@@ -35,7 +33,6 @@
             keep_ms: 60_000,
             keep_bytes: 32 << 20,
             isolation_ms: 3_000,
-            skew_ms: 30_000,
             outage: coordinate::OutagePolicy::default(),
             drain_ms: 600_000,
             pause_ms: 1_000,
