--- a/crates/daemon/src/daemon/services.rs
+++ b/crates/daemon/src/daemon/services.rs
@@ -50,6 +50,7 @@
         let routes = routes::Routes { own: self.own, members: members.clone(), peers };
         self.run("config", config.clone().follow(routes.config()));
         let intents = self.start_intents(&routes, kv.clone())?;
+        intents.export(&metrics.meter());
         let schedule = self.start_schedule(&routes, &config, &hosts);
         let gate = kernel::Gate::default();
         let coordinate = coordinate::Handle::new(coordinate::Sources {
--- a/crates/daemon/src/intents/mod.rs
+++ b/crates/daemon/src/intents/mod.rs
@@ -8,6 +8,7 @@
 mod agreement;
 mod committer;
 mod driver;
+mod export;
 mod forwarder;
 mod handle;
 mod outage;
--- a/crates/daemon/src/metrics/handle.rs
+++ b/crates/daemon/src/metrics/handle.rs
@@ -8,13 +8,16 @@
 
 use crate::metrics;
 
+/// The name under which everything is measured.
+const METER: &str = "trefoildyke";
+
 /// Measures; published as `metrics`.
 #[derive(Clone, Debug)]
 pub struct Handle {
     instruments: metrics::Instruments,
     registry: prometheus::Registry,
     /// Keeps the instruments connected.
-    _provider: sdk::SdkMeterProvider,
+    provider: sdk::SdkMeterProvider,
 }
 
 impl Handle {
@@ -28,8 +31,13 @@
         let exporter =
             opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = sdk::SdkMeterProvider::builder().with_reader(exporter).build();
-        let instruments = metrics::Instruments::new(&provider.meter("trefoildyke"));
-        Ok(Self { instruments, registry, _provider: provider })
+        let instruments = metrics::Instruments::new(&provider.meter(METER));
+        Ok(Self { instruments, registry, provider })
+    }
+
+    /// Returns the meter, for instruments that a service reads only when it is scraped.
+    pub fn meter(&self) -> opentelemetry::metrics::Meter {
+        self.provider.meter(METER)
     }
 
     /// Returns everything measured so far in the Prometheus text format.
--- /dev/null
+++ b/crates/daemon/tests/testsuite/intents/export.rs
@@ -0,0 +1,27 @@
+//! What the records cost can be scraped.
+
+use testbed::switch;
+use trefoildyke_daemon::metrics;
+use trefoildyke_decide::coordinate::RecordOutcome;
+
+use crate::intents::nodes::{Belief, Nodes, key, patient, until};
+
+#[tokio::test]
+async fn counts_and_the_services_state_are_shown() {
+    let nodes = Nodes::new(patient()).await;
+    let node = nodes.start(1, Belief::Lowest);
+    let metrics = metrics::Handle::new().unwrap();
+    node.handle.export(&metrics.meter());
+    assert_eq!(node.record(&key(), 1).await, RecordOutcome::Created);
+    let shows = |name: &str, value: &str| {
+        let text = metrics.text().unwrap();
+        let mut lines = text.lines().filter(|line| line.starts_with(name));
+        lines.any(|line| line.ends_with(&format!(" {value}")))
+    };
+    assert!(shows("intent_records", "1"), "{}", metrics.text().unwrap());
+    assert!(shows("intent_writes", "1"));
+    assert!(shows("intent_service_up", "1"));
+    nodes.kv.set_mode(switch::Mode::new(switch::ModeKind::Down));
+    node.handle.look_up(&key()).await;
+    until("the outage is shown", || shows("intent_service_up", "0")).await;
+}
