Run the order service in the daemon and show how orders ended

The service was not started and operators saw InForce for an order that was done. Status of an EngineOrder now reads the record in the key-value service; while that does not answer, the message says so and the phase claims nothing. Settings 'orders' are checked together: a lease shorter than its guards, or a settle time shorter than an order may take, is refused. The lease's clock is named LeaseClock beside the daemon's Clock.

--- a/crates/daemon/src/daemon/faces.rs
+++ b/crates/daemon/src/daemon/faces.rs
@@ -79,6 +79,7 @@
         operators::Identity { host: settings.host.clone(), incarnation: services.members.own() },
         operators::Tokens::parse(&settings.operators.token_hashes)?,
         services.config.clone(),
+        services.orders.clone(),
         services.progress.clone(),
         sync::Arc::new(move |after| timeline.read(after, EVENT_PAGE)),
     ))
--- a/crates/daemon/src/daemon/services.rs
+++ b/crates/daemon/src/daemon/services.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock, config, coordinate, daemon::progress, daemon::routes, hosts, intents, members, metrics,
-    operators, peers, schedule, settings, timeline,
+    operators, orders, peers, schedule, settings, timeline,
 };
 
 /// What every service is started with.
@@ -28,6 +28,7 @@
     pub(super) config: config::Handle,
     pub(super) members: members::Handle,
     pub(super) coordinate: coordinate::Handle,
+    pub(super) orders: orders::Handle,
     pub(super) timeline: timeline::Handle,
     pub(super) metrics: metrics::Handle,
     pub(super) progress: watch::Receiver<operators::Progress>,
@@ -51,6 +52,7 @@
         self.run("config", config.clone().follow(routes.config()));
         let intents = self.start_intents(&routes, kv.clone())?;
         intents.export(&metrics.meter());
+        let orders = self.start_orders(&config, &members, kv.clone());
         let schedule = self.start_schedule(&routes, &config, &hosts);
         let gate = kernel::Gate::default();
         let coordinate = coordinate::Handle::new(coordinate::Sources {
@@ -75,6 +77,7 @@
         registry.publish("members", members.clone())?;
         registry.publish("peers", routes.peers.clone())?;
         registry.publish("intents", intents.clone())?;
+        registry.publish("orders", orders.clone())?;
         registry.publish("schedule", schedule.clone())?;
         registry.publish("coordinate", coordinate.clone())?;
         let mut methods = peer::Methods::default();
@@ -91,7 +94,17 @@
             gate: gate.clone(),
         };
         self.run("progress", own.tell(versions));
-        Ok(Services { config, members, coordinate, timeline, metrics, progress, gate, methods })
+        Ok(Services {
+            config,
+            members,
+            coordinate,
+            orders,
+            timeline,
+            metrics,
+            progress,
+            gate,
+            methods,
+        })
     }
 
     fn start_hosts(&self) -> hosts::Handle {
@@ -147,6 +160,18 @@
         Ok(intents)
     }
 
+    fn start_orders(
+        &self,
+        config: &config::Handle,
+        members: &members::Handle,
+        kv: platform::KvClient,
+    ) -> orders::Handle {
+        let sources = orders::Sources { config: config.subscribe(), view: members.subscribe() };
+        let (orders, service) = orders::new(self.settings.orders, kv, self.own, sources);
+        self.run("orders", service.run());
+        orders
+    }
+
     fn start_schedule(
         &self,
         routes: &routes::Routes,
--- a/crates/daemon/src/operators/face.rs
+++ b/crates/daemon/src/operators/face.rs
@@ -10,6 +10,7 @@
 use crate::{
     config,
     operators::{Progress, Settings, Tokens, reply, routes},
+    orders,
 };
 
 /// Returns the events after a sequence number.
@@ -30,6 +31,7 @@
     pub(crate) identity: Identity,
     pub(crate) tokens: Tokens,
     pub(crate) config: config::Handle,
+    pub(crate) orders: orders::Handle,
     pub(crate) progress: watch::Receiver<Progress>,
     pub(crate) events: Events,
     changes: Semaphore,
@@ -43,12 +45,13 @@
         identity: Identity,
         tokens: Tokens,
         config: config::Handle,
+        orders: orders::Handle,
         progress: watch::Receiver<Progress>,
         events: Events,
     ) -> Self {
         let changes = Semaphore::new(settings.changes);
         let watches = Semaphore::new(settings.watches);
-        Self { settings, identity, tokens, config, progress, events, changes, watches }
+        Self { settings, identity, tokens, config, orders, progress, events, changes, watches }
     }
 
     /// Answers one call.
--- a/crates/daemon/src/operators/routes.rs
+++ b/crates/daemon/src/operators/routes.rs
@@ -1,8 +1,10 @@
 //! One function for each call.
 
+use std::{collections, sync};
+
 use hyper::{Method, body};
 use tokio::time;
-use trefoildyke_decide::config;
+use trefoildyke_decide::{config, orders};
 use trefoildyke_types::{error, resource};
 use trefoildyke_wire::{http, operators::message};
 
@@ -15,8 +17,10 @@
     let (parts, body) = request.into_parts();
     let segments: Vec<_> = parts.uri.path().split('/').skip(1).collect();
     match (&parts.method, segments.as_slice()) {
-        (&Method::GET, ["v1", "resources", kind]) => list(face, parse_kind(kind)?, &parts.uri),
-        (&Method::GET, ["v1", "resources", kind, name]) => get(face, parse_kind(kind)?, name),
+        (&Method::GET, ["v1", "resources", kind]) => {
+            list(face, parse_kind(kind)?, &parts.uri).await
+        }
+        (&Method::GET, ["v1", "resources", kind, name]) => get(face, parse_kind(kind)?, name).await,
         (&Method::PUT, ["v1", "resources", kind, name]) => put(face, &key(kind, name)?, body).await,
         (&Method::DELETE, ["v1", "resources", kind, name]) => {
             delete(face, key(kind, name)?, &parts.uri).await
@@ -43,25 +47,62 @@
     Ok(resource::ResourceKey { kind: parse_kind(kind)?, name: name.to_owned() })
 }
 
-fn list(face: &Face, kind: resource::Kind, uri: &hyper::Uri) -> Reply {
+async fn list(face: &Face, kind: resource::Kind, uri: &hyper::Uri) -> Reply {
     let query = Query::new(uri, &["after", "limit"])?;
     let after = query.text("after").unwrap_or("");
     let limit = query.number("limit")?.unwrap_or(face.settings.page).clamp(1, face.settings.page);
     let snapshot = face.config.snapshot();
     let progress = *face.progress.borrow();
     let mut rest = snapshot.of_kind(kind).skip_while(|resource| resource.name.as_str() <= after);
-    let resources = rest.by_ref().take(limit).map(|r| status::with_status(r, &progress)).collect();
+    let page: Vec<_> = rest.by_ref().take(limit).collect();
     let more = rest.next().is_some();
+    let resources = match kind {
+        resource::Kind::EngineOrder => with_ends(face, &page, &progress).await,
+        _ => page.into_iter().map(|r| status::with_status(r, &progress)).collect(),
+    };
     Ok(reply::ok(&message::ResourcePage { version: snapshot.version(), resources, more }))
 }
 
-fn get(face: &Face, kind: resource::Kind, name: &str) -> Reply {
+async fn get(face: &Face, kind: resource::Kind, name: &str) -> Reply {
     let snapshot = face.config.snapshot();
     let Some(resource) = snapshot.resource(kind, name) else {
         let key = resource::ResourceKey { kind, name: name.to_owned() };
         return Err(error::Error::new(error::ErrorKind::NotFound, "does not exist").about(&key));
     };
-    Ok(reply::ok(&status::with_status(resource, &face.progress.borrow())))
+    let progress = *face.progress.borrow();
+    if kind == resource::Kind::EngineOrder {
+        let end = match face.orders.ended(&order_key(resource)).await {
+            Ok(Some(ended)) => status::OrderEnd::Ended(ended.outcome),
+            Ok(None) => status::OrderEnd::None,
+            Err(error) => status::OrderEnd::Unread(error),
+        };
+        return Ok(reply::ok(&status::of_order(resource, &progress, end)));
+    }
+    Ok(reply::ok(&status::with_status(resource, &progress)))
+}
+
+/// Returns orders with their status, which costs a read of the key-value service.
+async fn with_ends(
+    face: &Face,
+    page: &[&sync::Arc<resource::Resource>],
+    progress: &Progress,
+) -> Vec<resource::Resource> {
+    let ended = if page.is_empty() {
+        Ok(collections::BTreeMap::new())
+    } else {
+        face.orders.all_ended().await
+    };
+    let end = |resource: &resource::Resource| match &ended {
+        Ok(ended) => ended
+            .get(&order_key(resource))
+            .map_or(status::OrderEnd::None, |ended| status::OrderEnd::Ended(ended.outcome.clone())),
+        Err(error) => status::OrderEnd::Unread(error.clone()),
+    };
+    page.iter().map(|resource| status::of_order(resource, progress, end(resource))).collect()
+}
+
+fn order_key(resource: &resource::Resource) -> orders::OrderKey {
+    orders::OrderKey { name: resource.name.clone(), generation: resource.generation }
 }
 
 async fn put(face: &Face, key: &resource::ResourceKey, body: body::Incoming) -> Reply {
--- a/crates/daemon/src/operators/status.rs
+++ b/crates/daemon/src/operators/status.rs
@@ -1,6 +1,7 @@
 //! How far resources have come.
 
-use trefoildyke_types::resource;
+use trefoildyke_decide::orders;
+use trefoildyke_types::{error, resource};
 
 /// Says how far the live daemons have come, as the members' reports add up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -15,7 +16,40 @@
     pub live: u32,
 }
 
+/// Says what is known of an order's end.
+pub(crate) enum OrderEnd {
+    /// It was not asked for, or the order has not ended.
+    None,
+    /// The order has ended.
+    Ended(orders::Outcome),
+    /// It cannot be read.
+    Unread(error::Error),
+}
+
+/// Returns an order with its status.
+pub(crate) fn of_order(
+    resource: &resource::Resource,
+    progress: &Progress,
+    end: OrderEnd,
+) -> resource::Resource {
+    let mut status = status(resource, progress);
+    match end {
+        OrderEnd::None => {}
+        OrderEnd::Ended(orders::Outcome::Done) => status.phase = resource::Phase::Done,
+        OrderEnd::Ended(orders::Outcome::Failed(why)) => {
+            status.phase = resource::Phase::Failed;
+            status.message = why;
+        }
+        OrderEnd::Unread(error) => {
+            status.message = format!("whether the order has ended cannot be read: {error}");
+        }
+    }
+    resource::Resource { status: Some(status), ..resource.clone() }
+}
+
 /// Returns the resource with its status.
+///
+/// Whether an order has ended is not part of it; see [`of_order`].
 pub(crate) fn with_status(
     resource: &resource::Resource,
     progress: &Progress,
--- a/crates/daemon/src/orders/handle.rs
+++ b/crates/daemon/src/orders/handle.rs
@@ -1,11 +1,11 @@
 //! How other services see what became of orders.
 
-use std::sync;
+use std::{collections, sync};
 
 use tokio::sync::watch;
 use trefoildyke_decide::{config, members, orders as decisions};
 use trefoildyke_types::{error, id};
-use trefoildyke_wire::platform;
+use trefoildyke_wire::platform::{self, message};
 
 use crate::orders::{self, keys};
 
@@ -32,10 +32,15 @@
     sources: Sources,
 ) -> (Handle, orders::Service) {
     let service = orders::Service::new(settings, kv.clone(), incarnation, sources);
-    (Handle { kv }, service)
+    (Handle::new(kv), service)
 }
 
 impl Handle {
+    /// Creates a handle that reads what any daemon's service has recorded.
+    pub const fn new(kv: platform::KvClient) -> Self {
+        Self { kv }
+    }
+
     /// Returns how an order ended, or `None` if it has not.
     ///
     /// Costs one read of the key-value service. Fails with kind `Unavailable` if that does not
@@ -44,9 +49,24 @@
         &self,
         key: &decisions::OrderKey,
     ) -> Result<Option<orders::Ended>, error::Error> {
-        let Some(entry) = self.kv.get(&keys::ended(key)).await?.entry else { return Ok(None) };
-        serde_json::from_str(&entry.value).map(Some).map_err(|error| {
-            error::Error::new(error::ErrorKind::Protocol, error.to_string()).about(&entry.key)
-        })
+        let entry = self.kv.get(&keys::ended(key)).await?.entry;
+        entry.as_ref().map(parse).transpose()
+    }
+
+    /// Returns how every order ended that has.
+    ///
+    /// Costs one read of the key-value service for each 500 orders. Fails as [`Self::ended`] does.
+    pub async fn all_ended(
+        &self,
+    ) -> Result<collections::BTreeMap<decisions::OrderKey, orders::Ended>, error::Error> {
+        let (entries, _) = self.kv.list_all(keys::ENDED).await?;
+        let ended = entries.iter().map(parse);
+        ended.map(|ended| ended.map(|ended| (ended.key.clone(), ended))).collect()
     }
 }
+
+fn parse(entry: &message::Entry) -> Result<orders::Ended, error::Error> {
+    serde_json::from_str(&entry.value).map_err(|error| {
+        error::Error::new(error::ErrorKind::Protocol, error.to_string()).about(&entry.key)
+    })
+}
--- a/crates/daemon/src/orders/lease.rs
+++ b/crates/daemon/src/orders/lease.rs
@@ -6,7 +6,7 @@
 use trefoildyke_types::{id, time::Timestamp};
 use trefoildyke_wire::platform::{self, message};
 
-use crate::orders::{Clock, Ended, keys};
+use crate::orders::{Ended, LeaseClock, keys};
 
 /// The value of the lease's key.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -35,7 +35,7 @@
 /// does not answer.
 pub(super) async fn take(
     kv: &platform::KvClient,
-    clock: &Clock,
+    clock: &LeaseClock,
     incarnation: id::Incarnation,
     version: u64,
     ttl: time::Duration,
@@ -132,7 +132,7 @@
 /// Renews the lease.
 pub(super) async fn renew(
     kv: &platform::KvClient,
-    clock: &Clock,
+    clock: &LeaseClock,
     lease: message::LeaseNumber,
 ) -> orders::Input {
     let begun = clock.now();
--- a/crates/daemon/src/orders/clock.rs
+++ b/crates/daemon/src/orders/lease_clock.rs
@@ -10,13 +10,13 @@
 /// set back; this clock follows whichever ran further, and never goes back. If the wall clock is set
 /// forward, a lease is given up too early, which does no harm.
 #[derive(Clone, Debug)]
-pub struct Clock {
+pub struct LeaseClock {
     monotonic: time::Instant,
     wall: time::SystemTime,
     latest_us: sync::Arc<atomic::AtomicU64>,
 }
 
-impl Clock {
+impl LeaseClock {
     /// Creates a clock that shows zero.
     pub fn start() -> Self {
         Self {
--- a/crates/daemon/src/orders/send.rs
+++ b/crates/daemon/src/orders/send.rs
@@ -6,11 +6,11 @@
 use trefoildyke_types::time::Timestamp;
 use trefoildyke_wire::endpoint::{self, message};
 
-use crate::orders::Clock;
+use crate::orders::LeaseClock;
 
 /// Sends an order once, unless it is `stop` or later when it can be written.
 pub(super) async fn send(
-    clock: Clock,
+    clock: LeaseClock,
     address: Option<net::SocketAddr>,
     order: orders::Order,
     fence: u64,
--- a/crates/daemon/src/orders/service.rs
+++ b/crates/daemon/src/orders/service.rs
@@ -21,7 +21,7 @@
     kv: platform::KvClient,
     incarnation: id::Incarnation,
     sources: orders::Sources,
-    clock: orders::Clock,
+    clock: orders::LeaseClock,
     controller: decisions::Controller,
     lease: Option<message::LeaseNumber>,
     /// Calls in progress; they end with the service.
@@ -46,7 +46,7 @@
             kv,
             incarnation,
             sources,
-            clock: orders::Clock::start(),
+            clock: orders::LeaseClock::start(),
             controller: decisions::Controller::new(settings.params()),
             lease: None,
             calls: stream::FuturesUnordered::new(),
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -16,6 +16,7 @@
         operators::Tokens::parse(&self.operators.token_hashes)
             .map_err(|error| settings::Error::Form(format!("operators.{error}")))?;
         self.intents.check().map_err(|error| settings::Error::Form(error.to_string()))?;
+        self.orders.check().map_err(|error| settings::Error::Form(error.to_string()))?;
         self.check_callers()?;
         self.check_operators()?;
         self.check_config()?;
--- a/crates/daemon/src/settings/file.rs
+++ b/crates/daemon/src/settings/file.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::id;
 
-use crate::{config, endpoints, hosts, intents, schedule, settings};
+use crate::{config, endpoints, hosts, intents, orders, schedule, settings};
 
 /// Holds the settings of one daemon.
 ///
@@ -45,6 +45,8 @@
     pub endpoints: endpoints::Settings,
     /// Settings of the records.
     pub intents: intents::Settings,
+    /// Settings of the orders to engines.
+    pub orders: orders::Settings,
     /// Settings of the schedulers.
     pub schedule: schedule::Settings,
     /// The most events that the time line keeps; at least 1.
@@ -69,6 +71,7 @@
             hosts: hosts::Settings::default(),
             endpoints: endpoints::Settings::default(),
             intents: intents::Settings::default(),
+            orders: orders::Settings::default(),
             schedule: schedule::Settings::default(),
             events: 20_000,
             logs: settings::Logs::default(),
--- a/crates/daemon/tests/testsuite/limits.rs
+++ b/crates/daemon/tests/testsuite/limits.rs
@@ -1,7 +1,7 @@
 //! Settings out of their ranges, and the services made of settings within them.
 
 use proptest::prelude::*;
-use trefoildyke_daemon::{config, operators, settings};
+use trefoildyke_daemon::{config, operators, orders, settings};
 use trefoildyke_types::id;
 use trefoildyke_wire::platform;
 
@@ -32,7 +32,7 @@
 /// Creates the services that the settings are for.
 async fn start(settings: &settings::Settings) {
     let client = platform::KvClient::new(settings.platform.kv_settings());
-    let (handle, keeper) = config::new(settings.config.clone(), client);
+    let (handle, keeper) = config::new(settings.config.clone(), client.clone());
     let (_, newest) = tokio::sync::watch::channel(None);
     let (_, view) = tokio::sync::watch::channel(Default::default());
     let own = id::Incarnation::from_u64(1);
@@ -43,6 +43,7 @@
         operators::Identity { host: id::HostName::new("h"), incarnation: own },
         operators::Tokens::parse(&settings.operators.token_hashes).unwrap(),
         handle,
+        orders::Handle::new(client),
         tokio::sync::watch::channel(operators::Progress::default()).1,
         std::sync::Arc::new(|_| Default::default()),
     );
--- a/crates/daemon/tests/testsuite/orders.rs
+++ b/crates/daemon/tests/testsuite/orders.rs
@@ -7,9 +7,9 @@
     time::{Duration, Instant},
 };
 
-use testbed::{engine, kv, relay, switch};
+use testbed::{engine, kv, operators, relay, switch};
 use tokio::{sync::watch, task};
-use trefoildyke_daemon::orders;
+use trefoildyke_daemon::{operators as face, orders};
 use trefoildyke_decide::{config, members, orders as decisions};
 use trefoildyke_types::{id, resource};
 use trefoildyke_wire::{http, platform};
@@ -51,6 +51,17 @@
     wrap("role", generation, resource::Spec::EngineOrder(spec))
 }
 
+/// Returns the resources as an operator sends them, with the pool that they name.
+fn with_pool(mut resources: Vec<resource::Resource>) -> Vec<resource::Resource> {
+    let protocol = resource::PoolProtocol::Engine { model: "llama".into() };
+    let spec = resource::EndpointPoolSpec { protocol, shards: 1 };
+    resources.push(wrap("drafting", 0, resource::Spec::EndpointPool(spec)));
+    for resource in &mut resources {
+        (resource.generation, resource.resource_version) = (0, 0);
+    }
+    resources
+}
+
 fn key(generation: u64) -> decisions::OrderKey {
     decisions::OrderKey { name: "role".to_owned(), generation }
 }
@@ -266,6 +277,34 @@
     }
 }
 
+#[tokio::test]
+async fn operators_see_how_orders_ended() {
+    let server = operators::Server::new(Default::default()).await.unwrap();
+    let engine = start_engine(true).await;
+    let daemon = Daemon::start(server.kv.address(), 1, settings());
+    let resources = vec![endpoint(engine.address(), true), order(1)];
+    daemon.configure(1, resources.clone());
+    daemon.ended(1).await;
+    let set = config::ChangeSet { puts: with_pool(resources), deletions: vec![] };
+    let accepted = server.handle.write(&set).await.unwrap();
+    let (in_force, live) = (accepted.version(), 1);
+    server.progress.send_replace(face::Progress { in_force, settled: 0, live });
+    let phase = async |path: &str| {
+        let reply = server.call("GET", path, b"").await.unwrap();
+        http::parse::<serde_json::Value>(&reply).unwrap()
+    };
+    let one = phase("/v1/resources/EngineOrder/role").await;
+    assert_eq!(one["status"]["phase"], "Done");
+    let all = phase("/v1/resources/EngineOrder").await;
+    assert_eq!(all["resources"][0]["status"]["phase"], "Done");
+    // Without the key-value service the phase stays what is known for certain.
+    server.kv.set_mode(switch::Mode::new(switch::ModeKind::Down));
+    let one = phase("/v1/resources/EngineOrder/role").await;
+    assert_eq!(one["status"]["phase"], "InForce");
+    assert!(one["status"]["message"].as_str().unwrap().contains("cannot be read"), "{one}");
+    daemon.stop().await;
+}
+
 /// Passes calls on to the key-value service and loses the answer to the first write of a key.
 async fn lose_first_put(target: net::SocketAddr) -> http::Server {
     let lost = sync::Arc::new(atomic::AtomicBool::new(false));
--- a/testbed/src/operators/mod.rs
+++ b/testbed/src/operators/mod.rs
@@ -4,7 +4,7 @@
 
 use sha2::Digest as _;
 use tokio::{sync::watch, task};
-use trefoildyke_daemon::{config as service, operators};
+use trefoildyke_daemon::{config as service, operators, orders};
 use trefoildyke_decide::config;
 use trefoildyke_types::{error, event, id};
 use trefoildyke_wire::{
@@ -44,7 +44,7 @@
             kv::Settings { writes_per_s: 100_000, reads_per_s: 100_000, ..kv::Settings::default() };
         let kv = kv::serve(unlimited).await?;
         let client = platform::KvClient::new(platform::KvSettings::new(kv.address()));
-        let (handle, keeper) = service::new(service::Settings::default(), client);
+        let (handle, keeper) = service::new(service::Settings::default(), client.clone());
         let mut tasks = task::JoinSet::new();
         tasks.spawn(keeper.run());
         let (progress, seen) = watch::channel(operators::Progress::default());
@@ -56,6 +56,7 @@
             },
             operators::Tokens::parse(&[hash(TOKEN)]).map_err(io::Error::other)?,
             handle.clone(),
+            orders::Handle::new(client),
             seen,
             sync::Arc::new(events),
         ));
