Check permits against what the daemon knows, and count letters at the service

The model of planned stops breaks without the check of the permit; the daemon lacked it. It now hands such a permit back, uses none while it is cut off, checks the endpoint also after a read-back, and ends the entry of a request that its callers had left, so that one who joined at that moment is not left waiting.

Process tests: letters through lost answers, outages, kills and freezes, each run counted at the service; crossed answers; kills between intent and dispatch; the time from a decision to its answer.

--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -6,7 +6,7 @@
 use opentelemetry::KeyValue;
 use tokio::sync::mpsc;
 use trefoildyke_decide::{
-    coordinate::{Action, Input, Phase},
+    coordinate::{Action, Input},
     schedule as decide,
 };
 use trefoildyke_types::{id, request};
@@ -87,9 +87,10 @@
     }
 
     fn step(&mut self, input: Input) {
+        let input = self.check_permit(input);
         match &input {
             Input::Permit(permit) => self.permit = Some(permit.clone()),
-            Input::Recorded(_) => self.check_endpoint(),
+            Input::Recorded(_) | Input::LookedUp(_) => self.check_endpoint(),
             Input::ConnectFailed => self.connect_failed(),
             Input::Chunk(_) => {}
             other => self.note("input", || format!("{other:?}")),
@@ -98,6 +99,17 @@
         self.carry_out(actions);
     }
 
+    /// Marks a permit for an endpoint that takes no work, as this daemon knows.
+    fn check_permit(&mut self, input: Input) -> Input {
+        match input {
+            Input::Permit(permit) if !self.context.takes_work(&permit.endpoint) => {
+                self.pause = CONNECT_PAUSE;
+                Input::UnusablePermit(permit)
+            }
+            input => input,
+        }
+    }
+
     /// Voids the permit if its endpoint was stopped or has left meanwhile.
     fn check_endpoint(&mut self) {
         let endpoint = self.permit.as_ref().map(|permit| permit.endpoint.clone());
@@ -236,10 +248,8 @@
 
     fn conclude(&mut self) {
         let entry = sync::Arc::clone(&self.job.entry);
-        if matches!(self.job.state.phase(), Phase::Refused(_)) {
-            // Does nothing if the refusal was given to the caller.
-            entry.finish(kept::End::Abandoned);
-        }
+        // Does nothing if the answer or the refusal was given to the caller.
+        entry.finish(kept::End::Abandoned);
         let (outcome, reason) = match entry.end() {
             Some(kept::End::Whole) => (decide::Outcome::Whole, "whole".to_owned()),
             Some(kept::End::Refused(refusal)) => (outcome_of(&refusal), refusal.reason),
--- a/crates/daemon/src/coordinate/handle.rs
+++ b/crates/daemon/src/coordinate/handle.rs
@@ -150,7 +150,12 @@
     }
 
     /// Returns whether an endpoint takes new work, as this daemon knows.
+    ///
+    /// A daemon that is cut off cannot know, and uses none.
     pub(super) fn takes_work(&self, name: &id::EndpointName) -> bool {
+        if self.isolation.is_isolated() {
+            return false;
+        }
         let snapshot = self.config.snapshot();
         let Some(spec) = snapshot.endpoint(name) else { return false };
         if snapshot.stops_endpoint(name) {
--- a/crates/trefoildyked/tests/testsuite/harness/process.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/process.rs
@@ -60,6 +60,14 @@
         found.next().and_then(|text| text.parse().ok()).unwrap()
     }
 
+    /// Sends a signal, such as `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status =
+            process::Command::new("kill").arg(format!("-{name}")).arg(pid).status().unwrap();
+        assert!(status.success());
+    }
+
     /// Kills the process and waits for its end.
     pub(crate) fn kill(&mut self) {
         // It may have ended by itself.
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -3,7 +3,13 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 mod binary;
+mod crossed;
 mod endpoints;
 mod harness;
 mod kill;
+mod letters;
+mod once;
+mod promptness;
+mod switches;
 mod whole_path;
+mod window;
