--- a/crates/trefoildyked/tests/testsuite/crossed.rs
+++ b/crates/trefoildyked/tests/testsuite/crossed.rs
@@ -14,9 +14,9 @@
 const CALL: time::Duration = time::Duration::from_secs(10);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_crossed_answer_never_reaches_the_caller() {
+async fn what_was_crossed_is_had_whole_once_crossing_ends() {
     let layout = harness::Layout { engines: 1, services: 0, ..harness::Layout::default() };
-    let cluster = harness::Cluster::start("crossed", layout).await;
+    let cluster = harness::Cluster::start("crossed_ends", layout).await;
     let engine = &cluster.engines[0];
     let client = harness::Caller::default();
     let cross = engine::Mode::new(engine::ModeKind::Cross).factor(2.0);
