Keep a version in force for operators when members come and go

A joining daemon takes over the configuration of a member that already counts it, so what was in force for the old set is in force for the new one. The membership itself still answers per set.

The relay can be started before its target is known.

--- a/crates/daemon/src/daemon/progress.rs
+++ b/crates/daemon/src/daemon/progress.rs
@@ -43,11 +43,15 @@
 }
 
 /// Follows the members and keeps what operators are told up to date; runs for good.
+///
+/// What was reached stays reached when the set of members changes: a daemon that joins takes over
+/// the configuration of a member that counted it before it takes work.
 pub(super) async fn follow(members: members::Handle, progress: watch::Sender<operators::Progress>) {
     let mut in_force = members.in_force();
     let mut views = members.subscribe();
+    let mut versions = decide::Versions::default();
     loop {
-        let versions = in_force.borrow_and_update().versions;
+        versions = versions.highest(in_force.borrow_and_update().versions);
         let live = views.borrow_and_update().alive().count();
         let live = u32::try_from(live).unwrap_or(u32::MAX);
         let (in_force_everywhere, settled) = (versions.config, versions.settled);
--- a/testbed/src/relay/flow.rs
+++ b/testbed/src/relay/flow.rs
@@ -1,6 +1,6 @@
 //! What passes through a relay.
 
-use std::time;
+use std::{net, time};
 
 /// Names a direction through a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,6 +14,8 @@
 /// Says what passes through a relay; every connection follows it at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Flow {
+    /// Where new connections go; they are closed at once while there is no target.
+    pub target: Option<net::SocketAddr>,
     /// How long each piece of data waits before it is passed on.
     pub delay: time::Duration,
     /// New connections are closed at once.
--- a/testbed/src/relay/mod.rs
+++ b/testbed/src/relay/mod.rs
@@ -5,4 +5,4 @@
 mod running;
 
 pub use flow::{Direction, Flow};
-pub use running::{Running, serve};
+pub use running::{Running, serve, serve_later};
--- a/testbed/src/relay/running.rs
+++ b/testbed/src/relay/running.rs
@@ -27,6 +27,17 @@
 ///
 /// Whatever keeps it from listening.
 pub async fn serve(target: net::SocketAddr) -> io::Result<Running> {
+    let relay = serve_later().await?;
+    relay.set_target(target);
+    Ok(relay)
+}
+
+/// Starts a relay whose target is not known yet, as [`serve`] does.
+///
+/// # Errors
+///
+/// Whatever keeps it from listening.
+pub async fn serve_later() -> io::Result<Running> {
     let listener = tokio_net::TcpListener::bind(("127.0.0.1", 0)).await?;
     let address = listener.local_addr()?;
     let (flow, watching) = watch::channel(Flow::default());
@@ -35,7 +46,6 @@
     let stop = CancellationToken::new();
     let acceptor = Acceptor {
         listener,
-        target,
         flow: watching,
         next: sync::Arc::clone(&next),
         passed: sync::Arc::clone(&passed),
@@ -51,6 +61,11 @@
         self.address
     }
 
+    /// Sets where new connections go.
+    pub fn set_target(&self, target: net::SocketAddr) {
+        self.flow.send_modify(|flow| flow.target = Some(target));
+    }
+
     /// Silences for good every connection that is open now, both ways; new ones work.
     pub fn silence_open(&self) {
         self.silence_open_one_way(Direction::Up);
@@ -86,8 +101,9 @@
 
     /// Lets everything pass again, except on connections that are closed or have lost data.
     pub fn restore(&self) {
-        let cut_below = self.flow.borrow().cut_below;
-        self.flow.send_replace(Flow { cut_below, ..Flow::default() });
+        self.flow.send_modify(|flow| {
+            *flow = Flow { cut_below: flow.cut_below, target: flow.target, ..Flow::default() };
+        });
     }
 
     /// Returns how many connections there have been.
@@ -122,7 +138,6 @@
 
 struct Acceptor {
     listener: tokio_net::TcpListener,
-    target: net::SocketAddr,
     flow: watch::Receiver<Flow>,
     next: sync::Arc<atomic::AtomicU64>,
     passed: sync::Arc<copy::Passed>,
@@ -139,12 +154,12 @@
                 accepted = self.listener.accept() => accepted,
             };
             let Ok((near, _)) = accepted else { continue };
-            let refuse = self.flow.borrow().refuse;
-            if !refuse {
+            let flow = *self.flow.borrow();
+            if let Some(target) = flow.target.filter(|_| !flow.refuse) {
                 let number = self.next.fetch_add(1, atomic::Ordering::SeqCst);
                 connections.spawn(copy::run(
                     near,
-                    self.target,
+                    target,
                     number,
                     self.flow.clone(),
                     sync::Arc::clone(&self.passed),
