Free the places of lost coordinators, and test kills, stops and cuts on real processes

Cause: after a daemon was killed, six of twelve retried requests were shed. The scheduler kept counting what the dead coordinator had been permitted, so all places stayed taken and, with no progress reported, both engines counted as silent. Now a coordinator that the members count as lost gives its places up, and a daemon that follows an answer at its endpoint reports on it.

New tests: SIGTERM and a planned stop cut nothing in progress and refuse what waits as not run; a caller whose connection is cut comes back at each daemon; a daemon that reaches nobody refuses new work.

--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -202,12 +202,22 @@
         self.mark = Some(self.context.busy.mark(endpoint));
         self.note("resumed", || format!("at {endpoint} from {offset}"));
         self.context.metrics.resumed.add(1, &[KeyValue::new("way", "endpoint")]);
+        self.take_over(endpoint);
         self.operation = match self.context.endpoint(endpoint) {
             Some(spec) => operations::resume(&self.context, &spec, &self.job.entry.key, offset),
             None => futures::stream::iter([Input::ResumeFailed]).boxed(),
         };
     }
 
+    /// Tells the scheduler of a request that another daemon has dispatched.
+    fn take_over(&mut self, endpoint: &id::EndpointName) {
+        let ask = self.job.ask(self.context.links.own);
+        if let (Some(ask), false) = (ask, self.is_running) {
+            self.is_running = true;
+            self.report(schedule::Note::TakenOver { ask, endpoint: endpoint.clone() });
+        }
+    }
+
     fn cancel(&self, endpoint: &id::EndpointName) {
         self.note("cancelled", || endpoint.to_string());
         let Some(spec) = self.context.endpoint(endpoint) else { return };
--- a/crates/daemon/src/schedule/actor.rs
+++ b/crates/daemon/src/schedule/actor.rs
@@ -6,12 +6,12 @@
     sync::{mpsc, watch},
     time,
 };
-use trefoildyke_decide::{config, schedule as decide};
+use trefoildyke_decide::{config, members, schedule as decide};
 use trefoildyke_types::{id, request, time::Timestamp};
 
 use crate::{
     clock, endpoints,
-    schedule::{Links, command, shares},
+    schedule::{self, Links, command, shares},
 };
 
 /// How long to wait before looking again whether the endpoints' standings are current.
@@ -31,12 +31,15 @@
     /// Who waits for an answer; two coordinators may ask for one request.
     pub(super) waiting: collections::HashMap<id::RequestKey, Vec<command::Reply>>,
     pub(super) wake: Option<Timestamp>,
+    /// Who has asked or reported and is not known to be lost.
+    pub(super) coordinators: collections::HashSet<id::Incarnation>,
 }
 
 impl Actor {
     /// Runs until the shard belongs to another daemon and has no work left here.
     pub(super) async fn run(mut self) {
         self.read_config();
+        let mut view = self.links.view.clone();
         let mut idle_since = None;
         loop {
             let wake = self.wake.map(|at| self.clock.instant(at));
@@ -46,6 +49,7 @@
                 biased;
                 Some(input) = self.feed.recv() => self.step(input),
                 Ok(()) = self.config.changed() => self.read_config(),
+                Ok(()) = view.changed() => self.look_for_lost(),
                 () = sleep_until(wake), if current => self.tick(),
                 command = self.commands.recv(), if current => match command {
                     Some(command) => self.take(command),
@@ -74,6 +78,21 @@
         }
     }
 
+    /// Lets go of what lost coordinators were permitted; a leaving one still finishes its work.
+    fn look_for_lost(&mut self) {
+        let view = sync::Arc::clone(&self.links.view.borrow());
+        let is_lost = |coordinator: &id::Incarnation| {
+            let member = view.find(*coordinator);
+            member.is_none_or(|member| {
+                matches!(member.state, members::State::Dead | members::State::Suspect)
+            })
+        };
+        for coordinator in self.coordinators.extract_if(is_lost).collect::<Vec<_>>() {
+            log::info!(target: "schedule", "coordinator {coordinator} is lost");
+            self.step(decide::Input::CoordinatorLost(coordinator));
+        }
+    }
+
     fn tick(&mut self) {
         self.wake = None;
         self.step(decide::Input::Tick);
@@ -82,12 +101,16 @@
     fn take(&mut self, command: command::Command) {
         match command {
             command::Command::Ask(ask, reply) => {
+                self.coordinators.insert(ask.coordinator);
                 self.waiting.entry(ask.key.clone()).or_default().push(reply);
                 self.step(decide::Input::Ask(ask));
             }
             command::Command::Dropped(key) => self.dropped(key),
             command::Command::Entries(entries) => {
                 for entry in entries {
+                    if let schedule::Entry::Adopt(adopted) = &entry {
+                        self.coordinators.insert(adopted.ask.coordinator);
+                    }
                     self.step(entry.into());
                 }
             }
--- a/crates/daemon/src/schedule/local.rs
+++ b/crates/daemon/src/schedule/local.rs
@@ -96,6 +96,7 @@
             shares: shares::Shares::default(),
             waiting: collections::HashMap::new(),
             wake: None,
+            coordinators: collections::HashSet::new(),
         };
         let token = self.scope.token().clone();
         log::info!(target: "schedule", "scheduling {}/{}", shard.pool, shard.number);
--- a/crates/daemon/src/schedule/note.rs
+++ b/crates/daemon/src/schedule/note.rs
@@ -13,6 +13,13 @@
         /// The permit that was used.
         permit: request::Permit,
     },
+    /// It was dispatched by another daemon, and this one now follows it at the endpoint.
+    TakenOver {
+        /// What was asked for.
+        ask: request::Ask,
+        /// Where it runs.
+        endpoint: id::EndpointName,
+    },
     /// So many tokens have come.
     Tokens {
         /// The request.
--- a/crates/daemon/src/schedule/outbox.rs
+++ b/crates/daemon/src/schedule/outbox.rs
@@ -124,6 +124,11 @@
                     self.pending.push(Entry::Adopt(adopted));
                 }
             }
+            Note::TakenOver { ask, endpoint } => {
+                let adopted = decide::Adopted { ask, endpoint, tokens: 0 };
+                self.running.insert(adopted.ask.key.clone(), adopted.clone());
+                self.pending.push(Entry::Adopt(adopted));
+            }
             Note::Tokens { key, tokens } => self.tokens(key, tokens),
             Note::Finished { key, tokens, outcome } => {
                 self.running.remove(&key);
--- a/crates/decide/src/schedule/input.rs
+++ b/crates/decide/src/schedule/input.rs
@@ -14,6 +14,10 @@
     Report(schedule::Report),
     /// A coordinator reports work that another scheduler permitted.
     Adopt(schedule::Adopted),
+    /// A coordinator is lost and will report nothing more.
+    ///
+    /// What it dispatched may go on, but only the endpoints' load reports tell of it.
+    CoordinatorLost(id::Incarnation),
     /// An endpoint reported its load.
     Load {
         /// The endpoint.
--- a/crates/decide/src/schedule/permitted.rs
+++ b/crates/decide/src/schedule/permitted.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Permitted {
     pub(super) permit: request::Permit,
+    /// Who reports on it.
+    pub(super) coordinator: id::Incarnation,
     /// The endpoint's number.
     pub(super) endpoint: usize,
     pub(super) rank: u8,
--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -101,7 +101,9 @@
     pub(super) fn adopt(&mut self, now: Timestamp, adopted: schedule::Adopted) {
         let schedule::Adopted { mut ask, endpoint, tokens } = adopted;
         let Some(number) = self.fleet.number(&endpoint) else { return };
-        if self.permitted.contains_key(&ask.key) {
+        if let Some(permitted) = self.permitted.get_mut(&ask.key) {
+            // Another daemon has taken over the answer.
+            permitted.coordinator = ask.coordinator;
             return;
         }
         if let Some(waiting) = self.queue.number(&ask.key) {
@@ -117,6 +119,7 @@
         let permit = self.permit(&ask, endpoint, 0);
         let permitted = permitted::Permitted {
             permit,
+            coordinator: ask.coordinator,
             endpoint: number,
             rank: ask.rank,
             checkpoints,
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -83,6 +83,7 @@
             now,
             permitted::Permitted {
                 permit: permit.clone(),
+                coordinator: ask.coordinator,
                 endpoint: choice.endpoint,
                 rank: ask.rank,
                 checkpoints,
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -133,6 +133,7 @@
             schedule::Input::Ask(ask) => self.ask(now, ask, outputs),
             schedule::Input::Report(report) => self.report(now, &report),
             schedule::Input::Adopt(adopted) => self.adopt(now, adopted),
+            schedule::Input::CoordinatorLost(lost) => self.coordinator_lost(now, lost),
             schedule::Input::Load { endpoint, as_of, report } => {
                 self.load(&endpoint, as_of, &report);
             }
--- a/crates/decide/src/schedule/shard/reports.rs
+++ b/crates/decide/src/schedule/shard/reports.rs
@@ -125,6 +125,15 @@
         Some(permitted)
     }
 
+    /// Lets go of all that a lost coordinator was permitted, since nobody will report its end.
+    pub(super) fn coordinator_lost(&mut self, now: Timestamp, lost: id::Incarnation) {
+        let its_own = self.permitted.iter().filter(|(_, permitted)| permitted.coordinator == lost);
+        let keys: Vec<_> = its_own.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.release(now, &key);
+        }
+    }
+
     /// Takes back the permits whose dispatch was not reported in time.
     pub(super) fn lapse(&mut self, now: Timestamp) {
         while let Some((lapse, key)) = self.lapses.first().cloned() {
--- a/crates/decide/tests/testsuite/schedule_basics.rs
+++ b/crates/decide/tests/testsuite/schedule_basics.rs
@@ -1,6 +1,7 @@
 //! The scheduler's plain behaviour: order, place, repeated and late inputs.
 
 use trefoildyke_decide::schedule;
+use trefoildyke_types::id;
 
 use crate::schedule_support::{Driver, ask, granted, key, key_of, permits, shed};
 
@@ -183,3 +184,28 @@
     other.key = key_of("school", 6);
     assert_eq!(shed(&driver.ask(other)), []);
 }
+
+#[test]
+fn a_lost_coordinators_places_are_free_again() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    let mut other = ask(2, 0);
+    other.coordinator = id::Incarnation::from_u64(2);
+    assert_eq!(granted(&driver.ask(other)), []);
+    let lost = schedule::Input::CoordinatorLost(id::Incarnation::from_u64(1));
+    assert_eq!(granted(&driver.step(lost)), [key(2)]);
+}
+
+#[test]
+fn an_answer_that_another_daemon_follows_keeps_its_place() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    let mut taken = ask(1, 0);
+    taken.coordinator = id::Incarnation::from_u64(2);
+    let adopted = schedule::Adopted { ask: taken, endpoint: "e0".into(), tokens: 0 };
+    driver.step(schedule::Input::Adopt(adopted));
+    driver.step(schedule::Input::CoordinatorLost(id::Incarnation::from_u64(1)));
+    assert_eq!(driver.shard.permitted(), 1);
+}
--- a/crates/trefoildyked/tests/testsuite/harness/caller.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/caller.rs
@@ -85,6 +85,18 @@
         self.send(request, spec.offset).await
     }
 
+    /// Comes back to an answer by its identifier.
+    pub(crate) async fn come_back(
+        &self,
+        daemon: net::SocketAddr,
+        id: id::RequestId,
+        offset: u64,
+    ) -> Result<Stream, Outcome> {
+        let uri = format!("http://{daemon}/v1/requests/{id}?offset={offset}");
+        let request = hyper::Request::get(uri).body(bytes::Bytes::new()).unwrap();
+        self.send(request, offset).await
+    }
+
     async fn send(
         &self,
         mut request: hyper::Request<bytes::Bytes>,
@@ -105,6 +117,16 @@
 }
 
 impl Stream {
+    /// Reads until at least `count` tokens have come; says whether they have.
+    pub(crate) async fn read_tokens(&mut self, count: usize) -> bool {
+        while self.tokens.len() < count {
+            if self.step().await.is_some() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Reads until the request was accepted and returns its identifier.
     pub(crate) async fn accepted(&mut self) -> id::RequestId {
         while self.id.is_none() {
--- a/crates/trefoildyked/tests/testsuite/harness/cluster.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/cluster.rs
@@ -15,6 +15,7 @@
     pub(crate) callers: net::SocketAddr,
     pub(crate) operators: net::SocketAddr,
     pub(crate) peers: net::SocketAddr,
+    pub(crate) host: String,
 }
 
 /// A whole system of processes, ended when dropped.
@@ -75,6 +76,7 @@
             callers: process.address("callers"),
             operators: process.address("operators"),
             peers: process.address("peers"),
+            host,
             process,
         });
         self.started += 1;
@@ -153,4 +155,12 @@
     pub(crate) async fn starts_of(&self, id: id::RequestId) -> u32 {
         self.starts().await.get(&format!("cascadia/{id}")).copied().unwrap_or(0)
     }
+
+    /// Sets the mode of a stand-in.
+    pub(crate) async fn set_mode(&self, process: &Process, mode: serde_json::Value) {
+        let uri = format!("http://{}/admin/mode", process.address(""));
+        let request = http::json_request(hyper::Method::POST, &uri, &mode).unwrap();
+        let response = self.http.call(request, CALL).await.unwrap();
+        assert!(response.status().is_success());
+    }
 }
--- a/crates/trefoildyked/tests/testsuite/harness/layout.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/layout.rs
@@ -95,3 +95,8 @@
     };
     new(name, resource::Spec::Endpoint(spec))
 }
+
+/// Returns a planned stop.
+pub(crate) fn planned_stop(name: &str, target: resource::StopTarget) -> resource::Resource {
+    new(name, resource::Spec::PlannedStop(resource::PlannedStopSpec { target }))
+}
--- a/crates/trefoildyked/tests/testsuite/harness/process.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/process.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{self, BufRead as _},
-    path, process,
+    path, process, time,
 };
 
 /// Runs a process that prints where it listens; it is killed when dropped.
@@ -74,6 +74,23 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
+
+    /// Returns how the process ended, or `None` while it runs.
+    pub(crate) fn ended(&mut self) -> Option<process::ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    /// Waits for the end of the process.
+    pub(crate) async fn wait(&mut self) -> process::ExitStatus {
+        let end = time::Instant::now() + super::LONG;
+        loop {
+            if let Some(status) = self.ended() {
+                return status;
+            }
+            assert!(time::Instant::now() < end, "the process did not end: {}", self.told());
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
 }
 
 impl Drop for Process {
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -4,12 +4,14 @@
 
 mod binary;
 mod crossed;
+mod cut;
 mod endpoints;
 mod harness;
 mod kill;
 mod letters;
 mod once;
 mod promptness;
+mod stop;
 mod switches;
 mod whole_path;
 mod window;
