Hold requests only to save prompt work, weigh the first token, learn long prompts

Cause: the predicted finish alone kept two fast endpoints full while two stood idle, and the line through many short prompts and few long ones underestimated the long, so questions were placed behind it. Ruled out: suspension of the endpoint (never happened). Cause: the burst's work counted twice, in the queue and in the arrival rate over 3 s, so the tier below seemed to wait 76 s; and a grant at the very deadline of a shed request. Arrivals are averaged over 15 s and the deadline itself is closed. Cause, found by a trial with a shorter hold: requests were held for a faster endpoint that was full. Ruled out: the limits on outstanding and on long prompts (trials at 0.4 s and at all endpoints changed nothing). Now a request is held only where that saves prompt work, or where the free endpoint would be too late.

--- a/crates/decide/benches/schedule.rs
+++ b/crates/decide/benches/schedule.rs
@@ -36,9 +36,12 @@
             let info = schedule::EndpointInfo { endpoint, slots: SLOTS, cache_tokens: 64 * 1_024 };
             load.step(schedule::Input::EndpointUp(info));
         }
-        while load.shard.waiting() < waiting {
+        let full = (ENDPOINTS * SLOTS) as usize;
+        while load.running.len() < full || load.shard.waiting() < waiting {
             load.ask();
             load.now = load.now + time::Duration::from_micros(200);
+            load.progress();
+            assert!(load.next < 1_000_000, "the endpoints never got busy");
         }
         load
     }
@@ -68,11 +71,19 @@
             prompt_tokens: 1_200,
             max_tokens: 200,
             prefix: (0..60).map(|block| block * 1_000 + first).collect(),
-            left_ms: 100_000_000,
+            left_ms: 1_000_000_000_000,
         };
         self.step(schedule::Input::Ask(ask));
     }
 
+    /// Gives the oldest request one more token and makes it the newest.
+    fn progress(&mut self) {
+        let Some(key) = self.running.pop_front() else { return };
+        self.running.push_back(key.clone());
+        let tokens = self.next as u32;
+        self.step(schedule::Input::Report(schedule::Report::Progress { key, tokens }));
+    }
+
     fn finish(&mut self) {
         let Some(key) = self.running.pop_front() else { return };
         let outcome = schedule::Outcome::Whole;
--- a/crates/decide/src/schedule/estimate.rs
+++ b/crates/decide/src/schedule/estimate.rs
@@ -44,7 +44,10 @@
 }
 
 /// What an older point keeps of its weight at each new one.
-const KEEP: f64 = 0.97;
+const KEEP: f64 = 0.99;
+
+/// The `x` of a point that weighs 1.
+const UNIT: f64 = 100.0;
 
 impl Line {
     /// Starts at the line with this intercept and slope, believed at `x` as at one point.
@@ -55,12 +58,14 @@
         line
     }
 
+    /// Takes in a point; one with a larger `x` weighs more, since it tells more of the slope.
     pub(super) fn observe(&mut self, x: f64, y: f64) {
-        self.weight = self.weight * KEEP + 1.0;
-        self.x = self.x * KEEP + x;
-        self.y = self.y * KEEP + y;
-        self.xx = self.xx * KEEP + x * x;
-        self.xy = self.xy * KEEP + x * y;
+        let weight = (x / UNIT).clamp(0.25, 100.0);
+        self.weight = self.weight * KEEP + weight;
+        self.x = self.x * KEEP + weight * x;
+        self.y = self.y * KEEP + weight * y;
+        self.xx = self.xx * KEEP + weight * x * x;
+        self.xy = self.xy * KEEP + weight * x * y;
     }
 
     /// Returns the line's value; intercept and slope count as 0 where they are negative.
--- a/crates/decide/src/schedule/fleet/endpoint.rs
+++ b/crates/decide/src/schedule/fleet/endpoint.rs
@@ -9,6 +9,9 @@
 /// How long ends of streams are remembered, for comparing with a late load report.
 const MEMORY: time::Duration = time::Duration::from_secs(10);
 
+/// The part of a long prompt's time that may still be left when the predicted end has come.
+const OVERRUN: f64 = 0.25;
+
 /// Holds what the scheduler knows of an endpoint: exactly what it permitted, what it learned of
 /// the speed, and what load reports say beyond that.
 #[derive(Clone, Debug)]
@@ -92,7 +95,12 @@
 
     /// Returns how long the outstanding prompts will still take, in seconds.
     pub(in crate::schedule) fn backlog(&self, now: Timestamp) -> f64 {
-        self.prefill_end.since(now).as_secs_f64()
+        let left = self.prefill_end.since(now).as_secs_f64();
+        if self.long == 0 {
+            return left;
+        }
+        // A long prompt without its first token is not done, whatever was predicted.
+        left.max(OVERRUN * self.rates.prefill_token() * self.prefill as f64)
     }
 
     /// Returns after how many seconds the endpoint is expected to be open, 0 if it is.
--- a/crates/decide/src/schedule/flow.rs
+++ b/crates/decide/src/schedule/flow.rs
@@ -13,7 +13,9 @@
 const SERVED_SECONDS: f64 = 4.0;
 
 /// Over how many seconds arrivals are averaged.
-const ARRIVAL_SECONDS: f64 = 3.0;
+///
+/// Long against a burst: its work stands in the queue already and must not count twice.
+const ARRIVAL_SECONDS: f64 = 15.0;
 
 /// The part of the served work that a tier is expected to get, however much the tiers above take.
 const LEAST_PART: f64 = 0.05;
--- a/crates/decide/src/schedule/params.rs
+++ b/crates/decide/src/schedule/params.rs
@@ -24,6 +24,8 @@
     ///
     /// 0 places by the predicted finish alone.
     pub prefill_weight: f64,
+    /// How many times its own length the time to the first token weighs more in placing; 2.
+    pub first_weight: f64,
     /// How long a request may be held for a better endpoint that is not free; 1 s.
     pub hold_limit: time::Duration,
     /// The part of the time left that the predicted wait and service may fill; 0.9.
@@ -62,6 +64,7 @@
             long_prefill: time::Duration::from_millis(150),
             long_share: 0.5,
             prefill_weight: 3.0,
+            first_weight: 2.0,
             hold_limit: time::Duration::from_secs(1),
             shed_margin: 0.9,
             retry_limit: time::Duration::from_secs(30),
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -17,7 +17,7 @@
         self.hold_end = None;
         let mut candidates = Vec::with_capacity(ACCOUNTS * EACH);
         while let Some(rank) = self.queue.top_rank() {
-            if self.closed_until(rank) > now {
+            if self.closed_until(now, rank).is_some() {
                 return;
             }
             if !self.fleet.iter().any(|(_, endpoint)| endpoint.is_open(now, &self.params)) {
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -7,7 +7,7 @@
 mod shed;
 mod watch;
 
-use std::collections;
+use std::{collections, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -60,7 +60,7 @@
     check: Timestamp,
     /// By rank, the latest deadline of the requests that were shed.
     ///
-    /// Until then no lower tier is granted anything, which keeps `TierOrder`.
+    /// Up to and at that time no lower tier is granted anything, which keeps `TierOrder`.
     shed_until: collections::BTreeMap<u8, Timestamp>,
     /// When the first hold of a request ends.
     hold_end: Option<Timestamp>,
@@ -157,8 +157,8 @@
         let lapse = self.lapses.first().map(|(lapse, _)| *lapse);
         let check = (!self.permitted.is_empty() || self.is_any_suspended()).then_some(self.check);
         let held = self.hold_end.filter(|_| !self.queue.is_empty());
-        let closed = self.queue.top_rank().map(|rank| self.closed_until(rank));
-        let closed = closed.filter(|until| *until > now);
+        let closed = self.queue.top_rank().and_then(|rank| self.closed_until(now, rank));
+        let closed = closed.map(|until| until + time::Duration::from_micros(1));
         let wake = [latest, lapse, check, held, closed].into_iter().flatten().min();
         let passed = self.wake.is_some_and(|wake| wake <= now);
         if wake != self.wake || passed {
--- a/crates/decide/src/schedule/shard/place.rs
+++ b/crates/decide/src/schedule/shard/place.rs
@@ -35,7 +35,7 @@
     is_long: bool,
     /// The predicted finish, in seconds from now.
     finish: f64,
-    /// `finish` and the weighed prompt work.
+    /// `finish`, the weighed time to the first token and the weighed prompt work.
     cost: f64,
 }
 
@@ -50,13 +50,20 @@
 
 impl schedule::Shard {
     /// Decides what to do with a waiting request.
+    ///
+    /// It is held for an endpoint that is not free if that saves prompt work, but not for a faster
+    /// endpoint: then the slower ones would stand idle.
     pub(super) fn place(&mut self, now: Timestamp, number: u64) -> Place {
         let Some(waiting) = self.queue.get(number) else { return Place::Blocked };
         let offers = self.offers(now, waiting);
         let left = waiting.deadline.since(now).as_secs_f64();
         let Some(open) = offers.open else { return Place::Blocked };
+        if open.finish > left {
+            return Place::Hold(waiting.latest);
+        }
+        let saves = |later: &Offer| later.uncached + LEAST_GAIN <= open.uncached;
         let is_better = |later: &Offer| later.cost < open.cost && later.finish <= left;
-        if offers.later.as_ref().is_some_and(is_better) || open.finish > left {
+        if offers.later.as_ref().is_some_and(|later| saves(later) && is_better(later)) {
             let until = waiting.held.unwrap_or(now) + self.params.hold_limit;
             if now < until {
                 self.hold(now, number);
@@ -115,13 +122,14 @@
         let uncached = uncached.min(waiting.ask.prompt_tokens);
         let prefill = endpoint.rates.prefill(uncached);
         let wait = endpoint.wait(now, &self.params).max(endpoint.backlog(now)).max(wait);
-        let finish = wait + prefill + waiting.expected * endpoint.rates.step();
+        let first = wait + prefill;
+        let finish = first + waiting.expected * endpoint.rates.step();
         Offer {
             endpoint: number,
             uncached,
             is_long: prefill >= self.params.long_prefill.as_secs_f64(),
             finish,
-            cost: finish + self.params.prefill_weight * prefill,
+            cost: finish + self.params.first_weight * first + self.params.prefill_weight * prefill,
         }
     }
 }
--- a/crates/decide/src/schedule/shard/shed.rs
+++ b/crates/decide/src/schedule/shard/shed.rs
@@ -45,7 +45,8 @@
     /// is nothing to predict from, and the wait counts as 0.
     fn predicted_wait(&self, now: Timestamp, waiting: &queue::Waiting, own: f64) -> f64 {
         let (rank, account) = (waiting.ask.rank, &waiting.ask.key.account);
-        let closed = self.closed_until(rank).since(now).as_secs_f64();
+        let closed = self.closed_until(now, rank);
+        let closed = closed.map_or(0.0, |until| until.since(now).as_secs_f64());
         let Some(rate) = self.flow.rate(now, rank) else { return closed };
         let weight = self.weight(account);
         let cost = waiting.cost - own;
@@ -54,12 +55,12 @@
         closed.max(ahead / rate)
     }
 
-    /// Returns until when tiers above `rank` have shed requests that could still have waited.
+    /// Returns until when requests that tiers above `rank` have shed could still have waited.
     ///
-    /// Until then nothing of `rank` is granted: it would be admitted after a higher tier was shed.
-    pub(super) fn closed_until(&self, rank: u8) -> Timestamp {
+    /// Up to and at that time nothing of `rank` is granted: it would be admitted after a higher tier was shed.
+    pub(super) fn closed_until(&self, now: Timestamp, rank: u8) -> Option<Timestamp> {
         let above = self.shed_until.range(..rank).map(|(_, until)| *until);
-        above.max().unwrap_or(Timestamp::ZERO)
+        above.max().filter(|until| *until >= now)
     }
 
     /// Refuses a request that is not in the queue, after all of lower tiers.
--- a/crates/decide/tests/testsuite/schedule_order.rs
+++ b/crates/decide/tests/testsuite/schedule_order.rs
@@ -152,7 +152,7 @@
         let higher = self.waiting.values().filter(|(other, _)| *other < rank);
         assert_eq!(higher.count(), 0, "granted past a higher tier");
         let now = self.driver.now;
-        let shed = self.shed.iter().filter(|(other, deadline)| *other < rank && *deadline > now);
+        let shed = self.shed.iter().filter(|(other, deadline)| *other < rank && *deadline >= now);
         assert_eq!(shed.count(), 0, "granted after a higher tier was shed");
         self.permitted.push(key.clone());
     }
