Close ids of retries that joined, and refuse truthfully before the configuration is known

Two faults, each with a test that failed first: - A retry that joined a request at its own daemon was not noted, so 'not_run' could be told without closing the id (the model's trace without_noting_that_a_retry_joined). It now refuses 'not_run' ('starting'), 'outcome_unknown' for what may be a retry, and its health call answers 503 until it has a configuration.

--- a/crates/daemon/src/callers/face.rs
+++ b/crates/daemon/src/callers/face.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Method, StatusCode, body, header};
 use sha2::Digest;
-use trefoildyke_decide::config as decided;
+use trefoildyke_decide::{config as decided, coordinate};
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, request};
 use trefoildyke_wire::http;
@@ -16,6 +16,8 @@
 
 /// How many events of one answer wait for a slow caller.
 const WAITING_EVENTS: usize = 64;
+/// When to come back to a daemon that has just started, in milliseconds.
+const STARTING_MS: u64 = 200;
 
 type Reply = Result<hyper::Response<http::Body>, request::Refusal>;
 
@@ -56,7 +58,11 @@
         let (parts, body) = request.into_parts();
         let segments: Vec<_> = parts.uri.path().split('/').skip(1).collect();
         match (&parts.method, segments.as_slice()) {
-            (&Method::GET, ["v1", "health"]) => Ok(http::json(StatusCode::OK, &"ok")),
+            (&Method::GET, ["v1", "health"]) => Ok(self.health()),
+            (&Method::POST, ["v1", "requests"]) if !self.is_configured() => {
+                Err(self.refuse_early(body).await)
+            }
+            (&Method::GET, ["v1", "requests", _]) if !self.is_configured() => Err(early(true)),
             (&Method::POST, ["v1", "requests"]) => {
                 let account = self.authorize(&parts.headers)?;
                 self.submit(&account, body).await
@@ -75,6 +81,25 @@
         }
     }
 
+    /// Returns whether this daemon has learned the configuration, without which it knows no key.
+    fn is_configured(&self) -> bool {
+        self.config.snapshot().version() > 0
+    }
+
+    fn health(&self) -> hyper::Response<http::Body> {
+        match self.is_configured() {
+            true => http::json(StatusCode::OK, &"ok"),
+            false => http::json(StatusCode::SERVICE_UNAVAILABLE, &"starting"),
+        }
+    }
+
+    /// Refuses a request before anything is known; what may be a retry may have run elsewhere.
+    async fn refuse_early(&self, body: body::Incoming) -> request::Refusal {
+        let limit = self.settings.body_bytes;
+        let spec = http::read_json(body, limit, self.settings.body_wait()).await;
+        early(spec.map_or(true, |spec| coordinate::Arrival::new(&spec).may_be_second()))
+    }
+
     fn authorize(&self, headers: &hyper::HeaderMap) -> Result<id::AccountName, request::Refusal> {
         let header = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
         let key = header.and_then(|value| value.strip_prefix("Bearer "));
@@ -120,6 +145,15 @@
     }
 }
 
+fn early(is_second: bool) -> request::Refusal {
+    let kind = match is_second {
+        true => request::RefusalKind::OutcomeUnknown,
+        false => request::RefusalKind::NotRun,
+    };
+    let remedy = "this daemon has just started and knows no configuration: try another host";
+    request::Refusal::new(kind, "starting", remedy).retry_after(STARTING_MS)
+}
+
 fn offset(query: Option<&str>) -> Result<u64, request::Refusal> {
     let Some(query) = query else {
         return Ok(0);
--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -95,6 +95,7 @@
             Input::Chunk(_) => {}
             other => self.note("input", || format!("{other:?}")),
         }
+        self.job.state.join(self.job.entry.is_second());
         let actions = self.job.state.step(self.context.clock.now(), input);
         self.carry_out(actions);
     }
@@ -152,7 +153,9 @@
             }
             Action::Cancel(endpoint) => self.cancel(&endpoint),
             Action::Deliver(chunk) => self.deliver(chunk),
-            Action::Refuse(refusal) => self.job.entry.finish(kept::End::Refused(refusal)),
+            Action::Refuse(refusal) => {
+                self.job.entry.refuse(refusal, self.job.state.is_second());
+            }
         }
     }
 
--- a/crates/daemon/src/coordinate/entry.rs
+++ b/crates/daemon/src/coordinate/entry.rs
@@ -49,6 +49,22 @@
         self.changed();
     }
 
+    /// Takes note of a caller that joins; returns whether it can.
+    pub(super) fn join(&self, is_second: bool) -> bool {
+        self.lock().join(is_second)
+    }
+
+    /// Returns whether a caller has joined that had sent the request to other daemons too.
+    pub(super) fn is_second(&self) -> bool {
+        self.lock().is_second()
+    }
+
+    /// Ends the answer with a refusal that was decided for a request of which `knew_second`.
+    pub(super) fn refuse(&self, refusal: request::Refusal, knew_second: bool) {
+        self.lock().refuse(refusal, knew_second);
+        self.changed();
+    }
+
     pub(super) fn finish(&self, end: kept::End) {
         self.lock().finish(end);
         self.changed();
--- a/crates/daemon/src/coordinate/kept.rs
+++ b/crates/daemon/src/coordinate/kept.rs
@@ -20,6 +20,8 @@
     tokens: Vec<String>,
     /// Set once.
     end: Option<End>,
+    /// Whether a caller has joined that had sent the request to other daemons too.
+    is_second: bool,
 }
 
 /// The most tokens in one piece that is handed out.
@@ -49,6 +51,31 @@
         self.end.get_or_insert(end);
     }
 
+    /// Takes note of a caller that joins; returns whether it can.
+    ///
+    /// What a refusal said need not hold for a later attempt, but for a failure at the endpoint.
+    pub(super) fn join(&mut self, is_second: bool) -> bool {
+        self.is_second |= is_second;
+        match &self.end {
+            Some(End::Refused(refusal)) => refusal.kind == request::RefusalKind::Failed,
+            Some(End::Abandoned) => false,
+            Some(End::Whole) | None => true,
+        }
+    }
+
+    pub(super) const fn is_second(&self) -> bool {
+        self.is_second
+    }
+
+    /// Ends the answer with a refusal that was decided for a request of which `knew_second`.
+    ///
+    /// A `not_run` that was decided before a retry joined is not true for it: all readers are sent
+    /// away without an answer, to ask again.
+    pub(super) fn refuse(&mut self, refusal: request::Refusal, knew_second: bool) {
+        let is_untrue = refusal.kind == request::RefusalKind::NotRun && self.is_second;
+        self.finish(if is_untrue && !knew_second { End::Abandoned } else { End::Refused(refusal) });
+    }
+
     pub(super) const fn end(&self) -> Option<&End> {
         self.end.as_ref()
     }
--- a/crates/daemon/src/coordinate/resume.rs
+++ b/crates/daemon/src/coordinate/resume.rs
@@ -24,7 +24,7 @@
         key: id::RequestKey,
         offset: u64,
     ) -> Result<callers::Answer, request::Refusal> {
-        if let Some(entry) = self.context.table.get(&key) {
+        if let Some(entry) = self.context.table.get(&key).filter(|entry| entry.join(true)) {
             return Ok(self.read_from(entry, offset));
         }
         let found = self.context.intents.look_up(&key).await;
--- a/crates/daemon/src/coordinate/submit.rs
+++ b/crates/daemon/src/coordinate/submit.rs
@@ -52,6 +52,7 @@
         let mut entries = self.context.table.lock();
         let key = arrival.id.map(|id| id::RequestKey { account: submission.account.clone(), id });
         let local = key.as_ref().and_then(|key| entries.get(key)).cloned();
+        let local = local.filter(|local| local.join(arrival.may_be_second()));
         let conditions = self.context.conditions(local.as_deref(), pass.is_none());
         let coverage = self.context.intents.settings().coverage;
         let admission = coverage.apply(coordinate::admit(&arrival, &conditions)?);
--- a/crates/decide/src/coordinate/request_state.rs
+++ b/crates/decide/src/coordinate/request_state.rs
@@ -90,6 +90,11 @@
         self.opening.second |= second;
     }
 
+    /// Returns whether other daemons may know the identifier too.
+    pub const fn is_second(&self) -> bool {
+        self.opening.second
+    }
+
     /// Returns the number of tokens that have been received in order.
     pub const fn offset(&self) -> u64 {
         self.offset
--- a/crates/trefoildyked/tests/testsuite/letters.rs
+++ b/crates/trefoildyked/tests/testsuite/letters.rs
@@ -31,7 +31,12 @@
                 harness::Outcome::Refused(refusal) if is_not_run(refusal) => {
                     assert_eq!(started, 0, "{id} was refused as not run: {refusal}");
                 }
-                _ => {}
+                harness::Outcome::Refused(refusal) => {
+                    let at_fault =
+                        [request::RefusalKind::Unauthorized, request::RefusalKind::Invalid];
+                    assert!(!at_fault.contains(&refusal.kind), "{id}: {refusal}");
+                }
+                harness::Outcome::Broken(..) => {}
             }
         }
         let mut reasons = collections::BTreeMap::<String, usize>::new();
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod letters;
 mod once;
 mod promptness;
+mod rejoin;
 mod stop;
 mod switches;
 mod whole_path;
