--- a/crates/daemon/src/hosts/reading.rs
+++ b/crates/daemon/src/hosts/reading.rs
@@ -17,7 +17,8 @@
 }
 
 impl Reading {
-    pub(super) fn new(begun: tokio::time::Instant, list: message::HostList) -> Self {
+    /// Creates the reading of a list.
+    pub fn new(begun: tokio::time::Instant, list: message::HostList) -> Self {
         let hosts = sync::Arc::new(by_state(&list));
         Self { begun, list: sync::Arc::new(list), hosts }
     }
--- a/testbed/src/command/measure.rs
+++ b/testbed/src/command/measure.rs
@@ -18,6 +18,7 @@
 pub(crate) fn run(options: &Options) -> anyhow::Result<()> {
     match options.subject.as_str() {
         "config" => config(options),
+        "endpoints" => endpoints(options),
         "intents" => intents(options.seed),
         "members" => members(options),
         "peers" => peers(options),
@@ -60,6 +61,19 @@
     Ok(())
 }
 
+fn endpoints(options: &Options) -> anyhow::Result<()> {
+    let sizes = sizes(options.sizes.as_deref().unwrap_or("8,32,128"))?;
+    println!("Watching the endpoints of one shard, on one thread\n");
+    // The endpoints and the watcher bring their own threads.
+    let table = tokio::task::block_in_place(|| {
+        std::thread::scope(|scope| scope.spawn(|| measure::endpoints::watch(&sizes)).join())
+    });
+    println!("{}\n", table.map_err(|_| anyhow::anyhow!("the measuring thread panicked"))??);
+    println!("Reading the platform's list of hosts\n");
+    println!("{}", measure::endpoints::list(&[740, 7_400])?);
+    Ok(())
+}
+
 fn scheduler(options: &Options) -> anyhow::Result<()> {
     let sizes = sizes(options.sizes.as_deref().unwrap_or("4,8,16,32"))?;
     println!("Cost of a shard's scheduler\n");
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements of what control costs, for docs/CAPACITY.md.
 
 pub mod config;
+pub mod endpoints;
 pub mod intents;
 pub mod members;
 mod process;
