--- a/crates/daemon/src/intents/service.rs
+++ b/crates/daemon/src/intents/service.rs
@@ -10,6 +10,7 @@
 
 use crate::intents::{
     Handle, Route, Settings, Stats, agreement, committer, forwarder, outage, parts, ready, sweep,
+    waiting,
 };
 
 /// How often a daemon that is cut off asks whether the service answers again, at least.
@@ -20,13 +21,18 @@
 
 /// Holds the service until it runs.
 pub struct Service {
+    common: Common,
+    forwarder: forwarder::Forwarder,
+    ready: watch::Sender<Option<sync::Arc<ready::Ready>>>,
+}
+
+/// What the service's tasks share.
+struct Common {
     settings: Settings,
     route: Route,
     kv: platform::KvClient,
     stats: Stats,
     outage: outage::Outage,
-    ready: watch::Sender<Option<sync::Arc<ready::Ready>>>,
-    forwards: mpsc::Receiver<forwarder::Forward>,
 }
 
 /// Creates the service and its handle.
@@ -42,7 +48,7 @@
     kv: platform::KvClient,
 ) -> Result<(Handle, Service), error::Error> {
     settings.check()?;
-    let (forward, forwards) = mpsc::channel(settings.waiting);
+    let (forward, queue) = mpsc::channel(settings.waiting);
     let (ready, seen) = watch::channel(None);
     let stats = Stats::default();
     let outage = outage::Outage::new(kv.clone());
@@ -54,55 +60,69 @@
         ready: seen,
         forward,
     };
-    Ok((handle, Service { settings, route, kv, stats, outage, ready, forwards }))
+    let forwarder = forwarder::Forwarder {
+        route: route.clone(),
+        timeout: settings.try_time(),
+        stats: stats.clone(),
+        queue,
+    };
+    let common = Common { settings, route, kv, stats, outage };
+    Ok((handle, Service { common, forwarder, ready }))
 }
 
 impl Service {
     /// Runs until the token is cancelled, and joins every task.
     pub async fn run(self, token: tokio_sync::CancellationToken) {
+        let Self { common, forwarder, ready } = self;
         let mut tasks = task::JoinSet::new();
-        let probing = probe(self.outage, self.kv.clone(), self.route.clone());
-        tasks.spawn(until_cancelled(token.clone(), probing));
-        let forwarder = forwarder::Forwarder {
-            route: self.route.clone(),
-            timeout: self.settings.try_time(),
-            stats: self.stats.clone(),
-            queue: self.forwards,
-        };
+        tasks.spawn(until_cancelled(token.clone(), common.probe()));
         tasks.spawn(forwarder.run(token.clone()));
-        let wanted = self.settings.layout();
-        let layout = tokio::select! {
-            () = token.cancelled() => None,
-            layout = agreement::agree(&self.kv, wanted) => Some(layout),
-        };
-        if let Some(layout) = layout {
-            let sweep = sweep::Sweep {
-                layout,
-                route: self.route.clone(),
-                kv: self.kv.clone(),
-                stats: self.stats.clone(),
-            };
-            tasks.spawn(until_cancelled(token.clone(), sweep.run()));
-            let parts = parts::Parts::new(self.kv, self.stats.clone());
+        let agreed = agreement::agree(&common.kv, common.settings.layout());
+        if let Some(layout) = token.run_until_cancelled(agreed).await {
+            tasks.spawn(until_cancelled(token.clone(), common.sweep(layout)));
             let queues = (0..layout.buckets).map(|_| {
-                let (sender, queue) = mpsc::channel(self.settings.waiting);
-                let committer = committer::Committer {
-                    settings: self.settings,
-                    layout,
-                    parts: parts.clone(),
-                    stats: self.stats.clone(),
-                    queue,
-                    origin: time::Instant::now(),
-                    ledgers: collections::HashMap::new(),
-                };
+                let (queue, committer) = common.committer(layout);
                 tasks.spawn(committer.run(token.clone()));
-                sender
+                queue
             });
-            let ready = ready::Ready { layout, queues: queues.collect() };
-            self.ready.send_replace(Some(sync::Arc::new(ready)));
+            let queues = queues.collect();
+            ready.send_replace(Some(sync::Arc::new(ready::Ready { layout, queues })));
         }
         while tasks.join_next().await.is_some() {}
-        self.ready.send_replace(None);
+        ready.send_replace(None);
+    }
+}
+
+impl Common {
+    fn probe(&self) -> impl Future<Output = ()> + use<> {
+        probe(self.outage.clone(), self.kv.clone(), self.route.clone())
+    }
+
+    fn sweep(&self, layout: intents::Layout) -> impl Future<Output = ()> + use<> {
+        let sweep = sweep::Sweep {
+            layout,
+            route: self.route.clone(),
+            kv: self.kv.clone(),
+            stats: self.stats.clone(),
+        };
+        sweep.run()
+    }
+
+    fn committer(
+        &self,
+        layout: intents::Layout,
+    ) -> (mpsc::Sender<waiting::Job>, committer::Committer) {
+        let (sender, queue) = mpsc::channel(self.settings.waiting);
+        let committer = committer::Committer {
+            settings: self.settings,
+            layout,
+            parts: parts::Parts::new(self.kv.clone(), self.stats.clone()),
+            stats: self.stats.clone(),
+            queue,
+            origin: time::Instant::now(),
+            ledgers: collections::HashMap::new(),
+        };
+        (sender, committer)
     }
 }
 
@@ -121,8 +141,5 @@
 
 /// Runs a task that can end at any point.
 async fn until_cancelled(token: tokio_sync::CancellationToken, task: impl Future<Output = ()>) {
-    tokio::select! {
-        () = token.cancelled() => {}
-        () = task => {}
-    }
+    token.run_until_cancelled(task).await;
 }
--- a/testbed/src/kv/handler.rs
+++ b/testbed/src/kv/handler.rs
@@ -1,6 +1,6 @@
 //! Answers the calls.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use hyper::{Method, StatusCode, header};
 use trefoildyke_types::error;
@@ -31,11 +31,21 @@
         Ok(body) => body,
         Err(error) => return Ok(refuse(&error)),
     };
-    if path == "/admin/mode" {
-        return Ok(set_mode(&shared, &body));
+    match path {
+        "/admin/mode" => Ok(set_mode(&shared, &body)),
+        _ => answer_in_mode(&shared, call.source.ip(), path, &body).await,
     }
+}
+
+/// Answers as the mode says that the source meets.
+async fn answer_in_mode(
+    shared: &running::Shared,
+    source: net::IpAddr,
+    path: &str,
+    body: &[u8],
+) -> Result<Reply, http::Aborted> {
     let writes = is_write(path);
-    let mode = shared.switch.meet(call.source.ip(), writes);
+    let mode = shared.switch.meet(source, writes);
     match mode.mode {
         switch::ModeKind::Down => return Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
         switch::ModeKind::Silent => return std::future::pending().await,
@@ -44,11 +54,11 @@
         }
         switch::ModeKind::Ok | switch::ModeKind::LoseAnswers => {}
     }
-    if let Err(wait) = admit(&shared, path, writes) {
+    if let Err(wait) = admit(shared, path, writes) {
         return Ok(too_many(wait));
     }
     tokio::time::sleep(shared.settings.delay).await;
-    let reply = carry_out(&shared, path, &body).await;
+    let reply = carry_out(shared, path, body).await;
     if mode.mode == switch::ModeKind::LoseAnswers {
         return Err(http::Aborted);
     }
@@ -56,7 +66,7 @@
         return Ok(reply);
     }
     // The service may have failed while the watch waited.
-    match shared.switch.current(call.source.ip()) {
+    match shared.switch.current(source) {
         switch::ModeKind::Down => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
         switch::ModeKind::Silent => std::future::pending().await,
         _ => Ok(reply),
