--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -59,6 +59,7 @@
     ) -> Result<(), convert::Infallible> {
         let deadline = self.context.clock.instant(self.job.deadline);
         let mut passed = false;
+        let mut gone = None;
         let first = std::mem::take(&mut self.job.actions);
         self.carry_out(first);
         while !self.job.state.is_final() {
@@ -68,7 +69,21 @@
                     passed = true;
                     Input::DeadlinePassed
                 }
-                Some(signal) = signals.recv() => signal,
+                Some(signal) = signals.recv() => match signal {
+                    Input::CallerGone => {
+                        gone = Some(time::Instant::now() + self.context.settings.linger());
+                        continue;
+                    }
+                    signal => signal,
+                },
+                () = linger(gone) => {
+                    gone = None;
+                    // It may have come back meanwhile, here or through a peer.
+                    if self.job.entry.has_readers() {
+                        continue;
+                    }
+                    Input::CallerGone
+                }
                 input = self.operation.next() => match input {
                     Some(input) => input,
                     None => self.ended(),
@@ -287,6 +302,13 @@
     }
 }
 
+async fn linger(until: Option<time::Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn outcome_of(refusal: &request::Refusal) -> decide::Outcome {
     match refusal.kind {
         request::RefusalKind::Failed => decide::Outcome::Failed,
--- a/crates/daemon/src/coordinate/entry.rs
+++ b/crates/daemon/src/coordinate/entry.rs
@@ -101,6 +101,10 @@
         self.readers.fetch_add(1, atomic::Ordering::AcqRel);
     }
 
+    pub(super) fn has_readers(&self) -> bool {
+        self.readers.load(atomic::Ordering::Acquire) > 0
+    }
+
     /// Notes that a reader has gone; the driver learns when it was the last.
     pub(super) fn reader_went(&self) {
         if self.readers.fetch_sub(1, atomic::Ordering::AcqRel) == 1 {
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -90,8 +90,8 @@
         within("coordinate.requests", coordinate.requests, 1..=1_000_000, remedy)?;
         let remedy = "use 100 to 600000 milliseconds";
         within("coordinate.isolation_ms", coordinate.isolation_ms, 100..=600_000, remedy)?;
-        let remedy = "use 200 to 60000 milliseconds";
-        within("coordinate.pause_ms", coordinate.pause_ms, 200..=60_000, remedy)
+        let remedy = "use 1000 to 600000 milliseconds";
+        within("coordinate.linger_ms", coordinate.linger_ms, 1_000..=600_000, remedy)
     }
 }
 
--- a/crates/daemon/src/settings/coordinate.rs
+++ b/crates/daemon/src/settings/coordinate.rs
@@ -14,6 +14,10 @@
     pub keep_ms: u64,
     /// The most bytes of finished answers that are kept; the oldest go first.
     pub keep_bytes: usize,
+    /// How long a request that waits goes on after its caller has gone, in milliseconds.
+    ///
+    /// Longer than the gap between two calls of a peer that follows the answer.
+    pub linger_ms: u64,
     /// How long the daemon may reach neither the key-value service nor any peer before it refuses
     /// new work, in milliseconds; at least 100.
     pub isolation_ms: u64,
@@ -21,9 +25,6 @@
     pub outage: coordinate::OutagePolicy,
     /// How long a graceful stop waits for requests in progress, in milliseconds.
     pub drain_ms: u64,
-    /// From which gap between two ticks the process counts as having been paused, in milliseconds;
-    /// at least 200.
-    pub pause_ms: u64,
 }
 
 impl Default for Coordinate {
@@ -32,10 +33,10 @@
             requests: 20_000,
             keep_ms: 60_000,
             keep_bytes: 32 << 20,
+            linger_ms: 3_000,
             isolation_ms: 3_000,
             outage: coordinate::OutagePolicy::default(),
             drain_ms: 600_000,
-            pause_ms: 1_000,
         }
     }
 }
@@ -46,6 +47,11 @@
         time::Duration::from_millis(self.keep_ms)
     }
 
+    /// Returns how long a request that waits goes on after its caller has gone.
+    pub const fn linger(&self) -> time::Duration {
+        time::Duration::from_millis(self.linger_ms)
+    }
+
     /// Returns how long the daemon may be cut off before it refuses new work.
     pub const fn isolation(&self) -> time::Duration {
         time::Duration::from_millis(self.isolation_ms)
@@ -55,9 +61,4 @@
     pub const fn drain(&self) -> time::Duration {
         time::Duration::from_millis(self.drain_ms)
     }
-
-    /// Returns from which gap on the process counts as having been paused.
-    pub const fn pause(&self) -> time::Duration {
-        time::Duration::from_millis(self.pause_ms)
-    }
 }
--- a/crates/trefoildyked/tests/testsuite/cut.rs
+++ b/crates/trefoildyked/tests/testsuite/cut.rs
@@ -23,6 +23,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_waits_can_come_back_through_a_peer() {
+    let layout = harness::Layout { engines: 1, slots: 1, ..harness::Layout::default() };
+    let cluster = harness::Cluster::start("cut_waiting", layout).await;
+    let client = harness::Caller::default();
+    let daemon = cluster.daemons[0].callers;
+    // Longer than a peer waits in one call, so that it has to call again.
+    let mut running = client.open(daemon, &caller::model(400)).await.unwrap();
+    assert!(running.read_tokens(1).await);
+    let mut waiting = client.open(daemon, &caller::model(TOKENS)).await.unwrap();
+    let id = waiting.accepted().await;
+    drop(waiting);
+    let stream = client.come_back(cluster.daemons[1].callers, id, 0).await;
+    let tokens = stream.unwrap_or_else(|outcome| panic!("{outcome:?}")).finish().await.whole();
+    assert_eq!(tokens, caller::expected(id, 0, TOKENS));
+    running.finish().await.whole();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_that_reaches_nobody_refuses_new_work() {
     let mut cluster = harness::Cluster::start("cut_daemon", harness::Layout::default()).await;
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod crossed;
 mod cut;
 mod endpoints;
+mod freeze;
 mod harness;
 mod kill;
 mod letters;
