--- a/testbed/src/load/sender.rs
+++ b/testbed/src/load/sender.rs
@@ -39,21 +39,22 @@
         deadline: Instant,
         log: &mut load::RequestLog,
     ) -> load::Ending {
-        let mut spec = self.spec();
-        let expected = u64::from(spec.max_tokens);
-        let mut check = load::AnswerCheck::new(id_of(&spec), expected);
+        let (mut spec, mut check) = self.begin();
         loop {
             spec.deadline_ms = Some(left_ms(deadline));
-            spec.attempt = log.attempts + 1;
             spec.offset = check.offset();
             let daemon = self.plan.daemon(self.arrival.host, log.attempts);
             let attempt = load::Attempt { client: self.client, daemon, key, spec: &spec };
             log.attempts += 1;
             let ending = attempt.make(&mut check, log).await;
             log.refusals += u32::from(matches!(ending, load::Ending::Refused(_)));
-            match self.pause(&ending, log.attempts) {
-                Some(pause) => tokio::time::sleep(pause).await,
-                None => return ending,
+            let Some(pause) = self.pause(&ending, log.attempts) else { return ending };
+            tokio::time::sleep(pause).await;
+            if matches!(ending, load::Ending::Refused(_)) {
+                // Nothing of a refused identifier can ever run.
+                (spec, check) = self.begin();
+            } else {
+                spec.attempt += 1;
             }
         }
     }
@@ -74,10 +75,17 @@
         }
     }
 
-    fn spec(&self) -> request::RequestSpec {
-        let chosen = id::RequestId::chosen(uuid::Uuid::now_v7());
+    /// Returns the request under a new identifier, and the check of its answer.
+    fn begin(&self) -> (request::RequestSpec, load::AnswerCheck) {
+        let id = id::RequestId::chosen(uuid::Uuid::now_v7());
+        let spec = self.spec(id);
+        let expected = u64::from(spec.max_tokens);
+        (spec, load::AnswerCheck::new(id, expected))
+    }
+
+    fn spec(&self, id: id::RequestId) -> request::RequestSpec {
         request::RequestSpec {
-            id: Some(chosen),
+            id: Some(id),
             pool: self.plan.pool.clone(),
             target: request::Target::Model(self.plan.model.clone()),
             class: self.class.to_owned(),
@@ -93,10 +101,6 @@
     }
 }
 
-fn id_of(spec: &request::RequestSpec) -> id::RequestId {
-    spec.id.unwrap_or_else(|| id::RequestId::chosen(uuid::Uuid::nil()))
-}
-
 fn left_ms(deadline: Instant) -> u64 {
     let left = deadline.saturating_duration_since(Instant::now());
     (left.as_millis() as u64).max(1)
--- a/testbed/tests/testsuite/load.rs
+++ b/testbed/tests/testsuite/load.rs
@@ -167,6 +167,9 @@
     assert!(!retried.is_empty());
     assert!(retried.iter().all(|log| log.first.unwrap() - log.due >= wait));
     assert_eq!(figures.refusals, retried.len() as u64);
+    // Nothing of a refused identifier can run, so each new try is a first attempt of a new one.
+    let refused: Vec<_> = refusing.specs().iter().map(|spec| spec.id).collect();
+    assert!(whole.specs().iter().all(|spec| spec.attempt == 1 && !refused.contains(&spec.id)));
 }
 
 #[tokio::test]
