Bound the records' calls of the key-value service by try_ms

The daemon's client allows platform.call_ms (1 s) a call, so a silent service held a record for more than its try_ms (0.5 s): a write that was begun is waited for. The records now use the same connections and health with the shorter time.

--- a/crates/daemon/src/intents/service.rs
+++ b/crates/daemon/src/intents/service.rs
@@ -37,7 +37,7 @@
 
 /// Creates the service and its handle.
 ///
-/// The client's deadline should be `try_ms` or less, because a write that was begun is waited for.
+/// A call of the service takes at most `try_ms`, because a write that was begun is waited for.
 ///
 /// # Errors
 ///
@@ -48,6 +48,7 @@
     kv: platform::KvClient,
 ) -> Result<(Handle, Service), error::Error> {
     settings.check()?;
+    let kv = kv.at_most(settings.try_time());
     let (forward, queue) = mpsc::channel(settings.waiting);
     let (ready, seen) = watch::channel(None);
     let stats = Stats::default();
--- a/crates/wire/src/platform/kv_client.rs
+++ b/crates/wire/src/platform/kv_client.rs
@@ -35,6 +35,13 @@
         Self { http: http::Client::new(limits), settings, health }
     }
 
+    /// Returns a client whose calls take at most `deadline`, over the same connections.
+    #[must_use]
+    pub fn at_most(mut self, deadline: time::Duration) -> Self {
+        self.settings.deadline = self.settings.deadline.min(deadline);
+        self
+    }
+
     /// Returns when the service last answered, and since when it has not.
     pub fn health(&self) -> platform::Health {
         self.health.health()
--- a/testbed/tests/testsuite/kv.rs
+++ b/testbed/tests/testsuite/kv.rs
@@ -185,6 +185,17 @@
     assert!(far.get("a/1").await.is_ok());
 }
 
+#[tokio::test]
+async fn a_client_can_be_given_less_time_and_shares_its_health() {
+    let running = start().await;
+    let patient = client(&running, LONG);
+    running.set_mode(switch::Mode::new(switch::ModeKind::Silent));
+    let started = time::Instant::now();
+    patient.clone().at_most(SHORT).get("a/1").await.unwrap_err();
+    assert!(started.elapsed() < LONG, "the longer deadline was waited for");
+    assert!(patient.health().failing.is_some());
+}
+
 #[tokio::test]
 async fn health_tells_since_when_the_service_has_not_answered() {
     let running = start().await;
