testbed: the whole system in one process as a demo

Cause: a newcomer needs one command that shows the path of a request and the time line. The first try called the service's answer broken: the check knew an engine's tokens only. It now knows the service's output too.

--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one file each.
 
+mod demo;
 mod engine;
 mod experiment;
 mod goals;
@@ -22,6 +23,8 @@
 
 #[derive(Debug, gumdrop::Options)]
 enum Command {
+    #[options(help = "run the whole system in one process and show what happens")]
+    Demo(demo::Options),
     #[options(help = "compare policies in virtual time")]
     Experiment(experiment::Options),
     #[options(help = "measure and judge the goals of the decisions")]
@@ -45,6 +48,7 @@
 /// Runs the subcommand that the options name.
 pub(crate) async fn run(options: Options) -> anyhow::Result<()> {
     match options.command {
+        Some(Command::Demo(options)) => demo::run(options).await,
         Some(Command::Experiment(options)) => experiment::run(&options),
         Some(Command::Goals(options)) => goals::run(options),
         Some(Command::Load(options)) => load::run(options).await,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the outside systems, a load tool and experiments.
 
+pub mod demo;
 pub mod engine;
 pub mod experiment;
 pub mod gossip;
--- a/testbed/src/load/answer_check.rs
+++ b/testbed/src/load/answer_check.rs
@@ -37,12 +37,19 @@
     id: id::RequestId,
     expected: u64,
     received: u64,
+    /// The output of a plain service, which comes as one token; `None` for an engine's tokens.
+    output: Option<String>,
 }
 
 impl AnswerCheck {
     /// Creates the check of an answer that has `expected` tokens when it is whole.
     pub fn new(id: id::RequestId, expected: u64) -> Self {
-        Self { id, expected, received: 0 }
+        Self { id, expected, received: 0, output: None }
+    }
+
+    /// Creates the check of the answer of a plain service.
+    pub fn of_service(id: id::RequestId, output: String) -> Self {
+        Self { id, expected: 1, received: 0, output: Some(output) }
     }
 
     /// Returns the offset of the next token.
@@ -63,7 +70,7 @@
             return Err(Fault::Discontinuous { expected: self.received, found: chunk.offset });
         }
         for token in &chunk.tokens {
-            if *token != engine::token(&self.id, self.received) {
+            if !self.is_next(token) {
                 return Err(Fault::WrongToken(self.received));
             }
             self.received += 1;
@@ -74,4 +81,11 @@
         }
         Ok(whole)
     }
+
+    fn is_next(&self, token: &str) -> bool {
+        match &self.output {
+            Some(output) => token == output,
+            None => token == engine::token(&self.id, self.received),
+        }
+    }
 }
--- a/testbed/src/service/mod.rs
+++ b/testbed/src/service/mod.rs
@@ -6,5 +6,5 @@
 mod settings;
 
 pub use ledger_report::LedgerReport;
-pub use running::{Running, serve};
+pub use running::{Running, output, serve};
 pub use settings::Settings;
--- a/testbed/src/service/running.rs
+++ b/testbed/src/service/running.rs
@@ -140,7 +140,7 @@
         switch::ModeKind::Silent => return std::future::pending().await,
         _ => {}
     }
-    let output = format!("{operation}: {} bytes", input.len());
+    let output = output(&operation, input.len());
     let delay = time::Duration::from_millis(mode.delay_ms);
     let running = sync::Arc::clone(site);
     let call = site.calls.spawn(async move { running.run(key, output, delay).await });
@@ -163,3 +163,8 @@
     struct Empty {}
     http::json(status, &Empty {})
 }
+
+/// Returns the output of an operation for an input of that many bytes.
+pub fn output(operation: &str, input_bytes: usize) -> String {
+    format!("{operation}: {input_bytes} bytes")
+}
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
+mod demo;
 mod engine;
 mod experiment;
 mod goals;
