Carry the logical clock in every message between daemons

Cause: the time line's Lamport clock was merged nowhere, so the order of events between daemons rested on the hosts' wall clocks. Now each frame begins with the sender's clock (8 bytes more a message), both ways, and the time line ticks the same clock. Ruled out: a field in each call's body (answers such as a permit have no place for it).

--- a/crates/daemon/src/daemon/services.rs
+++ b/crates/daemon/src/daemon/services.rs
@@ -39,8 +39,12 @@
 impl Base<'_> {
     pub(super) fn start(&self) -> anyhow::Result<Services> {
         let registry = self.kernel.registry();
-        let timeline =
-            timeline::Handle::new(self.settings.host.clone(), self.own, self.settings.events);
+        let timeline = timeline::Handle::new(
+            self.settings.host.clone(),
+            self.own,
+            self.settings.events,
+            self.identity.clock.clone(),
+        );
         let metrics = metrics::Handle::new()?;
         let kv = platform::KvClient::new(self.settings.platform.kv_settings());
         let hosts = self.start_hosts();
--- a/crates/daemon/src/daemon/start.rs
+++ b/crates/daemon/src/daemon/start.rs
@@ -47,7 +47,11 @@
         let kernel = kernel::Kernel::builder().with_traffic_threads(settings.threads).start()?;
         let own = id::Incarnation::new(clock::unix_us() / 1_000, rand::random());
         let keys: Vec<_> = settings.peers.keys.iter().map(settings::Secret::reveal).collect();
-        let identity = peer::Identity { incarnation: own, keys: peer::Keys::new(&keys)? };
+        let identity = peer::Identity {
+            incarnation: own,
+            keys: peer::Keys::new(&keys)?,
+            clock: peer::Clock::default(),
+        };
         let listeners = kernel.block_on(listeners::Listeners::bind(&settings.listen))?;
         let addresses = listeners.addresses()?;
         let base = services::Base {
--- a/crates/daemon/src/timeline/handle.rs
+++ b/crates/daemon/src/timeline/handle.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync};
 
 use trefoildyke_types::{event, id};
-use trefoildyke_wire::operators::message;
+use trefoildyke_wire::{operators::message, peer};
 
 use crate::clock;
 
@@ -14,8 +14,6 @@
     limit: usize,
     /// The position of the last event.
     seq: u64,
-    /// Above the clock of every event written here and every clock received.
-    clock: u64,
 }
 
 /// Writes and reads the time line; published as `timeline`.
@@ -27,15 +25,22 @@
 pub struct Handle {
     host: id::HostName,
     incarnation: id::Incarnation,
+    /// Shared with the connections to peers.
+    clock: peer::Clock,
     ring: sync::Arc<sync::Mutex<Ring>>,
 }
 
 impl Handle {
     /// Creates the time line of one daemon, which keeps the last `limit` events.
-    pub fn new(host: id::HostName, incarnation: id::Incarnation, limit: usize) -> Self {
+    pub fn new(
+        host: id::HostName,
+        incarnation: id::Incarnation,
+        limit: usize,
+        clock: peer::Clock,
+    ) -> Self {
         let events = collections::VecDeque::new();
-        let ring = Ring { events, limit, seq: 0, clock: 0 };
-        Self { host, incarnation, ring: sync::Arc::new(sync::Mutex::new(ring)) }
+        let ring = Ring { events, limit, seq: 0 };
+        Self { host, incarnation, clock, ring: sync::Arc::new(sync::Mutex::new(ring)) }
     }
 
     /// Records a state change.
@@ -43,13 +48,12 @@
         let time_us = clock::unix_us();
         let mut ring = self.lock();
         ring.seq += 1;
-        ring.clock = (ring.clock + 1).max(time_us);
         let event = event::Event {
             time_us,
             host: self.host.clone(),
             incarnation: self.incarnation,
             seq: ring.seq,
-            clock: ring.clock,
+            clock: self.clock.tick(time_us),
             key: key.cloned(),
             kind: kind.to_owned(),
             detail: detail.into(),
@@ -60,17 +64,6 @@
         ring.events.push_back(event);
     }
 
-    /// Returns the logical clock, to be sent along with a message.
-    pub fn clock(&self) -> u64 {
-        self.lock().clock
-    }
-
-    /// Takes in the logical clock that came with a message.
-    pub fn merge(&self, clock: u64) {
-        let mut ring = self.lock();
-        ring.clock = ring.clock.max(clock);
-    }
-
     /// Returns at most `limit` events after position `after`.
     pub fn read(&self, after: u64, limit: usize) -> message::EventPage {
         let ring = self.lock();
--- a/crates/daemon/tests/testsuite/timeline.rs
+++ b/crates/daemon/tests/testsuite/timeline.rs
@@ -1,14 +1,15 @@
 use trefoildyke_daemon::timeline;
 use trefoildyke_types::id;
-use trefoildyke_wire::operators::message;
+use trefoildyke_wire::{operators::message, peer};
 
-fn timeline(host: &str, number: u64) -> timeline::Handle {
-    timeline::Handle::new(host.into(), id::Incarnation::from_u64(number), 3)
+fn timeline(host: &str, number: u64, clock: &peer::Clock) -> timeline::Handle {
+    let incarnation = id::Incarnation::from_u64(number);
+    timeline::Handle::new(host.into(), incarnation, 3, clock.clone())
 }
 
 #[test]
 fn the_oldest_events_go_first_and_positions_stay() {
-    let line = timeline("entry-1", 1);
+    let line = timeline("entry-1", 1, &peer::Clock::default());
     for detail in ["a", "b", "c", "d"] {
         line.record(None, "tested", detail);
     }
@@ -25,11 +26,12 @@
 
 #[test]
 fn an_event_after_a_message_is_later_than_the_one_before_it() {
-    let (here, there) = (timeline("entry-1", 1), timeline("entry-2", 2));
-    // The wall clock at `here` is an hour ahead.
-    here.merge(here.clock() + 3_600_000_000 + 4_000_000_000_000_000);
-    here.record(None, "sent", "");
-    there.merge(here.clock());
-    there.record(None, "received", "");
-    assert!(there.read(0, 1).events[0].clock > here.read(0, 1).events[0].clock);
+    let (here, there) = (peer::Clock::default(), peer::Clock::default());
+    // The wall clock of `here` is far ahead.
+    here.merge(4_000_000_000_000_000);
+    let (sender, receiver) = (timeline("entry-1", 1, &here), timeline("entry-2", 2, &there));
+    sender.record(None, "sent", "");
+    there.merge(here.now());
+    receiver.record(None, "received", "");
+    assert!(receiver.read(0, 1).events[0].clock > sender.read(0, 1).events[0].clock);
 }
--- a/crates/wire/src/peer/connect.rs
+++ b/crates/wire/src/peer/connect.rs
@@ -43,9 +43,10 @@
     let (near, far) = channel::bounded(pump::QUEUE);
     let new = PeerClient::new(tarpc::client::Config::default(), near);
     let dispatch = new.dispatch;
+    let clock = identity.clock.clone();
     let driver = async move {
         tokio::select! {
-            end = pump::run(socket, far, limits) => end,
+            end = pump::run(socket, far, limits, &clock) => end,
             _ = dispatch => Ok(()),
         }
     };
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -9,6 +9,7 @@
 //! between the hosts is trusted not to alter what passes.
 
 mod activity;
+mod clock;
 mod connect;
 mod error;
 mod handshake;
@@ -21,6 +22,7 @@
 mod serve;
 mod service;
 
+pub use clock::Clock;
 pub use connect::{Connection, connect};
 pub use error::Error;
 pub use handshake::{PROTOCOL, Proof, Role, Transcript};
--- a/crates/wire/src/peer/pump.rs
+++ b/crates/wire/src/peer/pump.rs
@@ -8,25 +8,28 @@
 use tokio::{io as tokio_io, time};
 use tokio_util::codec;
 
-use crate::peer::{Error, Limits, activity, activity::Message};
+use crate::peer::{Clock, Error, Limits, activity, activity::Message};
 
 /// The most messages that wait between tarpc and the socket, each way.
 pub(crate) const QUEUE: usize = 64;
 
 type Frames<S> = codec::Framed<S, codec::LengthDelimitedCodec>;
 
-struct Pump {
+struct Pump<'a> {
+    clock: &'a Clock,
     limits: Limits,
     activity: sync::Mutex<activity::Activity>,
 }
 
 /// Moves messages until either side closes, the peer goes silent or a frame is bad.
 ///
-/// `Out` is what tarpc sends and `In` is what it takes. An empty frame is a heartbeat.
+/// `Out` is what tarpc sends and `In` is what it takes. A frame begins with the sender's
+/// logical clock, 8 bytes, the highest first; an empty frame is a heartbeat.
 pub(crate) async fn run<S, Out, In>(
     socket: S,
     channel: channel::Channel<Out, In>,
     limits: Limits,
+    clock: &Clock,
 ) -> Result<(), Error>
 where
     S: tokio_io::AsyncRead + tokio_io::AsyncWrite,
@@ -34,7 +37,7 @@
     In: serde::de::DeserializeOwned + Message,
 {
     let activity = activity::Activity::new(limits, std::time::Instant::now());
-    let pump = Pump { limits, activity: sync::Mutex::new(activity) };
+    let pump = Pump { clock, limits, activity: sync::Mutex::new(activity) };
     let (sink, stream) = frames(socket, &limits).split();
     let (to_tarpc, from_tarpc) = channel.split();
     tokio::select! {
@@ -50,7 +53,7 @@
     codec::LengthDelimitedCodec::builder().max_frame_length(limits.frame_bytes).new_framed(socket)
 }
 
-impl Pump {
+impl Pump<'_> {
     async fn write<S, Out, In>(
         &self,
         mut sink: stream::SplitSink<Frames<S>, Bytes>,
@@ -94,8 +97,8 @@
             if frame.is_empty() {
                 continue;
             }
-            let message: In =
-                rmp_serde::from_slice(&frame).map_err(|e| Error::Frame(e.to_string()))?;
+            let message: In = rmp_serde::from_slice(self.take_clock(&frame)?)
+                .map_err(|e| Error::Frame(e.to_string()))?;
             message.note(&mut self.lock());
             messages.send(message).await.map_err(|_| Error::Closed)?;
         }
@@ -103,7 +106,18 @@
 
     fn encode<Out: serde::Serialize + Message>(&self, message: &Out) -> Result<Bytes, Error> {
         message.note(&mut self.lock());
-        rmp_serde::to_vec(message).map(Bytes::from).map_err(|e| Error::Frame(e.to_string()))
+        let mut frame = self.clock.now().to_be_bytes().to_vec();
+        rmp_serde::encode::write(&mut frame, message).map_err(|e| Error::Frame(e.to_string()))?;
+        Ok(frame.into())
+    }
+
+    /// Takes in the sender's logical clock and returns the rest of the frame.
+    fn take_clock<'f>(&self, frame: &'f [u8]) -> Result<&'f [u8], Error> {
+        let (clock, message) = frame
+            .split_first_chunk()
+            .ok_or_else(|| Error::Frame("it is shorter than its clock".to_owned()))?;
+        self.clock.merge(u64::from_be_bytes(*clock));
+        Ok(message)
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, activity::Activity> {
--- a/crates/wire/src/peer/serve.rs
+++ b/crates/wire/src/peer/serve.rs
@@ -12,7 +12,8 @@
 use trefoildyke_types::id;
 
 use crate::peer::{
-    Caller, Error, Keys, Limits, Methods, Peer, Role, Transcript, handshake, headers, methods, pump,
+    Caller, Clock, Error, Keys, Limits, Methods, Peer, Role, Transcript, handshake, headers,
+    methods, pump,
 };
 
 /// The pause after a failed accept, which is most often a lack of file descriptors.
@@ -27,6 +28,8 @@
     pub incarnation: id::Incarnation,
     /// The shared keys.
     pub keys: Keys,
+    /// The logical clock that goes along with every message.
+    pub clock: Clock,
 }
 
 struct Context {
@@ -98,7 +101,7 @@
         .execute(server.serve())
         .for_each_concurrent(None, |call| call);
     tokio::select! {
-        end = pump::run(socket, far, context.limits) => end,
+        end = pump::run(socket, far, context.limits, &context.identity.clock) => end,
         () = calls => Ok(()),
     }
 }
--- a/crates/wire/tests/testsuite/peer/calls.rs
+++ b/crates/wire/tests/testsuite/peer/calls.rs
@@ -95,3 +95,24 @@
     let _ = driver.await.unwrap();
     assert!(client.exchange(peer::within(LONG), payload(1)).await.is_err());
 }
+
+#[tokio::test]
+async fn both_sides_take_in_the_other_ones_clock() {
+    let limits = peer::Limits::default();
+    let (near, far) =
+        (nodes::identity(nodes::CLIENT, &[KEY]), nodes::identity(nodes::SERVER, &[KEY]));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = tokio_util::sync::CancellationToken::new();
+    tokio::spawn(peer::serve(listener, far.clone(), limits, nodes::echo(), stop));
+    let connection = peer::connect(address, None, &near, limits).await.unwrap();
+    let _driver = tokio::spawn(connection.driver);
+    near.clock.merge(1_000);
+    connection.client.exchange(peer::within(LONG), payload(1)).await.unwrap().unwrap();
+    assert_eq!(far.clock.now(), 1_000);
+    far.clock.merge(2_000);
+    connection.client.exchange(peer::within(LONG), payload(1)).await.unwrap().unwrap();
+    assert_eq!(near.clock.now(), 2_000);
+    assert_eq!(near.clock.tick(5), 2_001);
+    assert_eq!(near.clock.tick(3_000), 3_000);
+}
--- a/crates/wire/tests/testsuite/peer/nodes.rs
+++ b/crates/wire/tests/testsuite/peer/nodes.rs
@@ -21,6 +21,7 @@
     peer::Identity {
         incarnation: id::Incarnation::from_u64(number),
         keys: peer::Keys::new(keys).unwrap(),
+        clock: peer::Clock::default(),
     }
 }
 
--- a/testbed/src/measure/members/connection.rs
+++ b/testbed/src/measure/members/connection.rs
@@ -36,7 +36,11 @@
     let start = member::Start::new(1, keys.clone()).await?;
     let node = start.start(kernel)?;
     let relay = relay::serve(node.address).await?;
-    let identity = peer::Identity { incarnation: id::Incarnation::from_u64(2), keys };
+    let identity = peer::Identity {
+        incarnation: id::Incarnation::from_u64(2),
+        keys,
+        clock: peer::Clock::default(),
+    };
     let limits = peer::Limits::default();
     let opening = time::Instant::now();
     let connected = peer::connect(relay.address(), None, &identity, limits).await?;
--- a/testbed/src/member/start.rs
+++ b/testbed/src/member/start.rs
@@ -61,7 +61,8 @@
             zone: id::ZoneName::new("zone"),
             peer: self.advertise.unwrap_or(address),
         };
-        let identity = peer::Identity { incarnation, keys: self.keys };
+        let identity =
+            peer::Identity { incarnation, keys: self.keys, clock: peer::Clock::default() };
         let (members, runner) =
             service::new(incarnation, place, self.params, clock::Clock::start());
         let known = members.clone();
