--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 mod binary;
+mod configuration;
 mod crossed;
 mod cut;
 mod endpoints;
