Do not refuse a change because one read lost its connection

Cause: a read on a pooled connection that the key-value service had just closed failed, and a change that was not yet sent was refused as unavailable although the service worked. Ruled out: the time limit of the write, and the answers that the test loses on purpose. A change that was never sent is now tried for half a second before it is refused.

--- a/crates/daemon/src/config/writer.rs
+++ b/crates/daemon/src/config/writer.rs
@@ -13,6 +13,11 @@
 const PAUSES: (time::Duration, time::Duration) =
     (time::Duration::from_millis(20), time::Duration::from_millis(640));
 
+/// How long a change that was never sent is tried before it is refused.
+///
+/// A single read may fail although the service works: it may have closed the connection just then.
+const PATIENCE: time::Duration = time::Duration::from_millis(500);
+
 /// Holds what one writer knows of its change.
 struct Attempt<'a> {
     handle: &'a Handle,
@@ -29,7 +34,8 @@
     handle: &Handle,
     set: &config::ChangeSet,
 ) -> Result<Written, error::Error> {
-    let deadline = time::Instant::now() + handle.settings.write();
+    let start = time::Instant::now();
+    let deadline = start + handle.settings.write();
     let nonce = id::Nonce(rand::random());
     let mut attempt = Attempt { handle, set, nonce, sent: None };
     let mut pause = PAUSES.0;
@@ -38,7 +44,10 @@
         match step {
             Ok(Ok(Some(snapshot))) => return Ok(snapshot),
             Ok(Ok(None)) => {}
-            Ok(Err(error)) if attempt.sent.is_none() || !repeats(&error) => return Err(error),
+            Ok(Err(error)) if !repeats(&error) => return Err(error),
+            Ok(Err(error)) if attempt.sent.is_none() && start.elapsed() >= PATIENCE => {
+                return Err(error);
+            }
             Ok(Err(_)) => time::sleep_until((time::Instant::now() + pause).min(deadline)).await,
             Err(_) => {}
         }
@@ -49,7 +58,7 @@
     }
 }
 
-/// Returns whether the error may pass while the outcome of a sent change is open.
+/// Returns whether the error may pass.
 const fn repeats(error: &error::Error) -> bool {
     matches!(error.kind, error::ErrorKind::Unavailable | error::ErrorKind::Unsure)
 }
