--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -16,6 +16,11 @@
     endpoints, schedule,
 };
 
+/// How long to wait before asking again when a permit may not be used.
+///
+/// The scheduler learns of leaving endpoints as this daemon does, only a little later.
+const UNUSABLE_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// How long to wait before another permit is asked for when an endpoint took no connection.
 ///
 /// Longer than reports are collected, so that the scheduler knows by then.
@@ -104,6 +109,11 @@
     fn step(&mut self, input: Input) {
         let input = self.check_permit(input);
         match &input {
+            Input::Permit(permit) if !self.is_usable(&permit.endpoint) => {
+                self.hand_back(permit);
+                self.pause = UNUSABLE_PAUSE;
+                return self.ask();
+            }
             Input::Permit(permit) => self.permit = Some(permit.clone()),
             Input::Recorded(_) | Input::LookedUp(_) => self.check_endpoint(),
             Input::ConnectFailed => self.connect_failed(),
@@ -126,10 +136,15 @@
         }
     }
 
-    /// Voids the permit if its endpoint was stopped or has left meanwhile.
+    /// Returns whether a permit for the endpoint may be used, as far as this daemon knows.
+    fn is_usable(&self, endpoint: &id::EndpointName) -> bool {
+        !self.context.isolation.is_isolated() && self.context.takes_work(endpoint)
+    }
+
+    /// Voids the permit if it became unusable while the intent was written.
     fn check_endpoint(&mut self) {
         let endpoint = self.permit.as_ref().map(|permit| permit.endpoint.clone());
-        if endpoint.is_some_and(|endpoint| !self.context.takes_work(&endpoint)) {
+        if endpoint.is_some_and(|endpoint| !self.is_usable(&endpoint)) {
             let now = self.context.clock.now();
             self.job.state.step(now, Input::EndpointLeaving);
         }
