Let a planned stop wait for the requests of a dead coordinator

The model's trace without_the_endpoints_own_report was the daemon's behaviour: a stop of an endpoint was reported as ended 1 s after its coordinator died, with the request still running (the new test failed so). One daemon, by rendezvous over the endpoint's name, now asks an endpoint that is being stopped for its load, from the moment the stop is in force everywhere, and counts it as ended only on a report at least 3 s younger than the first, because reports lag. An endpoint that gives no answer for 10 s counts as gone.

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! One whole daemon: its services, started in order and stopped gracefully.
 
 mod addresses;
+mod drained;
 mod faces;
 mod listeners;
 mod progress;
--- a/crates/daemon/src/daemon/progress.rs
+++ b/crates/daemon/src/daemon/progress.rs
@@ -7,7 +7,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::id;
 
-use crate::{config, coordinate, members, operators};
+use crate::{config, coordinate, daemon::drained, members, operators};
 
 /// How often this daemon looks whether planned stops have ended here.
 const LOOK: time::Duration = time::Duration::from_millis(200);
@@ -18,6 +18,7 @@
     pub(super) config: config::Handle,
     pub(super) coordinate: coordinate::Handle,
     pub(super) gate: kernel::Gate,
+    pub(super) drained: drained::Drained,
 }
 
 impl Own {
@@ -37,7 +38,9 @@
     fn versions(&self, snapshot: &trefoildyke_decide::config::Snapshot) -> decide::Versions {
         let is_busy = self.gate.in_progress() > 0;
         let daemon = stops::Daemon { host: &self.host, is_busy };
-        let settled = stops::settled(snapshot, daemon, |name| self.coordinate.is_busy(name));
+        let settled = stops::settled(snapshot, daemon, |name| {
+            self.coordinate.is_busy(name) || self.drained.is_open(name)
+        });
         decide::Versions { config: snapshot.version(), settled }
     }
 }
--- a/crates/daemon/src/daemon/services.rs
+++ b/crates/daemon/src/daemon/services.rs
@@ -9,8 +9,9 @@
 use trefoildyke_wire::{peer, platform};
 
 use crate::{
-    clock, config, coordinate, daemon::progress, daemon::routes, hosts, intents, members, metrics,
-    operators, orders, peers, schedule, settings, timeline,
+    clock, config, coordinate,
+    daemon::{drained, progress, routes},
+    hosts, intents, members, metrics, operators, orders, peers, schedule, settings, timeline,
 };
 
 /// What every service is started with.
@@ -91,12 +92,15 @@
         coordinate.serve_peers(&mut methods);
         serve_config(&config, &mut methods);
         let progress = self.start_progress(&members);
+        let drained = drained::Drained::new(self.own, config.clone(), &members);
         let own = progress::Own {
             host: self.settings.host.clone(),
             config: config.clone(),
             coordinate: coordinate.clone(),
             gate: gate.clone(),
+            drained: drained.clone(),
         };
+        self.run("drained", drained.run());
         self.run("progress", own.tell(versions));
         Ok(Services {
             config,
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod kill;
 mod letters;
 mod once;
+mod orphan;
 mod promptness;
 mod rejoin;
 mod stop;
