Give the order controller's call and phase files of their own

Nothing else changes. docs/INVARIANTS.md names the process tests that show LeavingGetsNothing and WholeOwnAnswer.

--- a/crates/decide/src/orders/controller.rs
+++ b/crates/decide/src/orders/controller.rs
@@ -4,37 +4,7 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::orders::{self, Action, Input, open};
-
-/// How a call that is repeated stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Call {
-    /// Not to be made before the time given.
-    Due(Timestamp),
-    InProgress,
-}
-
-impl Call {
-    /// Begins the call if it is due; says whether it was.
-    fn begin(&mut self, now: Timestamp) -> bool {
-        let is_due = matches!(self, Self::Due(from) if now >= *from);
-        if is_due {
-            *self = Self::InProgress;
-        }
-        is_due
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Phase {
-    /// Without the lease; not to be taken before the time given.
-    Idle(Timestamp),
-    Acquiring,
-    Holding {
-        holding: orders::Holding,
-        renewal: Call,
-    },
-}
+use crate::orders::{self, Action, Input, call::Call, open, phase::Phase};
 
 /// Carries out the orders of the configuration while this daemon has the lease.
 ///
--- a/crates/decide/src/orders/mod.rs
+++ b/crates/decide/src/orders/mod.rs
@@ -4,6 +4,7 @@
 //! ended. It reads no clock and does no I/O. `docs/design/orders.md` tells which ways were weighed.
 
 mod action;
+mod call;
 mod controller;
 mod holding;
 mod input;
@@ -11,6 +12,7 @@
 mod order;
 mod outcome;
 mod params;
+mod phase;
 mod send_result;
 
 pub use action::Action;
