Test frozen, dying and foreign daemons and silent connections on real processes

A daemon stopped by SIGSTOP is left out by the others, holds up no change and rejoins as the same incarnation with the change in force; two of five killed at once hold up no change; one with another key is counted by nobody; connections through a relay are silenced three times and each following change is in force on all three daemons.

--- a/crates/trefoildyked/tests/testsuite/harness/cluster.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/cluster.rs
@@ -67,9 +67,14 @@
 
     /// Starts one more daemon, which finds the others by their addresses.
     pub(crate) fn add_daemon(&mut self) {
+        self.add_daemon_as(serde_json::json!({}));
+    }
+
+    /// Starts one more daemon with some of its peer settings replaced.
+    pub(crate) fn add_daemon_as(&mut self, peers: serde_json::Value) {
         let host = format!("entry-{}", self.started);
         let file = self.folder.join(format!("{host}.yaml"));
-        fs::write(&file, self.settings(&host)).unwrap();
+        fs::write(&file, self.settings(&host, peers)).unwrap();
         let log = self.folder.join(format!("{host}.log"));
         let process = Process::daemon(&["--config", file.to_str().unwrap()], log);
         self.daemons.push(Daemon {
@@ -82,15 +87,21 @@
         self.started += 1;
     }
 
-    fn settings(&self, host: &str) -> String {
+    fn settings(&self, host: &str, replaced: serde_json::Value) -> String {
         let seeds: Vec<_> = self.daemons.iter().map(|daemon| daemon.peers.to_string()).collect();
         let any = "127.0.0.1:0";
+        let mut peers = serde_json::json!({"keys": ["a key of 16 bytes or more"], "seeds": seeds});
+        if let (Some(peers), serde_json::Value::Object(replaced)) =
+            (peers.as_object_mut(), replaced)
+        {
+            peers.extend(replaced);
+        }
         serde_json::json!({
             "host": host,
             "zone": "salem",
             "listen": {"callers": any, "operators": any, "peers": any, "metrics": any},
             "platform": {"kv": self.kv.address(""), "hosts": self.hosts.address("")},
-            "peers": {"keys": ["a key of 16 bytes or more"], "seeds": seeds},
+            "peers": peers,
             "operators": {"token_hashes": [layout::hash(layout::TOKEN)]},
         })
         .to_string()
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod kill;
 mod letters;
+mod members;
 mod once;
 mod orphan;
 mod promptness;
