Weigh shared prefixes more, test places and faults, note the ways weighed

Cause: with a weight of 3 on unshared prompt work, AGEC's requests left their prefix's endpoint for any free one, and each endpoint's cache came to hold all prefixes in turn.

Tests of places: learned speeds, prefixes, evictions, holds, long prompts, silent endpoints, load of others, fair share.

--- a/crates/decide/src/schedule/estimate.rs
+++ b/crates/decide/src/schedule/estimate.rs
@@ -34,13 +34,16 @@
 }
 
 /// Follows a line through observed points, the latest weighing most.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Line {
     weight: f64,
     x: f64,
     y: f64,
     xx: f64,
     xy: f64,
+    /// Worked out once for each new point, since it is read far more often.
+    slope: f64,
+    intercept: f64,
 }
 
 /// What an older point keeps of its weight at each new one.
@@ -52,7 +55,7 @@
 impl Line {
     /// Starts at the line with this intercept and slope, believed at `x` as at one point.
     pub(super) fn new(intercept: f64, slope: f64, x: f64) -> Self {
-        let mut line = Self { weight: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 };
+        let mut line = Self::default();
         line.observe(0.0, intercept);
         line.observe(x, intercept + slope * x);
         line
@@ -66,17 +69,21 @@
         self.y = self.y * KEEP + weight * y;
         self.xx = self.xx * KEEP + weight * x * x;
         self.xy = self.xy * KEEP + weight * x * y;
+        self.slope = self.fit();
+        self.intercept = ((self.y - self.slope * self.x) / self.weight).max(0.0);
     }
 
     /// Returns the line's value; intercept and slope count as 0 where they are negative.
     pub(super) fn at(&self, x: f64) -> f64 {
-        let slope = self.slope();
-        let intercept = (self.y - slope * self.x) / self.weight;
-        intercept.max(0.0) + slope * x
+        self.intercept + self.slope * x
     }
 
-    /// Returns the slope, or the mean ratio if the points do not tell a slope.
     pub(super) fn slope(&self) -> f64 {
+        self.slope
+    }
+
+    /// Returns the slope, or the mean ratio if the points do not tell a slope.
+    fn fit(&self) -> f64 {
         let spread = self.weight * self.xx - self.x * self.x;
         let slope = (self.weight * self.xy - self.x * self.y) / spread.max(f64::MIN_POSITIVE);
         let ratio = self.y / self.x.max(1.0);
--- a/crates/decide/src/schedule/params.rs
+++ b/crates/decide/src/schedule/params.rs
@@ -20,9 +20,10 @@
     pub long_prefill: time::Duration,
     /// The share of the endpoints that may process a long prompt at a time, at least one; 0.5.
     pub long_share: f64,
-    /// How many times its own length unshared prompt work weighs more in placing; 3.
+    /// How many times its own length unshared prompt work weighs more in placing; 40.
     ///
-    /// 0 places by the predicted finish alone.
+    /// 0 places by the predicted finish alone. A high weight costs the waiting little: what is not
+    /// processed twice is left for others.
     pub prefill_weight: f64,
     /// How many times its own length the time to the first token weighs more in placing; 2.
     pub first_weight: f64,
@@ -63,7 +64,7 @@
             prefill_queue: time::Duration::from_millis(150),
             long_prefill: time::Duration::from_millis(150),
             long_share: 0.5,
-            prefill_weight: 3.0,
+            prefill_weight: 40.0,
             first_weight: 2.0,
             hold_limit: time::Duration::from_secs(1),
             shed_margin: 0.9,
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -24,8 +24,9 @@
                 return;
             }
             candidates.clear();
-            self.queue.next(rank, ACCOUNTS, EACH, self.has_long_room(), &mut candidates);
-            if !self.grant_one(now, &candidates, outputs) {
+            let has_room = self.has_long_room();
+            self.queue.next(rank, ACCOUNTS, EACH, has_room, &mut candidates);
+            if !self.grant_one(now, &candidates, has_room, outputs) {
                 return;
             }
         }
@@ -36,10 +37,11 @@
         &mut self,
         now: Timestamp,
         candidates: &[u64],
+        has_room: bool,
         outputs: &mut Vec<schedule::Output>,
     ) -> bool {
         for &number in candidates {
-            match self.place(now, number) {
+            match self.place(now, number, has_room) {
                 place::Place::Now(choice) => {
                     let Some(waiting) = self.queue.take(number) else { continue };
                     outputs.push(self.enter_choice(now, waiting, &choice));
--- a/crates/decide/src/schedule/shard/place.rs
+++ b/crates/decide/src/schedule/shard/place.rs
@@ -52,10 +52,11 @@
     /// Decides what to do with a waiting request.
     ///
     /// It is held for an endpoint that is not free if that saves prompt work, but not for a faster
-    /// endpoint: then the slower ones would stand idle.
-    pub(super) fn place(&mut self, now: Timestamp, number: u64) -> Place {
+    /// endpoint: then the slower ones would stand idle. `has_room` says whether one more endpoint
+    /// may process a long prompt.
+    pub(super) fn place(&mut self, now: Timestamp, number: u64, has_room: bool) -> Place {
         let Some(waiting) = self.queue.get(number) else { return Place::Blocked };
-        let offers = self.offers(now, waiting);
+        let offers = self.offers(now, waiting, has_room);
         let left = waiting.deadline.since(now).as_secs_f64();
         let Some(open) = offers.open else { return Place::Blocked };
         if open.finish > left {
@@ -85,9 +86,8 @@
         }
     }
 
-    fn offers(&self, now: Timestamp, waiting: &queue::Waiting) -> Offers {
+    fn offers(&self, now: Timestamp, waiting: &queue::Waiting, has_room: bool) -> Offers {
         let matches = self.index.matches(&waiting.checkpoints);
-        let has_room = self.has_long_room();
         let mut offers = Offers::default();
         for (number, endpoint) in self.fleet.iter().filter(|(_, endpoint)| endpoint.is_usable()) {
             let ready = matches.get(number);
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod orders;
 mod schedule_basics;
 mod schedule_order;
+mod schedule_place;
 mod schedule_support;
 mod stops;
