Enter a prompt's blocks once in the order of use

Cause: each block's checkpoints were moved to the front twice, at the permit and at the first token. The first token now only marks them ready.

--- a/crates/decide/benches/schedule.rs
+++ b/crates/decide/benches/schedule.rs
@@ -1,8 +1,8 @@
 //! The cost of one scheduling decision against the number of waiting requests.
 //!
 //! `cargo bench -p trefoildyke-decide --bench schedule` measures, at 32 busy endpoints, one ask
-//! that must wait together with one completion that grants another request. The two are one
-//! round: the printed time covers two decisions.
+//! that must wait, one completion that grants another request, and that request's first token. The
+//! printed time covers a round of these three steps.
 
 #![allow(missing_docs, reason = "the macros of criterion make undocumented items")]
 
@@ -91,7 +91,7 @@
         self.step(schedule::Input::Report(report));
     }
 
-    /// One ask that waits and one completion that grants another request.
+    /// One ask that waits, one completion that grants another request, and its first token.
     fn round(&mut self) {
         self.now = self.now + time::Duration::from_micros(500);
         self.ask();
--- a/crates/decide/src/schedule/prefix/index.rs
+++ b/crates/decide/src/schedule/prefix/index.rs
@@ -80,7 +80,7 @@
 
     /// Enters a prompt that was placed and is to be processed.
     pub(in crate::schedule) fn place(&mut self, endpoint: usize, checkpoints: &[Checkpoint]) {
-        self.enter(endpoint, checkpoints, |holders, bit| {
+        self.enter(endpoint, checkpoints, true, |holders, bit| {
             if holders.ready & bit == 0 {
                 holders.pending |= bit;
             }
@@ -89,7 +89,7 @@
 
     /// Says that a placed prompt is processed.
     pub(in crate::schedule) fn confirm(&mut self, endpoint: usize, checkpoints: &[Checkpoint]) {
-        self.enter(endpoint, checkpoints, |holders, bit| {
+        self.enter(endpoint, checkpoints, false, |holders, bit| {
             holders.pending &= !bit;
             holders.ready |= bit;
         });
@@ -140,12 +140,15 @@
         &mut self,
         endpoint: usize,
         checkpoints: &[Checkpoint],
+        is_use: bool,
         change: impl Fn(&mut Holders, u64),
     ) {
         let Some(contents) = self.contents.get_mut(endpoint) else { return };
         // The beginning of a prompt counts as used last: a chain loses its end first.
         for checkpoint in checkpoints.iter().rev() {
-            contents.touch(checkpoint.block, checkpoint.blocks);
+            if is_use || !contents.contains(checkpoint.block) {
+                contents.touch(checkpoint.block, checkpoint.blocks);
+            }
             change(self.holders.entry(checkpoint.block).or_default(), 1 << endpoint);
         }
         self.evict(endpoint);
