Give a scheduler that comes back the ends it has missed

letters_run_once_though_a_coordinator_freezes_and_goes_on failed once in six runs: after a second freeze no letter ended for 60 s. Found by reading the code, not by a trace: reports go to the present scheduler only, so one that comes back, after a freeze or a change of members, kept the places of requests that had ended meanwhile, and once all places were gone it granted nothing. A coordinator now remembers what a former scheduler believes and sends it the ends when it is asked again; an actor whose shard belongs to another daemon ends at once, as nothing reaches it any more.

--- a/crates/daemon/src/schedule/actor.rs
+++ b/crates/daemon/src/schedule/actor.rs
@@ -49,7 +49,12 @@
                 biased;
                 Some(input) = self.feed.recv() => self.step(input),
                 Ok(()) = self.config.changed() => self.read_config(),
-                Ok(()) = view.changed() => self.look_for_lost(),
+                Ok(()) = view.changed() => {
+                    if !self.links.is_own(&self.name) {
+                        break;
+                    }
+                    self.look_for_lost();
+                }
                 () = sleep_until(wake), if current => self.tick(),
                 command = self.commands.recv(), if current => match command {
                     Some(command) => self.take(command),
--- a/crates/daemon/src/schedule/outbox.rs
+++ b/crates/daemon/src/schedule/outbox.rs
@@ -30,8 +30,14 @@
     /// Requests with tokens that were not reported yet.
     moved: collections::HashSet<id::RequestKey>,
     pending: Vec<Entry>,
+    /// What each former scheduler believes to run here; it may become the scheduler again, after a
+    /// freeze with all it knew, and would keep the places of what has ended for good.
+    believed: collections::BTreeMap<id::Incarnation, Vec<id::RequestKey>>,
 }
 
+/// How many former schedulers are remembered; the oldest incarnations go first.
+const FORMER: usize = 4;
+
 /// Collects notes and sends them in batches; runs on the control thread.
 pub(super) struct Outbox {
     pub(super) settings: Settings,
@@ -58,7 +64,7 @@
             for (shard, notes) in &mut boxes {
                 self.send(shard, notes).await;
             }
-            boxes.retain(|_, notes| !notes.running.is_empty() || !notes.pending.is_empty());
+            boxes.retain(|_, notes| !notes.is_empty());
         }
     }
 
@@ -162,14 +168,43 @@
         }
     }
 
+    fn is_empty(&self) -> bool {
+        self.running.is_empty() && self.pending.is_empty() && self.believed.is_empty()
+    }
+
+    /// Remembers what the present scheduler believes; the next one knows nothing of it.
+    fn leave(&mut self) {
+        let ends = self.pending.drain(..).filter(is_end);
+        let ended = ends.filter_map(|entry| match entry {
+            Entry::Report(report) => Some(report.key().clone()),
+            Entry::Adopt(_) => None,
+        });
+        let keys: Vec<_> = self.running.keys().cloned().chain(ended).collect();
+        if let Some(former) = self.scheduler.filter(|_| !keys.is_empty()) {
+            self.believed.insert(former, keys);
+        }
+        while self.believed.len() > FORMER {
+            self.believed.pop_first();
+        }
+    }
+
+    /// Returns the ends of what a former scheduler, which is asked again, believes to run.
+    fn ended_meanwhile(&mut self, scheduler: id::Incarnation) -> Vec<Entry> {
+        let keys = self.believed.remove(&scheduler).unwrap_or_default();
+        let ended = keys.into_iter().filter(|key| !self.running.contains_key(key));
+        let report =
+            |key| decide::Report::Finished { key, tokens: 0, outcome: decide::Outcome::Cancelled };
+        ended.map(|key| Entry::Report(report(key))).collect()
+    }
+
     /// Prepares the pending entries for the scheduler; one that lacks reports learns of all that
     /// runs.
     fn address(&mut self, scheduler: id::Incarnation) {
         if self.scheduler != Some(scheduler) {
-            // A new scheduler does not know what has ended.
-            self.pending.clear();
+            self.leave();
             self.scheduler = Some(scheduler);
             self.synced = false;
+            self.pending = self.ended_meanwhile(scheduler);
         }
         if !self.synced {
             self.pending.retain(is_end);
