Let an idle pool try requests that seem too late, and believe no senseless setting

Cause: a test with an assumed prompt speed of 0 had every request refused as infeasible, and since nothing ran, nothing was ever learned; after a pause of a whole pool the learned speeds could do the same. A step time of 0 gave estimates that are no numbers, and the longest permit time overflowed. Now a pool with nothing in progress tries every request, and assumed speeds have a floor.

--- a/crates/decide/src/schedule/fleet/rates.rs
+++ b/crates/decide/src/schedule/fleet/rates.rs
@@ -12,6 +12,11 @@
 /// Slower steps count as this many times the usual, so that a pause is soon forgotten.
 const MAX_SLOWNESS: f64 = 20.0;
 
+/// The shortest step time, in seconds, and the lowest prompt speed, in tokens a second, that are
+/// believed of a setting.
+const LEAST_STEP: f64 = 1e-4;
+const LEAST_RATE: f64 = 1.0;
+
 /// How much the assumed step time counts, in seconds.
 const PRIOR_SECONDS: f64 = 0.05;
 
@@ -28,11 +33,12 @@
 
 impl Rates {
     pub(in crate::schedule) fn new(params: &schedule::Params) -> Self {
-        let step = params.step_time.as_secs_f64();
+        let step = params.step_time.as_secs_f64().max(LEAST_STEP);
+        let prompt = 1.0 / params.prefill_rate.max(LEAST_RATE);
         Self {
             recent: estimate::Mean::new(step, PRIOR_SECONDS, RECENT_SECONDS),
             usual: estimate::Mean::new(step, PRIOR_SECONDS, USUAL_SECONDS),
-            prefill: estimate::Line::new(step, 1.0 / params.prefill_rate, PRIOR_TOKENS),
+            prefill: estimate::Line::new(step, prompt, PRIOR_TOKENS),
         }
     }
 
--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -82,7 +82,9 @@
             prefill = prefill.min(length);
             service = service.min(length + decode);
         }
-        let service = if service.is_finite() { service } else { 0.0 };
+        // An idle pool tries every request: else a wrong estimate could refuse all for good.
+        let is_known = service.is_finite() && !self.permitted.is_empty();
+        let service = if is_known { service } else { 0.0 };
         let start = time::Duration::from_millis(ask.left_ms)
             .saturating_sub(time::Duration::from_secs_f64(service));
         queue::Waiting {
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -79,7 +79,7 @@
         self.queue.charge(ask.rank, &ask.key.account, cost, true);
         let cached = ask.prompt_tokens - choice.uncached;
         let permit = self.permit(&ask, choice.name.clone(), cached);
-        let lapse = now + self.params.permit_ttl * 3 / 2;
+        let lapse = now + self.params.permit_ttl.saturating_add(self.params.permit_ttl / 2);
         self.lapses.insert((lapse, ask.key));
         self.enter(
             now,
--- a/crates/decide/src/schedule/shard/place.rs
+++ b/crates/decide/src/schedule/shard/place.rs
@@ -59,7 +59,7 @@
         let offers = self.offers(now, waiting, has_room);
         let left = waiting.deadline.since(now).as_secs_f64();
         let Some(open) = offers.open else { return Place::Blocked };
-        if open.finish > left {
+        if open.finish > left && !self.permitted.is_empty() {
             return Place::Hold(waiting.latest);
         }
         let saves = |later: &Offer| later.uncached + LEAST_GAIN <= open.uncached;
--- a/crates/decide/tests/testsuite/schedule_basics.rs
+++ b/crates/decide/tests/testsuite/schedule_basics.rs
@@ -209,3 +209,20 @@
     driver.step(schedule::Input::CoordinatorLost(id::Incarnation::from_u64(1)));
     assert_eq!(driver.shard.permitted(), 1);
 }
+
+#[test]
+fn senseless_settings_do_no_harm() {
+    let params = schedule::Params {
+        step_time: std::time::Duration::ZERO,
+        prefill_rate: 0.0,
+        permit_ttl: std::time::Duration::MAX,
+        ..Default::default()
+    };
+    let mut driver = Driver::with(params, 1, 1);
+    assert_eq!(granted(&driver.ask(ask(1, 0))), [key(1)]);
+    driver.pass(10).first_token(&key(1));
+    driver.pass(100).finished(&key(1), 10);
+    driver.ask(ask(2, 0));
+    driver.run(30_000);
+    assert_eq!(driver.shard.waiting(), 0);
+}
