testbed load: show what the daemons use

Cause: docs/CAPACITY.md lacked the slope of the coordinator: processor time and memory of real daemons against requests and tokens.

--- a/testbed/src/command/load.rs
+++ b/testbed/src/command/load.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use testbed::{
     experiment::{arrivals, run},
-    load,
+    load, measure,
 };
 
 use crate::command::experiment;
@@ -47,6 +47,8 @@
     overhead: Option<net::SocketAddr>,
     #[options(no_short, help = "rounds of the overhead measurement", meta = "N", default = "200")]
     rounds: u32,
+    #[options(no_short, help = "the daemons' process ids, to show what they use", meta = "PIDS")]
+    pids: Option<String>,
     #[options(help = "`table` or `json`", meta = "FORMAT", default = "table")]
     output: String,
 }
@@ -79,7 +81,10 @@
     let load = options.load.unwrap_or(scenario.loads[0]);
     let rate = options.rate.unwrap_or_else(|| load * run::capacity(&scenario));
     let arrivals = arrivals::generate(&scenario, rate, options.seed);
+    let pids = pids(options.pids.as_deref().unwrap_or(""))?;
+    let before: Vec<_> = pids.iter().map(|pid| measure::Usage::of(*pid)).collect();
     let logs = load::drive(&plan, &scenario, &arrivals).await?;
+    let tokens: u64 = logs.iter().map(|log| log.gaps.len() as u64 + 1).sum();
     let figures = load::LoadFigures::of(&scenario, rate, &arrivals, &logs);
     let title = format!(
         "{}: {rate:.1} requests/s, {} attempts, {} refusals, {} broken answers, endings {:?}",
@@ -90,10 +95,26 @@
         figures.endings
     );
     print(&options.output, &figures, &title, &load::load_table(&figures))?;
+    for (pid, before) in pids.iter().zip(before) {
+        let after = measure::Usage::of(*pid);
+        let busy_ms = after.busy.saturating_sub(before.busy).as_millis();
+        println!(
+            "process {pid}: {busy_ms} ms of processor time for its part of {} requests and {tokens} \
+             pieces of answers; {} KiB resident before, {} KiB after",
+            arrivals.len(),
+            before.resident >> 10,
+            after.resident >> 10
+        );
+    }
     anyhow::ensure!(figures.broken.is_empty(), "broken answers: {:?}", figures.broken);
     Ok(())
 }
 
+fn pids(text: &str) -> anyhow::Result<Vec<u32>> {
+    let words = text.split(',').filter(|word| !word.is_empty());
+    words.map(|word| Ok(word.trim().parse()?)).collect()
+}
+
 fn print(
     format: &str,
     figures: &impl serde::Serialize,
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -8,4 +8,4 @@
 pub mod scheduler;
 mod table;
 
-pub use process::{busy_time, process_time, resident_bytes};
+pub use process::{Usage, busy_time, process_time, resident_bytes};
--- a/testbed/src/measure/process.rs
+++ b/testbed/src/measure/process.rs
@@ -1,12 +1,9 @@
-//! What this process has used, as the kernel counts it.
+//! What processes have used, as the kernel counts it.
 
 use std::{fs, time};
 
 const PAGE: u64 = 4_096;
 
-/// The unit in which the kernel counts a process's time.
-const TICK_MS: u64 = 10;
-
 /// Returns the time that the calling thread has run on a processor; zero if that is not known.
 pub fn busy_time() -> time::Duration {
     let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
@@ -23,14 +20,35 @@
 
 /// Returns the time that all threads of the process have run; zero if that is not known.
 pub fn process_time() -> time::Duration {
-    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    // The fields after the command's name, which may hold spaces, begin with the state.
-    let fields = text.rsplit(") ").next().unwrap_or_default();
-    let ticks: u64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse::<u64>().ok())
-        .sum();
-    time::Duration::from_millis(ticks * TICK_MS)
+    Usage::of(std::process::id()).busy
+}
+
+/// The clock ticks of a second in which the kernel counts processor time.
+const TICKS: u32 = 100;
+/// The place of the first of the two times behind a process's name in its `stat`.
+const TIME_FIELD: usize = 11;
+
+/// Holds what a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time, of all threads.
+    pub busy: time::Duration,
+    /// Bytes of memory that it holds.
+    pub resident: u64,
+}
+
+impl Usage {
+    /// Returns what the process has used since it started; nothing if there is none.
+    pub fn of(pid: u32) -> Self {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let times = after_name.split_whitespace().skip(TIME_FIELD).take(2);
+        let ticks: u32 = times.filter_map(|word| word.parse::<u32>().ok()).sum();
+        let memory = fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+        let pages = memory.split_whitespace().nth(1).and_then(|word| word.parse::<u64>().ok());
+        Self {
+            busy: time::Duration::from_secs(1) * ticks / TICKS,
+            resident: pages.unwrap_or_default() * PAGE,
+        }
+    }
 }
