--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -109,11 +109,6 @@
     fn step(&mut self, input: Input) {
         let input = self.check_permit(input);
         match &input {
-            Input::Permit(permit) if !self.is_usable(&permit.endpoint) => {
-                self.hand_back(permit);
-                self.pause = UNUSABLE_PAUSE;
-                return self.ask();
-            }
             Input::Permit(permit) => self.permit = Some(permit.clone()),
             Input::Recorded(_) | Input::LookedUp(_) => self.check_endpoint(),
             Input::ConnectFailed => self.connect_failed(),
@@ -125,11 +120,11 @@
         self.carry_out(actions);
     }
 
-    /// Marks a permit for an endpoint that takes no work, as this daemon knows.
+    /// Marks a permit that may not be used, as far as this daemon knows.
     fn check_permit(&mut self, input: Input) -> Input {
         match input {
-            Input::Permit(permit) if !self.context.takes_work(&permit.endpoint) => {
-                self.pause = CONNECT_PAUSE;
+            Input::Permit(permit) if !self.is_usable(&permit.endpoint) => {
+                self.pause = UNUSABLE_PAUSE;
                 Input::UnusablePermit(permit)
             }
             input => input,
