spec: tell a report's verdict in one place of the tests

Ruled out: sharing the models' step collectors as well; their few like lines differ in types, and a generic one would be longer than what it saves.

--- a/crates/spec/tests/testsuite/answers.rs
+++ b/crates/spec/tests/testsuite/answers.rs
@@ -2,11 +2,12 @@
 
 use trefoildyke_spec::answers::{Bounds, explore, reach_whole};
 
+use crate::verdict;
+
 const ALL: Bounds = Bounds { tokens: 5, identifier: true, offset: true };
 
 fn counterexample(bounds: &Bounds) -> String {
-    let broken = explore(bounds).broken;
-    broken.expect("the model holds without the guard").to_string()
+    verdict::counterexample(explore(bounds))
 }
 
 #[test]
--- a/crates/spec/tests/testsuite/configuration.rs
+++ b/crates/spec/tests/testsuite/configuration.rs
@@ -2,18 +2,14 @@
 
 use trefoildyke_spec::configuration::{Bounds, Guards, Phase, Verdict, World, explore, reach};
 
+use crate::verdict;
+
 fn holds(bounds: &Bounds) {
-    let start = std::time::Instant::now();
-    let report = explore(bounds);
-    if let Some(broken) = &report.broken {
-        panic!("{broken}\nafter {} states", report.states);
-    }
-    println!("{} states in {:?} {bounds:?}", report.states, start.elapsed());
+    verdict::holds(bounds, explore);
 }
 
 fn counterexample(bounds: &Bounds) -> String {
-    let broken = explore(bounds).broken;
-    broken.expect("the model holds without the guard").to_string()
+    verdict::counterexample(explore(bounds))
 }
 
 fn verdicts(world: &World) -> Vec<Verdict> {
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod orders;
 mod requests;
 mod stops;
+mod verdict;
--- a/crates/spec/tests/testsuite/requests/guards.rs
+++ b/crates/spec/tests/testsuite/requests/guards.rs
@@ -6,11 +6,12 @@
     requests::{Bounds, Guards, Kind, explore, explore_for},
 };
 
+use crate::verdict;
+
 const ONCE: Kind = Kind::Chosen { idempotent: false };
 
 fn counterexample(bounds: &Bounds, invariant: Invariant) -> String {
-    let broken = explore_for(bounds, invariant).broken;
-    broken.expect("the model holds without the guard").to_string()
+    verdict::counterexample(explore_for(bounds, invariant))
 }
 
 #[test]
--- a/crates/spec/tests/testsuite/requests/holds.rs
+++ b/crates/spec/tests/testsuite/requests/holds.rs
@@ -2,16 +2,12 @@
 
 use trefoildyke_spec::requests::{Bounds, Kind, explore};
 
+use crate::verdict;
+
 const ONCE: Kind = Kind::Chosen { idempotent: false };
 
 fn holds(bounds: &Bounds) -> usize {
-    let start = std::time::Instant::now();
-    let report = explore(bounds);
-    if let Some(broken) = &report.broken {
-        panic!("{broken}\nafter {} states", report.states);
-    }
-    println!("{} states in {:?} {bounds:?}", report.states, start.elapsed());
-    report.states
+    verdict::holds(bounds, explore)
 }
 
 #[test]
--- a/crates/spec/tests/testsuite/stops.rs
+++ b/crates/spec/tests/testsuite/stops.rs
@@ -2,18 +2,14 @@
 
 use trefoildyke_spec::stops::{Bounds, Guards, World, explore, reach};
 
+use crate::verdict;
+
 fn holds(bounds: &Bounds) {
-    let start = std::time::Instant::now();
-    let report = explore(bounds);
-    if let Some(broken) = &report.broken {
-        panic!("{broken}\nafter {} states", report.states);
-    }
-    println!("{} states in {:?} {bounds:?}", report.states, start.elapsed());
+    verdict::holds(bounds, explore);
 }
 
 fn counterexample(guards: Guards) -> String {
-    let broken = explore(&Bounds { guards, ..Bounds::new(2) }).broken;
-    broken.expect("the model holds without the guard").to_string()
+    verdict::counterexample(explore(&Bounds { guards, ..Bounds::new(2) }))
 }
 
 #[test]
