--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -99,9 +99,13 @@
     }
 }
 
-/// Orders by the route's rank.
-fn rank(route: &gateway::Route, _account: Option<&gateway::Account>) -> u8 {
-    route.priority
+/// How many ranks of routes are told apart within one rank of client accounts.
+const ROUTE_RANKS: u8 = 8;
+
+/// Orders by the client account's rank, or the route's if the account has none, then by the route's.
+fn rank(route: &gateway::Route, account: Option<&gateway::Account>) -> u8 {
+    let first = account.and_then(|account| account.priority).unwrap_or(route.priority);
+    first.min(ROUTE_RANKS - 1) * ROUTE_RANKS + route.priority.min(ROUTE_RANKS - 1)
 }
 
 fn admit(
