--- a/crates/decide/src/gateway/config/route.rs
+++ b/crates/decide/src/gateway/config/route.rs
@@ -22,6 +22,10 @@
     /// The longest pause between two events of a stream that callers don't notice, in milliseconds.
     #[serde(default)]
     pub gap_ms: u64,
+    /// After how long without a first or a further event callers leave a stream, in milliseconds;
+    /// `None` if only at their deadline.
+    #[serde(default)]
+    pub patience_ms: Option<u64>,
     /// The rank, 0 the most urgent.
     pub priority: u8,
     /// At how many endpoints one request may run at most.
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -15,8 +15,12 @@
     pub expected: f64,
     /// Until when the first event is of full use.
     pub objective: Timestamp,
-    /// When the answer is of no use any more.
+    /// When the caller leaves if nothing has come.
+    pub leaves: Timestamp,
+    /// When an answer that is not complete is of no use any more.
     pub deadline: Timestamp,
+    /// Whether the caller was refused before and will not come back once more.
+    pub returning: bool,
     /// Whether the request may run again after a failure.
     pub repeatable: bool,
     /// Endpoints at which the request has been already.
@@ -26,7 +30,7 @@
 impl Demand {
     /// Returns how long the request may wait.
     pub fn patience(&self, now: Timestamp) -> time::Duration {
-        self.deadline.since(now)
+        self.leaves.since(now)
     }
 }
 
@@ -41,8 +45,8 @@
     pub endpoint: id::EndpointName,
     /// Where it listens.
     pub address: std::net::SocketAddr,
-    /// When the slot was given.
-    pub at: Timestamp,
+    /// The prompt's tokens.
+    pub prompt: u32,
     /// The predicted time to the first event, in milliseconds.
     pub first_ms: u32,
     /// How many requests are believed to run there already, over all daemons.
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -2,10 +2,12 @@
 
 mod demand;
 mod endpoint;
+mod flow;
 mod params;
 mod peers;
 mod place;
 mod queue;
+mod ranks;
 
 use std::collections;
 
@@ -33,13 +35,10 @@
     queue: queue::Queue,
     peers: peers::Peers,
     next_ticket: u64,
-    /// How long a request holds its slot, in seconds, over all ranks.
-    hold: endpoint::Mean,
+    flow: flow::Flow,
+    ranks: ranks::Ranks,
 }
 
-/// The assumed time that a request holds its slot before any has ended, in seconds.
-const PRIOR_HOLD_S: f64 = 0.5;
-
 impl Pool {
     /// Creates a pool without endpoints for a daemon in `zone`.
     pub fn new(params: PoolParams, zone: id::ZoneName, event_tokens: u32) -> Self {
@@ -51,7 +50,8 @@
             queue: queue::Queue::default(),
             peers: peers::Peers::default(),
             next_ticket: 0,
-            hold: endpoint::Mean::new(PRIOR_HOLD_S, 20.0),
+            flow: flow::Flow::default(),
+            ranks: ranks::Ranks::default(),
         }
     }
 
@@ -79,16 +79,21 @@
     /// Takes in a new request: grants it a place, queues it or refuses it.
     pub fn arrive(&mut self, now: Timestamp, demand: Demand) -> Verdict {
         let ticket = self.new_ticket();
-        if !self.queue.is_blocked_by(&demand)
+        self.ranks.note(now, demand.rank);
+        let service = self.expected_service(&demand);
+        let place = self.queue.place(now, ticket, &demand, service);
+        let ahead = self.queue.ahead_of(&place);
+        if ahead == 0
             && let Some(grant) = self.grant(now, ticket, &demand)
         {
             return Verdict::Granted(grant);
         }
-        let wait = self.predicted_wait(demand.rank);
-        if wait > demand.patience(now).as_secs_f64() * self.params.patience_part {
+        let wait = self.predicted_wait(now, ahead);
+        let patience = demand.patience(now).as_secs_f64() * self.params.patience_part;
+        if wait > patience && !demand.returning {
             return Verdict::Refused(Refused { retry_after: self.retry_after(wait) });
         }
-        self.queue.push(now, ticket, demand);
+        self.queue.push(place, demand, service);
         Verdict::Queued(ticket)
     }
 
@@ -99,6 +104,7 @@
         while let Some((ticket, demand)) = self.queue.first() {
             let Some(grant) = self.grant(now, ticket, &demand) else { break };
             self.queue.take(ticket);
+            self.flow.granted(now);
             grants.push((ticket, grant));
         }
         grants
@@ -109,9 +115,11 @@
         self.queue.take(ticket);
     }
 
-    /// Returns after how long a refused request of `rank` should come back.
-    pub fn retry_hint(&self, rank: u8) -> std::time::Duration {
-        self.retry_after(self.predicted_wait(rank))
+    /// Returns after how long a request of `rank` should come back that waited in vain.
+    ///
+    /// By then all that waits now at its rank and above will have been served.
+    pub fn retry_hint(&self, now: Timestamp, rank: u8) -> std::time::Duration {
+        self.retry_after(self.predicted_wait(now, self.queue.up_to(rank)))
     }
 
     /// Notes that the first event or the answer of a request has come.
@@ -131,9 +139,6 @@
 
     /// Notes how a granted request ended; `prompt` is 0 if its first event had come.
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
-        if outcome == Outcome::Served {
-            self.hold.observe(now.since(grant.at).as_secs_f64());
-        }
         if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
             endpoint.end(now, prompt, outcome, &self.params);
         }
@@ -187,14 +192,21 @@
         Ticket(self.next_ticket)
     }
 
-    /// Returns how long a new request of `rank` would wait, in seconds.
-    fn predicted_wait(&self, rank: u8) -> f64 {
-        let slots: u32 = self.endpoints.values().filter(|e| !e.draining).map(|e| e.slots).sum();
-        let ahead = self.queue.up_to(rank) + self.peers.waiting_up_to(rank);
-        if ahead == 0 {
-            return 0.0;
+    /// Returns how long a request would wait behind `ahead` others, in seconds.
+    fn predicted_wait(&self, now: Timestamp, ahead: usize) -> f64 {
+        ahead as f64 * self.flow.interval(now)
+    }
+
+    /// Returns how long a request is expected to take at an endpoint of mean speed.
+    fn expected_service(&self, demand: &Demand) -> queue::Service {
+        let count = self.endpoints.len().max(1) as f64;
+        let step = self.endpoints.values().map(endpoint::Endpoint::step_ms).sum::<f64>() / count;
+        let prompt = f64::from(demand.prompt) * self.params.prompt_ms * step / self.params.step_ms;
+        let ms = |ms: f64| std::time::Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 60.0));
+        queue::Service {
+            first: ms(prompt + self.params.first_ms),
+            whole: ms(prompt + demand.expected * step),
         }
-        ahead as f64 * self.hold.value() / f64::from(slots.max(1))
     }
 
     fn retry_after(&self, wait: f64) -> std::time::Duration {
--- a/crates/decide/src/gateway/pool/params.rs
+++ b/crates/decide/src/gateway/pool/params.rs
@@ -22,6 +22,14 @@
     pub failure_ms: f64,
     /// The part of the time left that the predicted wait may fill; 0.7.
     pub patience_part: f64,
+    /// The part of the slots that the last of several ranks leaves free; 0.04.
+    pub reserve: f64,
+    /// The part of the time left that the expected answer may fill; 1.
+    ///
+    /// Callers' estimates are far off either way, so a lower value would keep out too many.
+    pub feasible_part: f64,
+    /// The time to a first event beside the prompt's own, in milliseconds; 60.
+    pub first_ms: f64,
     /// The shortest time after which a refused caller is asked to come back; 300 ms.
     pub least_retry_after: time::Duration,
     /// How long an endpoint with work may say nothing before it is suspected; 600 ms.
@@ -44,6 +52,9 @@
             zone_ms: 5.0,
             failure_ms: 3_000.0,
             patience_part: 0.7,
+            reserve: 0.04,
+            feasible_part: 1.0,
+            first_ms: 60.0,
             least_retry_after: time::Duration::from_millis(300),
             silence: time::Duration::from_millis(600),
             pause: time::Duration::from_millis(400),
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -41,11 +41,6 @@
         self.loads.get(endpoint).copied().unwrap_or_default()
     }
 
-    /// Returns how many requests of `rank` and more urgent ones wait elsewhere.
-    pub(super) fn waiting_up_to(&self, rank: u8) -> usize {
-        self.waiting.iter().take(usize::from(rank) + 1).sum()
-    }
-
     /// Returns how many requests that are more urgent than `rank` wait elsewhere.
     pub(super) fn waiting_above(&self, rank: u8) -> usize {
         self.waiting.iter().take(usize::from(rank)).sum()
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -27,17 +27,18 @@
         for (name, endpoint) in &self.endpoints {
             let others = self.peers.load(name);
             let room = self.room(now, endpoint, others, demand.repeatable);
-            if room == 0 || demand.tried.contains(name) {
+            free += room;
+            if room == 0 || demand.tried.contains(name) || !self.is_feasible(now, demand, endpoint)
+            {
                 continue;
             }
-            free += room;
             let cost = self.cost(now, demand, endpoint, others, failures);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
             }
         }
         // What others wait for with more urgent requests is left to them.
-        if free <= self.peers.waiting_above(demand.rank) {
+        if free <= self.peers.waiting_above(demand.rank) + self.reserve(now, demand.rank) {
             return None;
         }
         let name = best?.1.clone();
@@ -51,7 +52,7 @@
         Some(Grant {
             endpoint: name,
             address: endpoint.address,
-            at: now,
+            prompt: demand.prompt,
             first_ms: first as u32,
             beside,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
@@ -77,6 +78,26 @@
         usize::from(repeatable && endpoint.own.running == 0)
     }
 
+    /// Returns how many slots a request of `rank` leaves free for more urgent ones.
+    ///
+    /// Only the last of several ranks does: with all slots in use by long answers, an urgent request
+    /// waits for the next end, which the daemons hear of one after the other.
+    fn reserve(&self, now: Timestamp, rank: u8) -> usize {
+        if !self.ranks.is_last(now, rank) {
+            return 0;
+        }
+        let slots: u32 = self.endpoints.values().filter(|e| !e.draining).map(|e| e.slots).sum();
+        (f64::from(slots) * self.params.reserve).round() as usize
+    }
+
+    /// Says whether the answer can be complete in time at this endpoint.
+    ///
+    /// An answer that is cut off at its deadline has held a slot for nothing, the longer the worse.
+    fn is_feasible(&self, now: Timestamp, demand: &Demand, endpoint: &endpoint::Endpoint) -> bool {
+        let left = demand.deadline.since(now).as_secs_f64() * 1_000.0;
+        demand.expected * endpoint.step_ms() <= left * self.params.feasible_part
+    }
+
     /// Returns what a placement costs, in milliseconds of delay.
     fn cost(
         &self,
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -1,16 +1,23 @@
 //! The waiting requests of one daemon at one service.
 
-use std::collections;
+use std::{collections, time};
 
 use trefoildyke_types::time::Timestamp;
 
 use crate::gateway::{Demand, Ticket};
 
-/// Orders waiting requests by rank, then by whether their objective can still be met.
+/// Orders waiting requests by rank, then by whether their objective can still be met, then by
+/// objective and length.
 ///
-/// A burst that lasts longer than the objective makes a plain queue serve everyone late. Here a
-/// request whose objective has passed steps back behind those of its rank that can still be served
-/// in time; it is served when the burst is over, well before its deadline.
+/// The load that this answers: a burst of twice the usual for a few seconds, with answers whose
+/// lengths differ a hundredfold. A queue in order of arrival then serves everyone late, and the
+/// longest tenth of the answers takes more than half of the slots' time. Here
+/// - a request whose objective has passed steps back behind those of its rank that can still be
+///   served in time;
+/// - a request counts as due later the longer it will hold its slot, so that the few long ones
+///   wait until the burst is over;
+/// - among the late, a caller that was refused before goes first, since it will not come again. It
+///   does not go before those that are in time: under lasting overload everyone would be late.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     waiting: collections::HashMap<Ticket, Waiting>,
@@ -23,40 +30,73 @@
 struct Waiting {
     demand: Demand,
     place: Place,
+    service: Service,
 }
 
+/// Says how long a request is expected to take once it has a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Service {
+    /// To its first event.
+    pub(super) first: time::Duration,
+    /// To its end.
+    pub(super) whole: time::Duration,
+}
+
+impl Service {
+    /// Returns until when a request must have a slot to meet its objective.
+    fn latest(&self, demand: &Demand) -> Timestamp {
+        let first = self.first.as_micros() as u64;
+        Timestamp::from_micros(demand.objective.as_micros().saturating_sub(first))
+    }
+}
+
+/// How much later a request is due for each second that it will hold its slot, in seconds.
+const LENGTH_WEIGHT: f64 = 0.5;
+
+/// How much later it is due at most.
+const LONGEST_DELAY: time::Duration = time::Duration::from_secs(3);
+
+/// Says where a request stands in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
+pub(super) struct Place {
     rank: u8,
     late: bool,
-    /// The objective, or the deadline of a late request.
     due: Timestamp,
     ticket: Ticket,
 }
 
 impl Queue {
-    pub(super) fn push(&mut self, now: Timestamp, ticket: Ticket, demand: Demand) {
-        let late = now >= demand.objective;
-        let due = if late { demand.deadline } else { demand.objective };
-        let place = Place { rank: demand.rank, late, due, ticket };
-        if !late {
-            self.objectives.insert((demand.objective, ticket));
+    /// Returns where a new request would stand.
+    pub(super) fn place(
+        &self,
+        now: Timestamp,
+        ticket: Ticket,
+        demand: &Demand,
+        service: Service,
+    ) -> Place {
+        let late = now >= service.latest(demand);
+        Place { rank: demand.rank, late, due: due(demand, late, service), ticket }
+    }
+
+    pub(super) fn push(&mut self, place: Place, demand: Demand, service: Service) {
+        if !place.late {
+            self.objectives.insert((service.latest(&demand), place.ticket));
         }
         self.order.insert(place);
-        self.waiting.insert(ticket, Waiting { demand, place });
+        self.waiting.insert(place.ticket, Waiting { demand, place, service });
     }
 
-    /// Moves the requests whose objective has passed back.
+    /// Moves the requests back whose objective cannot be met any more.
     pub(super) fn note_late(&mut self, now: Timestamp) {
-        while let Some((objective, ticket)) = self.objectives.first().copied() {
-            if objective > now {
+        while let Some((latest, ticket)) = self.objectives.first().copied() {
+            if latest > now {
                 return;
             }
-            self.objectives.remove(&(objective, ticket));
+            self.objectives.remove(&(latest, ticket));
             if let Some(waiting) = self.waiting.get_mut(&ticket) {
                 self.order.remove(&waiting.place);
                 waiting.place.late = true;
-                waiting.place.due = waiting.demand.deadline;
+                waiting.place.due = due(&waiting.demand, true, waiting.service);
                 self.order.insert(waiting.place);
             }
         }
@@ -65,7 +105,7 @@
     pub(super) fn take(&mut self, ticket: Ticket) -> Option<Demand> {
         let waiting = self.waiting.remove(&ticket)?;
         self.order.remove(&waiting.place);
-        self.objectives.remove(&(waiting.demand.objective, ticket));
+        self.objectives.remove(&(waiting.service.latest(&waiting.demand), ticket));
         Some(waiting.demand)
     }
 
@@ -75,11 +115,9 @@
         Some((place.ticket, waiting.demand.clone()))
     }
 
-    /// Says whether a waiting request goes before a new one that is not late.
-    pub(super) fn is_blocked_by(&self, demand: &Demand) -> bool {
-        self.order.first().is_some_and(|first| {
-            (first.rank, first.late, first.due) <= (demand.rank, false, demand.objective)
-        })
+    /// Returns how many requests stand before a place.
+    pub(super) fn ahead_of(&self, place: &Place) -> usize {
+        self.order.iter().take_while(|other| *other < place).count()
     }
 
     /// Returns how many requests of `rank` and more urgent ones wait.
@@ -104,3 +142,11 @@
         self.waiting.len()
     }
 }
+
+fn due(demand: &Demand, late: bool, service: Service) -> Timestamp {
+    if late && demand.returning {
+        return Timestamp::ZERO;
+    }
+    let base = if late { demand.leaves } else { demand.objective };
+    base + service.whole.mul_f64(LENGTH_WEIGHT).min(LONGEST_DELAY)
+}
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -33,6 +33,10 @@
     pub(crate) rank: u8,
     /// Until when the first event is of full use.
     pub(crate) objective: Timestamp,
+    /// When the caller leaves if nothing has come.
+    pub(crate) leaves: Timestamp,
+    /// Whether the caller was refused before.
+    pub(crate) returning: bool,
     /// When the caller stops waiting.
     pub(crate) deadline: Timestamp,
     /// When the final answer is due: at the route's timeout or the deadline.
@@ -73,6 +77,7 @@
         let cost = charge(shared, &admission, tokens)?;
         let arrived = trail.arrived();
         let route = &admission.route;
+        let limit = waits.min(time::Duration::from_millis(route.timeout_ms));
         let (prompt, most) = tokens.unwrap_or((0, 0));
         let mut request = face::endpoint_request(names, &head, body);
         if let Some(account) = &admission.account
@@ -89,10 +94,13 @@
             gap: time::Duration::from_millis(route.gap_ms),
             rank: rank(route, admission.account.as_ref()),
             objective: arrived + time::Duration::from_millis(route.objective_ms),
+            leaves: arrived
+                + route.patience_ms.map_or(limit, time::Duration::from_millis).min(limit),
+            returning: shared.core().is_returning(&route.name, waits),
             deadline: arrived + waits,
-            give_up: arrived + waits.min(time::Duration::from_millis(route.timeout_ms)),
+            give_up: arrived + limit,
             prompt,
-            expected: f64::from(most),
+            expected: expected(most, names::number(&head.headers, &names.length_hint)),
             cost,
             account: admission.account.map(|account| account.name),
         })
@@ -185,6 +193,18 @@
     Ok(cost)
 }
 
+/// Callers' estimates are right at the median and often far off; their mean lies this much higher.
+const HINT_MEAN: f64 = 1.15;
+
+/// The part of the declared limit that an answer without an estimate is expected to take.
+const UNHINTED_PART: f64 = 0.1;
+
+/// Returns how many tokens an answer is expected to hold.
+fn expected(most: u32, hint: Option<u64>) -> f64 {
+    let most = f64::from(most);
+    hint.map_or(most * UNHINTED_PART, |hint| (hint as f64 * HINT_MEAN).min(most))
+}
+
 /// Reads the declared tokens: those of the prompt and the most to generate.
 fn tokens(text: Option<&str>) -> Option<(u32, u32)> {
     let (prompt, most) = text?.split_once(',')?;
--- a/crates/gateway/src/face/course.rs
+++ b/crates/gateway/src/face/course.rs
@@ -12,8 +12,12 @@
 /// The part of the time left after which an idempotent request without an answer is sent again.
 const RESEND_PART: f64 = 0.45;
 
-/// The part of the time left that a request may spend waiting for a slot; the rest is for its run.
-const WAIT_PART: f64 = 0.9;
+/// The part of the time until its caller leaves that a request waits for a slot; then the caller is
+/// asked to come back after the burst.
+const WAIT_PART: f64 = 0.75;
+
+/// The same for a caller that will not come back: only the time for the first event is kept.
+const LAST_WAIT_PART: f64 = 0.92;
 
 /// How long a caller is asked to stay away that came during a stop; its next connection reaches
 /// another host.
@@ -124,7 +128,6 @@
         let demand = self.demand();
         let asked = self.shared.core().service(&self.call.service).ask(now, demand);
         self.shared.set_changed();
-        let prompt = self.call.prompt;
         let service = self.call.service.clone();
         let grant = match asked {
             state::Asked::Granted(grant) => grant,
@@ -132,7 +135,8 @@
             state::Asked::Queued(ticket, granted) => {
                 let shared = sync::Arc::clone(&self.shared);
                 let waiting = state::Waiting::new(shared, service.clone(), ticket, granted);
-                let limit = self.call.give_up.since(now).mul_f64(WAIT_PART);
+                let part = if self.call.returning { LAST_WAIT_PART } else { WAIT_PART };
+                let limit = self.call.leaves.since(now).mul_f64(part);
                 match waiting.place(limit).await {
                     Some(grant) => grant,
                     None => return Err(self.retry_hint()),
@@ -140,7 +144,7 @@
             }
         };
         let shared = sync::Arc::clone(&self.shared);
-        let slot = state::Slot::new(shared, service, grant, prompt);
+        let slot = state::Slot::new(shared, service, grant);
         self.note_sent(&slot, now);
         Ok(slot)
     }
@@ -151,14 +155,17 @@
             prompt: self.call.prompt,
             expected: self.call.expected,
             objective: self.call.objective,
+            leaves: self.call.leaves,
             deadline: self.call.give_up,
+            returning: self.call.returning,
             repeatable: self.call.kind.is_idempotent(),
             tried: self.tried.clone(),
         }
     }
 
     fn retry_hint(&self) -> time::Duration {
-        self.shared.core().service(&self.call.service).pool.retry_hint(self.call.rank)
+        let now = self.shared.now();
+        self.shared.core().service(&self.call.service).pool.retry_hint(now, self.call.rank)
     }
 
     fn note_sent(&mut self, slot: &state::Slot, asked: Timestamp) {
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -23,10 +23,15 @@
     services: collections::HashMap<id::PoolName, state::Service>,
     /// By endpoint, its service.
     homes: collections::HashMap<id::EndpointName, id::PoolName>,
+    /// By route, the longest that a caller was ready to wait.
+    longest: collections::HashMap<String, std::time::Duration>,
     incarnation: u64,
     digests: u64,
 }
 
+/// A caller with less than this part of the usual time left has been refused before.
+const RETURNING_PART: f64 = 0.97;
+
 /// Says what a digest or the passing of time has changed.
 #[derive(Debug, Default)]
 pub(crate) struct PeerNews {
@@ -47,6 +52,7 @@
             roster: gateway::Roster::new(settings.list_grace),
             services: collections::HashMap::new(),
             homes: collections::HashMap::new(),
+            longest: collections::HashMap::new(),
             incarnation,
             digests: 0,
         }
@@ -81,6 +87,20 @@
         self.services.entry(name.clone()).or_insert_with(|| unreachable!("inserted above"))
     }
 
+    /// Says whether a caller that waits for `waits` has spent a part of its time on a refusal.
+    pub(crate) fn is_returning(&mut self, route: &str, waits: std::time::Duration) -> bool {
+        match self.longest.get_mut(route) {
+            Some(longest) => {
+                *longest = waits.max(*longest);
+                waits < longest.mul_f64(RETURNING_PART)
+            }
+            None => {
+                self.longest.insert(route.to_owned(), waits);
+                false
+            }
+        }
+    }
+
     /// Takes in the changes of the list of endpoints.
     pub(crate) fn list(&mut self, now: Timestamp, changes: &[gateway::RosterChange]) {
         for change in changes {
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -54,7 +54,7 @@
                     None => Some(grant),
                 };
                 if let Some(grant) = unused {
-                    self.pool.end(now, &grant, 0, gateway::Outcome::Unused);
+                    self.pool.end(now, &grant, grant.prompt, gateway::Outcome::Unused);
                 }
             }
         }
--- a/crates/gateway/src/state/slot.rs
+++ b/crates/gateway/src/state/slot.rs
@@ -23,8 +23,8 @@
         shared: sync::Arc<state::Shared>,
         service: id::PoolName,
         grant: gateway::Grant,
-        prompt: u32,
     ) -> Self {
+        let prompt = grant.prompt;
         let outcome = gateway::Outcome::Cancelled;
         Self { shared, service, grant, prompt, outcome, last_event: None }
     }
--- a/crates/gateway/src/state/waiting.rs
+++ b/crates/gateway/src/state/waiting.rs
@@ -43,7 +43,7 @@
         }
         // The grant may have come at the same moment.
         if let Ok(grant) = self.granted.try_recv() {
-            self.shared.release(&self.service, &grant, 0, gateway::Outcome::Unused);
+            self.shared.release(&self.service, &grant, grant.prompt, gateway::Outcome::Unused);
             return;
         }
         self.shared.core().service(&self.service).give_up(self.ticket);
