--- a/crates/decide/src/gateway/digest.rs
+++ b/crates/decide/src/gateway/digest.rs
@@ -17,6 +17,20 @@
     pub pools: Vec<PoolDigest>,
 }
 
+/// Is what daemons send each other.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Message {
+    /// The sender's part of the shared state.
+    Digest(Digest),
+    /// A slot that has become free at the sender, for a request that waits at the receiver.
+    Offer {
+        /// The service.
+        service: id::PoolName,
+        /// Where the slot is.
+        endpoint: id::EndpointName,
+    },
+}
+
 /// Holds what an account has used at one daemon since its start.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct AccountSpend {
@@ -31,7 +45,7 @@
 pub struct PoolDigest {
     /// The service.
     pub service: id::PoolName,
-    /// How many requests wait, by rank.
+    /// How many requests wait, by class: twice the rank, and one more for those that are late.
     pub waiting: Vec<u16>,
     /// The endpoints at which the sender has work or of which it holds a belief.
     pub endpoints: Vec<EndpointLoad>,
@@ -42,7 +56,7 @@
 pub struct EndpointLoad {
     /// The endpoint.
     pub endpoint: id::EndpointName,
-    /// Requests sent and not ended.
+    /// Requests sent and not ended, and slots offered to others.
     pub running: u16,
     /// Prompt tokens sent whose first event has not come.
     pub prefill: u32,
--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -45,7 +45,7 @@
     }
 
     /// Takes in the list of members and returns those that are gone from it.
-    pub fn replace(&mut self, list: &[net::SocketAddr]) -> Vec<u64> {
+    pub fn replace(&mut self, list: &[net::SocketAddr]) -> Vec<net::SocketAddr> {
         let gone = |(address, _): &(&net::SocketAddr, &Member)| !list.contains(address);
         let gone: Vec<_> = self.members.iter().filter(gone).map(|(address, _)| *address).collect();
         for address in &gone {
@@ -54,7 +54,7 @@
         for address in list.iter().filter(|address| **address != self.own) {
             self.members.entry(*address).or_default();
         }
-        gone.into_iter().map(key).collect()
+        gone
     }
 
     /// Takes in a digest; `None` if it is from a stranger or older than another.
@@ -89,13 +89,13 @@
     }
 
     /// Returns the members whose loads are to be forgotten since they say nothing more.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<u64> {
+    pub fn expire(&mut self, now: Timestamp) -> Vec<net::SocketAddr> {
         let mut silent = Vec::new();
         for (address, member) in &mut self.members {
             let is_silent = member.heard.is_none_or(|heard| now.since(heard) > self.silence);
             if member.counted && is_silent {
                 member.counted = false;
-                silent.push(key(*address));
+                silent.push(*address);
             }
         }
         silent
@@ -114,21 +114,13 @@
         self.members.len() + 1
     }
 
+    /// Says whether digests and offers from `address` are taken in.
+    pub fn is_member(&self, address: net::SocketAddr) -> bool {
+        self.members.contains_key(&address)
+    }
+
     /// Returns the addresses of the others.
     pub fn others(&self) -> Vec<net::SocketAddr> {
         self.members.keys().copied().collect()
     }
-
-    /// Returns the number under which a member's loads are kept.
-    pub fn key(address: net::SocketAddr) -> u64 {
-        key(address)
-    }
-}
-
-fn key(address: net::SocketAddr) -> u64 {
-    let ip = match address.ip() {
-        net::IpAddr::V4(ip) => u64::from(ip.to_bits()),
-        net::IpAddr::V6(ip) => ip.to_bits() as u64,
-    };
-    ip << 16 | u64::from(address.port())
 }
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -20,9 +20,11 @@
     Account, AccountUnit, Admitted, Config, Denied, Limits, Route, RouteKind, Service, Table,
     Target,
 };
-pub use digest::{AccountSpend, Digest, EndpointLoad, PoolDigest};
+pub use digest::{AccountSpend, Digest, EndpointLoad, Message, PoolDigest};
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News};
-pub use pool::{Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Ticket, Verdict};
+pub use pool::{
+    Demand, EndpointState, Grant, Offer, Outcome, Pool, PoolParams, Refused, Ticket, Verdict,
+};
 pub use quota::{Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -48,6 +48,8 @@
     pub(super) draining: bool,
     /// What this daemon has sent.
     pub(super) own: Load,
+    /// Slots that were offered to other daemons and are kept free for them.
+    pub(super) offered: u32,
     /// The time between two tokens, in milliseconds.
     step: Mean,
     /// The part of the answers that were failures or broken.
@@ -98,6 +100,7 @@
             slots: entry.slots.max(1),
             draining: entry.draining,
             own: Load::default(),
+            offered: 0,
             step: Mean::new(params.step_ms, STEP_WINDOW),
             failures: Mean::new(0.0, FAILURE_WINDOW),
             heard: now,
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -3,13 +3,14 @@
 mod demand;
 mod endpoint;
 mod flow;
+mod offers;
 mod params;
 mod peers;
 mod place;
 mod queue;
 mod ranks;
 
-use std::collections;
+use std::{collections, net};
 
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -17,6 +18,7 @@
 
 pub use demand::{Demand, Grant, Outcome, Refused, Ticket, Verdict};
 pub use endpoint::EndpointState;
+pub use offers::Offer;
 pub use params::PoolParams;
 
 /// Decides which of one daemon's requests go to which endpoint of a service, and when.
@@ -37,6 +39,10 @@
     next_ticket: u64,
     flow: flow::Flow,
     ranks: ranks::Ranks,
+    /// Slots that are kept free for others, the oldest first.
+    kept: collections::VecDeque<offers::Kept>,
+    /// Offers that are to be told.
+    offers: Vec<Offer>,
 }
 
 impl Pool {
@@ -52,6 +58,8 @@
             next_ticket: 0,
             flow: flow::Flow::default(),
             ranks: ranks::Ranks::default(),
+            kept: collections::VecDeque::new(),
+            offers: Vec::new(),
         }
     }
 
@@ -84,7 +92,7 @@
         let place = self.queue.place(now, ticket, &demand, service);
         let ahead = self.queue.ahead_of(&place);
         if ahead == 0
-            && let Some(grant) = self.grant(now, ticket, &demand)
+            && let Some(grant) = self.grant(now, place.class(), &demand)
         {
             return Verdict::Granted(grant);
         }
@@ -97,19 +105,6 @@
         Verdict::Queued(ticket)
     }
 
-    /// Grants all places that waiting requests can have now, the most urgent first.
-    pub fn grant_waiting(&mut self, now: Timestamp) -> Vec<(Ticket, Grant)> {
-        let mut grants = Vec::new();
-        self.queue.note_late(now);
-        while let Some((ticket, demand)) = self.queue.first() {
-            let Some(grant) = self.grant(now, ticket, &demand) else { break };
-            self.queue.take(ticket);
-            self.flow.granted(now);
-            grants.push((ticket, grant));
-        }
-        grants
-    }
-
     /// Takes a request out of the queue: its caller has left or its time is up.
     pub fn give_up(&mut self, ticket: Ticket) {
         self.queue.take(ticket);
@@ -141,22 +136,29 @@
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
         if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
             endpoint.end(now, prompt, outcome, &self.params);
+            self.offer(now, &grant.endpoint);
         }
     }
 
     /// Takes in what another daemon has at this service.
-    pub fn note_peer(&mut self, now: Timestamp, peer: u64, digest: &gateway::PoolDigest) {
+    pub fn note_peer(
+        &mut self,
+        now: Timestamp,
+        peer: net::SocketAddr,
+        digest: &gateway::PoolDigest,
+    ) {
         self.peers.note(now, peer, digest);
     }
 
     /// Forgets a daemon that is gone, leaves or says nothing more.
-    pub fn forget_peer(&mut self, peer: u64) {
+    pub fn forget_peer(&mut self, peer: net::SocketAddr) {
         self.peers.forget(peer);
     }
 
     /// Returns this daemon's part for the others.
     pub fn digest(&self, service: &id::PoolName) -> gateway::PoolDigest {
-        let endpoints = self.endpoints.iter().filter(|(_, endpoint)| endpoint.own.running > 0);
+        let is_used = |endpoint: &endpoint::Endpoint| endpoint.own.running + endpoint.offered > 0;
+        let endpoints = self.endpoints.iter().filter(|(_, endpoint)| is_used(endpoint));
         gateway::PoolDigest {
             service: service.clone(),
             waiting: self.queue.counts(),
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -1,6 +1,6 @@
 //! What the other daemons have at a service.
 
-use std::collections;
+use std::{collections, net};
 
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -9,10 +9,10 @@
 /// Sums up the latest digests of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
-    peers: collections::HashMap<u64, Peer>,
+    peers: collections::BTreeMap<net::SocketAddr, Peer>,
     /// The sums over `peers`, by endpoint.
     loads: collections::HashMap<id::EndpointName, endpoint::Load>,
-    /// The sums of the waiting requests, by rank.
+    /// The sums of the waiting requests, by class.
     waiting: Vec<usize>,
 }
 
@@ -23,7 +23,12 @@
 }
 
 impl Peers {
-    pub(super) fn note(&mut self, now: Timestamp, peer: u64, digest: &gateway::PoolDigest) {
+    pub(super) fn note(
+        &mut self,
+        now: Timestamp,
+        peer: net::SocketAddr,
+        digest: &gateway::PoolDigest,
+    ) {
         let peer = self.peers.insert(peer, Peer { heard: now, digest: digest.clone() });
         if let Some(old) = peer {
             self.subtract(&old.digest);
@@ -31,7 +36,7 @@
         self.add(digest);
     }
 
-    pub(super) fn forget(&mut self, peer: u64) {
+    pub(super) fn forget(&mut self, peer: net::SocketAddr) {
         if let Some(old) = self.peers.remove(&peer) {
             self.subtract(&old.digest);
         }
@@ -41,9 +46,31 @@
         self.loads.get(endpoint).copied().unwrap_or_default()
     }
 
-    /// Returns how many requests that are more urgent than `rank` wait elsewhere.
-    pub(super) fn waiting_above(&self, rank: u8) -> usize {
-        self.waiting.iter().take(usize::from(rank)).sum()
+    /// Returns how many requests of more urgent classes wait elsewhere.
+    pub(super) fn waiting_above(&self, class: usize) -> usize {
+        self.waiting.iter().take(class).sum()
+    }
+
+    /// Returns the daemon with the most urgent waiting requests, the most of them, and their class.
+    pub(super) fn neediest(&self) -> Option<(usize, net::SocketAddr)> {
+        let first = |(address, peer): (&net::SocketAddr, &Peer)| {
+            let waiting = peer.digest.waiting.iter().enumerate();
+            let first = waiting.clone().find(|(_, count)| **count > 0);
+            first.map(|(class, count)| (class, std::cmp::Reverse(*count), *address))
+        };
+        let neediest = self.peers.iter().filter_map(first).min();
+        neediest.map(|(class, _, address)| (class, address))
+    }
+
+    /// Notes that one of a daemon's waiting requests is offered a slot.
+    pub(super) fn offered(&mut self, peer: net::SocketAddr, class: usize) {
+        let Some(peer) = self.peers.get_mut(&peer) else { return };
+        if let Some(count) = peer.digest.waiting.get_mut(class) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(sum) = self.waiting.get_mut(class) {
+            *sum = sum.saturating_sub(1);
+        }
     }
 
     /// Returns when the daemon that was silent the longest was heard.
@@ -57,11 +84,11 @@
             sum.running += u32::from(load.running);
             sum.prefill = sum.prefill.saturating_add(load.prefill);
         }
-        for (rank, count) in digest.waiting.iter().enumerate() {
-            if self.waiting.len() <= rank {
-                self.waiting.resize(rank + 1, 0);
+        for (class, count) in digest.waiting.iter().enumerate() {
+            if self.waiting.len() <= class {
+                self.waiting.resize(class + 1, 0);
             }
-            self.waiting[rank] += usize::from(*count);
+            self.waiting[class] += usize::from(*count);
         }
     }
 
@@ -75,8 +102,8 @@
                 }
             }
         }
-        for (rank, count) in digest.waiting.iter().enumerate() {
-            if let Some(sum) = self.waiting.get_mut(rank) {
+        for (class, count) in digest.waiting.iter().enumerate() {
+            if let Some(sum) = self.waiting.get_mut(class) {
                 *sum = sum.saturating_sub(usize::from(*count));
             }
         }
@@ -88,7 +115,7 @@
     pub(super) fn load(&self, name: &id::EndpointName) -> gateway::EndpointLoad {
         gateway::EndpointLoad {
             endpoint: name.clone(),
-            running: u16::try_from(self.own.running).unwrap_or(u16::MAX),
+            running: u16::try_from(self.own.running + self.offered).unwrap_or(u16::MAX),
             prefill: self.own.prefill,
         }
     }
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -2,7 +2,7 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{Demand, Grant, Pool, Ticket, pool::endpoint};
+use crate::gateway::{Demand, Grant, Pool, pool::endpoint};
 
 /// How much of the failures is usual, as a part of the answers, before it costs anything.
 const USUAL_FAILURES: f64 = 0.1;
@@ -14,13 +14,8 @@
 const CROWD_MS: f64 = 2.0;
 
 impl Pool {
-    /// Gives a request the best free slot.
-    pub(super) fn grant(
-        &mut self,
-        now: Timestamp,
-        _ticket: Ticket,
-        demand: &Demand,
-    ) -> Option<Grant> {
+    /// Gives a request of a class the best free slot.
+    pub(super) fn grant(&mut self, now: Timestamp, class: usize, demand: &Demand) -> Option<Grant> {
         let mut free = 0_usize;
         let mut best: Option<(f64, &id::EndpointName)> = None;
         let failures = self.usual_failures();
@@ -38,10 +33,20 @@
             }
         }
         // What others wait for with more urgent requests is left to them.
-        if free <= self.peers.waiting_above(demand.rank) + self.reserve(now, demand.rank) {
+        if free <= self.peers.waiting_above(class) + self.reserve(now, demand.rank) {
             return None;
         }
         let name = best?.1.clone();
+        self.start(now, name, demand)
+    }
+
+    /// Accounts for a request that goes to an endpoint.
+    pub(super) fn start(
+        &mut self,
+        now: Timestamp,
+        name: id::EndpointName,
+        demand: &Demand,
+    ) -> Option<Grant> {
         let others = self.peers.load(&name);
         let age = self.peers.oldest().map_or(0, |heard| now.since(heard).as_millis());
         let endpoint = self.endpoints.get_mut(&name)?;
@@ -59,6 +64,14 @@
         })
     }
 
+    /// Returns how many slots are free that nobody was offered.
+    pub(super) fn free(&self, now: Timestamp) -> usize {
+        let room = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
+            self.room(now, endpoint, self.peers.load(name), false)
+        };
+        self.endpoints.iter().map(room).sum()
+    }
+
     /// Returns how many slots of an endpoint are free.
     fn room(
         &self,
@@ -70,7 +83,7 @@
         if !endpoint.is_usable(now) {
             return 0;
         }
-        let running = endpoint.own.running + others.running;
+        let running = endpoint.own.running + endpoint.offered + others.running;
         if !endpoint.is_doubted(now, &self.params) {
             return endpoint.slots.saturating_sub(running) as usize;
         }
@@ -82,7 +95,7 @@
     ///
     /// Only the last of several ranks does: with all slots in use by long answers, an urgent request
     /// waits for the next end, which the daemons hear of one after the other.
-    fn reserve(&self, now: Timestamp, rank: u8) -> usize {
+    pub(super) fn reserve(&self, now: Timestamp, rank: u8) -> usize {
         if !self.ranks.is_last(now, rank) {
             return 0;
         }
@@ -93,7 +106,12 @@
     /// Says whether the answer can be complete in time at this endpoint.
     ///
     /// An answer that is cut off at its deadline has held a slot for nothing, the longer the worse.
-    fn is_feasible(&self, now: Timestamp, demand: &Demand, endpoint: &endpoint::Endpoint) -> bool {
+    pub(super) fn is_feasible(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        endpoint: &endpoint::Endpoint,
+    ) -> bool {
         let left = demand.deadline.since(now).as_secs_f64() * 1_000.0;
         demand.expected * endpoint.step_ms() <= left * self.params.feasible_part
     }
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -65,6 +65,13 @@
     ticket: Ticket,
 }
 
+impl Place {
+    /// Returns the class by which daemons compare what waits: lower ones go first.
+    pub(super) const fn class(&self) -> usize {
+        self.rank as usize * 2 + self.late as usize
+    }
+}
+
 impl Queue {
     /// Returns where a new request would stand.
     pub(super) fn place(
@@ -109,10 +116,18 @@
         Some(waiting.demand)
     }
 
-    pub(super) fn first(&self) -> Option<(Ticket, Demand)> {
-        let place = self.order.first()?;
-        let waiting = self.waiting.get(&place.ticket)?;
-        Some((place.ticket, waiting.demand.clone()))
+    /// Returns the first requests in order, with their classes.
+    pub(super) fn first(&self, count: usize) -> Vec<(Ticket, usize, Demand)> {
+        let candidate = |place: &Place| {
+            let waiting = self.waiting.get(&place.ticket)?;
+            Some((place.ticket, place.class(), waiting.demand.clone()))
+        };
+        self.order.iter().take(count).filter_map(candidate).collect()
+    }
+
+    /// Returns the class of the first request.
+    pub(super) fn first_class(&self) -> Option<usize> {
+        self.order.first().map(Place::class)
     }
 
     /// Returns how many requests stand before a place.
@@ -125,15 +140,15 @@
         self.order.iter().take_while(|place| place.rank <= rank).count()
     }
 
-    /// Returns how many requests wait, by rank.
+    /// Returns how many requests wait, by class.
     pub(super) fn counts(&self) -> Vec<u16> {
         let mut counts: Vec<u16> = Vec::new();
         for place in &self.order {
-            let rank = usize::from(place.rank);
-            if counts.len() <= rank {
-                counts.resize(rank + 1, 0);
+            let class = place.class();
+            if counts.len() <= class {
+                counts.resize(class + 1, 0);
             }
-            counts[rank] = counts[rank].saturating_add(1);
+            counts[class] = counts[class].saturating_add(1);
         }
         counts
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use tokio::net;
 use tokio_util::sync as tokio_sync;
+use trefoildyke_decide::gateway;
 
 use crate::{record, state};
 
@@ -20,7 +21,7 @@
 /// Fails if the socket cannot be read or written at all.
 pub(crate) async fn run(
     shared: sync::Arc<state::Shared>,
-    socket: net::UdpSocket,
+    socket: sync::Arc<net::UdpSocket>,
     ending: tokio_sync::CancellationToken,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; LARGEST];
@@ -32,22 +33,18 @@
             () = ending.cancelled() => break,
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, from)) = received else { continue };
-                if let Ok(digest) = rmp_serde::from_slice(&buffer[..length]) {
-                    shared.core().digest(shared.now(), from, &digest);
-                } else {
-                    log::debug!("{length} bytes from {from} are no digest");
-                }
+                take_in(&shared, from, &buffer[..length]);
             }
             _ = tick.tick() => {
                 note_silent(&shared);
                 if shared.take_changed() || told.elapsed() >= REST {
                     told = tokio::time::Instant::now();
-                    tell(&shared, &socket, false).await;
+                    tell(&shared, false);
                 }
             }
         }
     }
-    tell(&shared, &socket, true).await;
+    tell(&shared, true);
     Ok(())
 }
 
@@ -58,17 +55,28 @@
     }
 }
 
-async fn tell(shared: &state::Shared, socket: &net::UdpSocket, leaving: bool) {
+fn take_in(shared: &state::Shared, from: std::net::SocketAddr, bytes: &[u8]) {
+    match rmp_serde::from_slice(bytes) {
+        Ok(gateway::Message::Digest(digest)) => {
+            shared.core().digest(shared.now(), from, &digest);
+        }
+        Ok(gateway::Message::Offer { service, endpoint }) => {
+            let now = shared.now();
+            let mut core = shared.core();
+            if core.mesh.is_member(from) {
+                core.accept(now, &service, &endpoint);
+            }
+            drop(core);
+            shared.set_changed();
+        }
+        Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
+    }
+}
+
+fn tell(shared: &state::Shared, leaving: bool) {
     let (digest, others) = {
         let mut core = shared.core();
         (core.own_digest(leaving), core.mesh.others())
     };
-    if others.is_empty() {
-        return;
-    }
-    let Ok(bytes) = rmp_serde::to_vec(&digest) else { return };
-    for other in others {
-        // A datagram that is lost is made up for by the next.
-        let _ = socket.send_to(&bytes, other).await;
-    }
+    shared.tell(&gateway::Message::Digest(digest), &others);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,6 +65,8 @@
         }
         let socket = net::UdpSocket::bind(at.peers).await;
         let socket = socket.with_context(|| format!("peers: cannot use {}", at.peers))?;
+        let socket = sync::Arc::new(socket);
+        self.shared.set_socket(sync::Arc::clone(&socket));
         traffic.spawn("exchange", exchange::run(shared(), socket, ending));
         Ok(())
     }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -139,7 +139,7 @@
         for spend in &news.spent {
             self.quota.note_others(now, &spend.account, spend.used as f64);
         }
-        let peer = gateway::Mesh::key(from);
+        let peer = from;
         if news.leaving {
             self.forget(peer);
             return;
@@ -157,6 +157,16 @@
         }
     }
 
+    /// Takes a slot that another daemon offers.
+    pub(crate) fn accept(
+        &mut self,
+        now: Timestamp,
+        service: &id::PoolName,
+        endpoint: &id::EndpointName,
+    ) {
+        self.service(service).accept(now, endpoint);
+    }
+
     /// Returns what the others are to be told.
     pub(crate) fn own_digest(&mut self, leaving: bool) -> gateway::Digest {
         self.digests += 1;
@@ -186,7 +196,7 @@
         PeerNews { silent: silent.len() }
     }
 
-    fn forget(&mut self, peer: u64) {
+    fn forget(&mut self, peer: net::SocketAddr) {
         for service in self.services.values_mut() {
             service.pool.forget_peer(peer);
         }
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 use trefoildyke_decide::gateway;
-use trefoildyke_types::time::Timestamp;
+use trefoildyke_types::{id, time::Timestamp};
 
 /// Holds the decisions on one service and the requests that wait for them.
 pub(crate) struct Service {
@@ -48,18 +48,29 @@
                 return;
             }
             for (ticket, grant) in grants {
-                let waiter = self.waiters.remove(&ticket);
-                let unused = match waiter {
-                    Some(waiter) => waiter.send(grant).err(),
-                    None => Some(grant),
-                };
-                if let Some(grant) = unused {
-                    self.pool.end(now, &grant, grant.prompt, gateway::Outcome::Unused);
-                }
+                self.deliver(now, ticket, grant);
             }
         }
     }
 
+    /// Takes a slot that another daemon offers, if a waiting request can use it.
+    pub(crate) fn accept(&mut self, now: Timestamp, endpoint: &id::EndpointName) {
+        if let Some((ticket, grant)) = self.pool.accept(now, endpoint) {
+            self.deliver(now, ticket, grant);
+        }
+    }
+
+    fn deliver(&mut self, now: Timestamp, ticket: gateway::Ticket, grant: gateway::Grant) {
+        let waiter = self.waiters.remove(&ticket);
+        let unused = match waiter {
+            Some(waiter) => waiter.send(grant).err(),
+            None => Some(grant),
+        };
+        if let Some(grant) = unused {
+            self.pool.end(now, &grant, grant.prompt, gateway::Outcome::Unused);
+        }
+    }
+
     pub(crate) fn give_up(&mut self, ticket: gateway::Ticket) {
         self.waiters.remove(&ticket);
         self.pool.give_up(ticket);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::sync::atomic;
 
+use tokio::net;
 use trefoildyke_decide::gateway;
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
@@ -18,6 +19,7 @@
     /// Counts the requests in progress.
     pub(crate) gate: kernel::Gate,
     pub(crate) links: upstream::Links,
+    socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
     core: sync::Mutex<state::Core>,
     /// Set when a graceful stop has begun.
     stopping: atomic::AtomicBool,
@@ -42,6 +44,7 @@
             metrics,
             gate: kernel::Gate::default(),
             links,
+            socket: sync::OnceLock::new(),
             core,
             stopping: atomic::AtomicBool::new(false),
             ready: atomic::AtomicBool::new(false),
@@ -58,6 +61,25 @@
         self.core.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Sets the socket by which the others are told; without one, they are told nothing.
+    pub(crate) fn set_socket(&self, socket: sync::Arc<net::UdpSocket>) {
+        // Set once, at the start.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Sends a message to other daemons; one that is lost is made up for by the next digest.
+    pub(crate) fn tell(&self, message: &gateway::Message, others: &[std::net::SocketAddr]) {
+        let Some(socket) = self.socket.get() else { return };
+        match rmp_serde::to_vec(message) {
+            Ok(bytes) => {
+                for other in others {
+                    let _ = socket.try_send_to(&bytes, *other);
+                }
+            }
+            Err(error) => log::error!("a message to the other daemons is not sent: {error}"),
+        }
+    }
+
     pub(crate) fn set_changed(&self) {
         self.changed.store(true, atomic::Ordering::Relaxed);
     }
@@ -91,11 +113,17 @@
     ) {
         let now = self.now();
         let mut core = self.core();
-        let service = core.service(service);
-        service.pool.end(now, grant, prompt, outcome);
-        service.hand_out(now);
+        let decided = core.service(service);
+        decided.pool.end(now, grant, prompt, outcome);
+        decided.hand_out(now);
+        let offers = decided.pool.take_offers();
         drop(core);
         self.set_changed();
+        for offer in offers {
+            let service = service.clone();
+            let message = gateway::Message::Offer { service, endpoint: offer.endpoint };
+            self.tell(&message, &[offer.peer]);
+        }
     }
 
     /// Says whether new connections may come, and how old the belief is.
