decide: keep long prompts off slow endpoints, and fast endpoints for long prompts

Placement by the least time to the end sent the long answers with short prompts to the fast endpoints and the long prompts to the slow ones. Ruled out: waiting for a slot (p50 143 ms), queues at the engines (7.0 requests in 7 slots since free slots are offered to one daemon only). A long prompt waits for an endpoint that reads it within 0.6 of the noticed pause while it is not late; decode time no longer counts in the cost, since all slots give the same tokens a second for it.

--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -13,6 +13,8 @@
     pub prompt: u32,
     /// The expected length of the answer in tokens.
     pub expected: f64,
+    /// The longest pause that callers of such streams don't notice; zero where there is no stream.
+    pub gap: time::Duration,
     /// Until when the first event is of full use.
     pub objective: Timestamp,
     /// When the caller leaves if nothing has come.
--- a/crates/decide/src/gateway/pool/offers.rs
+++ b/crates/decide/src/gateway/pool/offers.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{Grant, Pool, Ticket};
+use crate::gateway::{Demand, Grant, Pool, Ticket};
 
 /// How long an offered slot is kept free: the way there, and the digest that tells of its use.
 const KEPT: time::Duration = time::Duration::from_millis(100);
@@ -62,8 +62,8 @@
     pub fn accept(&mut self, now: Timestamp, name: &id::EndpointName) -> Option<(Ticket, Grant)> {
         let endpoint = self.endpoints.get(name).filter(|endpoint| endpoint.is_usable(now))?;
         let candidates = self.queue.first(CANDIDATES);
-        let fits = |(_, _, demand): &&(Ticket, usize, crate::gateway::Demand)| {
-            !demand.tried.contains(name) && self.is_feasible(now, demand, endpoint)
+        let fits = |(_, class, demand): &&(Ticket, usize, Demand)| {
+            !demand.tried.contains(name) && self.suits(now, *class, demand, endpoint)
         };
         let (ticket, _, demand) = candidates.iter().find(fits)?;
         let grant = self.start(now, name.clone(), demand)?;
--- a/crates/decide/src/gateway/pool/params.rs
+++ b/crates/decide/src/gateway/pool/params.rs
@@ -14,6 +14,15 @@
     pub first_weight: f64,
     /// How much the delay weighs that a prompt means for each stream beside it; 0.3.
     pub beside_weight: f64,
+    /// The part of the longest unnoticed pause that the prompts at an endpoint may take; 0.6.
+    pub pause_part: f64,
+    /// How much the time beyond it weighs for each stream there; 2.
+    pub pause_weight: f64,
+    /// What a slot of an endpoint costs that is twice as fast as the mean, in milliseconds; 60.
+    ///
+    /// More than a short prompt gains there, less than a long one does: fast endpoints are kept
+    /// for long prompts, whose reading stalls the streams beside them the least there.
+    pub fast_ms: f64,
     /// What an endpoint in another availability zone costs, in milliseconds; 5.
     ///
     /// More than the way there and back, since bytes between availability zones are paid for.
@@ -49,6 +58,9 @@
             prompt_ms: 1.0 / 38.0,
             first_weight: 2.0,
             beside_weight: 0.3,
+            pause_part: 0.6,
+            pause_weight: 2.0,
+            fast_ms: 60.0,
             zone_ms: 5.0,
             failure_ms: 3_000.0,
             patience_part: 0.7,
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -18,16 +18,16 @@
     pub(super) fn grant(&mut self, now: Timestamp, class: usize, demand: &Demand) -> Option<Grant> {
         let mut free = 0_usize;
         let mut best: Option<(f64, &id::EndpointName)> = None;
-        let failures = self.usual_failures();
+        let usual = self.usual();
         for (name, endpoint) in &self.endpoints {
             let others = self.peers.load(name);
             let room = self.room(now, endpoint, others, demand.repeatable);
             free += room;
-            if room == 0 || demand.tried.contains(name) || !self.is_feasible(now, demand, endpoint)
+            if room == 0 || demand.tried.contains(name) || !self.suits(now, class, demand, endpoint)
             {
                 continue;
             }
-            let cost = self.cost(now, demand, endpoint, others, failures);
+            let cost = self.cost(now, demand, endpoint, others, usual);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
             }
@@ -116,6 +116,39 @@
         demand.expected * endpoint.step_ms() <= left * self.params.feasible_part
     }
 
+    /// Says whether a request may go to an endpoint at all, if there is a slot.
+    ///
+    /// A long prompt that would stall the streams at a slow endpoint waits for a fast one, as long
+    /// as it is not late.
+    pub(super) fn suits(
+        &self,
+        now: Timestamp,
+        class: usize,
+        demand: &Demand,
+        endpoint: &endpoint::Endpoint,
+    ) -> bool {
+        let is_late = class % 2 == 1;
+        let limit = self.pause_limit(demand);
+        let stalls = |endpoint: &endpoint::Endpoint| {
+            f64::from(demand.prompt) * endpoint.prompt_ms(&self.params) > limit
+        };
+        if !self.is_feasible(now, demand, endpoint) {
+            return false;
+        }
+        if is_late || !stalls(endpoint) {
+            return true;
+        }
+        !self.endpoints.values().any(|other| other.is_usable(now) && !stalls(other))
+    }
+
+    /// Returns how long prompts may take at an endpoint before its streams pause, in milliseconds.
+    fn pause_limit(&self, demand: &Demand) -> f64 {
+        if demand.gap.is_zero() {
+            return f64::INFINITY;
+        }
+        demand.gap.as_secs_f64() * 1_000.0 * self.params.pause_part
+    }
+
     /// Returns what a placement costs, in milliseconds of delay.
     fn cost(
         &self,
@@ -123,32 +156,48 @@
         demand: &Demand,
         endpoint: &endpoint::Endpoint,
         others: endpoint::Load,
-        usual_failures: f64,
+        usual: Usual,
     ) -> f64 {
         let prompt_ms = endpoint.prompt_ms(&self.params);
         let running = f64::from(endpoint.own.running + others.running);
         let ahead = f64::from(endpoint.own.prefill + others.prefill);
         let own = f64::from(demand.prompt) * prompt_ms;
         let first = ahead * prompt_ms + own;
-        let rest = demand.expected * endpoint.step_ms();
         let beside = running * own * self.params.beside_weight;
+        let pause = (first - self.pause_limit(demand)).max(0.0) * running;
+        let fast = (usual.step_ms / endpoint.step_ms() - 1.0).max(0.0) * self.params.fast_ms;
         let zone = if endpoint.zone == self.zone { 0.0 } else { self.params.zone_ms };
-        let failures = endpoint.failure_part() - usual_failures - USUAL_FAILURES;
+        let failures = endpoint.failure_part() - usual.failures - USUAL_FAILURES;
         let failures = failures.max(0.0) * self.params.failure_ms;
         let doubt = if endpoint.is_doubted(now, &self.params) { DOUBT_MS } else { 0.0 };
         first * self.params.first_weight
-            + rest
             + beside
+            + pause * self.params.pause_weight
+            + fast
             + running * CROWD_MS
             + zone
             + failures
             + doubt
     }
 
-    /// Returns the part of failed answers that is usual at this service.
-    fn usual_failures(&self) -> f64 {
+    /// Returns what is usual among the endpoints.
+    fn usual(&self) -> Usual {
         let count = self.endpoints.len().max(1) as f64;
-        let sum: f64 = self.endpoints.values().map(endpoint::Endpoint::failure_part).sum();
-        sum / count
+        let mean = |of: fn(&endpoint::Endpoint) -> f64| {
+            self.endpoints.values().map(of).sum::<f64>() / count
+        };
+        Usual {
+            failures: mean(endpoint::Endpoint::failure_part),
+            step_ms: mean(endpoint::Endpoint::step_ms),
+        }
     }
 }
+
+/// Holds means over the endpoints of a pool.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    /// The part of failed answers.
+    failures: f64,
+    /// The time between two tokens, in milliseconds.
+    step_ms: f64,
+}
--- a/crates/gateway/src/face/course.rs
+++ b/crates/gateway/src/face/course.rs
@@ -154,6 +154,7 @@
             rank: self.call.rank,
             prompt: self.call.prompt,
             expected: self.call.expected,
+            gap: self.call.gap,
             objective: self.call.objective,
             leaves: self.call.leaves,
             deadline: self.call.give_up,
