gateway: count a returning caller's objective from its first attempt

Cause: a caller that came back after a refusal stood among those in time, though its objective had passed, and made fresh ones late.

--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -79,6 +79,7 @@
         let route = &admission.route;
         let limit = waits.min(time::Duration::from_millis(route.timeout_ms));
         let (prompt, most) = tokens.unwrap_or((0, 0));
+        let spent = shared.core().spent(&route.name, waits);
         let mut request = face::endpoint_request(names, &head, body);
         if let Some(account) = &admission.account
             && let Ok(value) = header::HeaderValue::from_str(account.name.as_str())
@@ -93,10 +94,11 @@
             attempts: route.attempts,
             gap: time::Duration::from_millis(route.gap_ms),
             rank: rank(route, admission.account.as_ref()),
-            objective: arrived + time::Duration::from_millis(route.objective_ms),
+            objective: arrived
+                + time::Duration::from_millis(route.objective_ms).saturating_sub(spent),
             leaves: arrived
                 + route.patience_ms.map_or(limit, time::Duration::from_millis).min(limit),
-            returning: shared.core().is_returning(&route.name, waits),
+            returning: !spent.is_zero(),
             deadline: arrived + waits,
             give_up: arrived + limit,
             prompt,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -87,17 +87,17 @@
         self.services.entry(name.clone()).or_insert_with(|| unreachable!("inserted above"))
     }
 
-    /// Says whether a caller that waits for `waits` has spent a part of its time on a refusal.
-    pub(crate) fn is_returning(&mut self, route: &str, waits: std::time::Duration) -> bool {
-        match self.longest.get_mut(route) {
-            Some(longest) => {
-                *longest = waits.max(*longest);
-                waits < longest.mul_f64(RETURNING_PART)
-            }
-            None => {
-                self.longest.insert(route.to_owned(), waits);
-                false
-            }
+    /// Returns how much of its time a caller that still waits for `waits` has spent on a refusal.
+    pub(crate) fn spent(&mut self, route: &str, waits: std::time::Duration) -> std::time::Duration {
+        let Some(longest) = self.longest.get_mut(route) else {
+            self.longest.insert(route.to_owned(), waits);
+            return std::time::Duration::ZERO;
+        };
+        *longest = waits.max(*longest);
+        if waits < longest.mul_f64(RETURNING_PART) {
+            *longest - waits
+        } else {
+            std::time::Duration::ZERO
         }
     }
 
