decide: quotas as a bucket over the operators' window; unconfirmed callers move at once

A caller at a daemon whose store did not answer was asked to stay away for 1 s, which made it late everywhere else.

--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -10,23 +10,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct QuotaParams {
-    /// The part of an account's quota that a lone daemon never uses, for what it has not heard of
-    /// yet; 0.
-    pub reserve: f64,
+    /// The window over which a quota holds, in seconds: at most the rate times this plus the burst
+    /// may be used within it; 8.
+    pub window_s: f64,
+    /// The part of that by which all daemons together may exceed it; 0.1.
+    pub overshoot: f64,
+    /// By how much more they may exceed it, in the quota's unit; 0.
+    pub slack: f64,
 }
 
 impl Default for QuotaParams {
     fn default() -> Self {
-        Self { reserve: 0.0 }
+        Self { window_s: 8.0, overshoot: 0.1, slack: 0.0 }
     }
 }
 
+/// The part of the permitted excess that a full bucket holds. The rest covers what daemons admit
+/// at the same moment without knowing of each other.
+const EXCESS_PART: f64 = 0.5;
+
 /// Bounds what each account uses over all daemons.
 ///
 /// Every daemon keeps a token bucket for each account and draws from it what it admits itself and
-/// what the others say they have admitted. A daemon that hears only a part of the members refills
-/// only that part of the rate, so that the parts of a split system together stay within the quota.
-/// A bucket starts empty: what was used before a restart is not known.
+/// what the others say they have admitted. The bucket refills with all that the quota allows in a
+/// window, spread evenly: the burst as well, since a caller may use it once in each window. A
+/// daemon that hears only a part of the members refills only that part, so that the parts of a
+/// split system together stay within the quota. A bucket starts empty: what was used before a
+/// restart is not known.
 #[derive(Clone, Debug, Default)]
 pub struct Quota {
     params: QuotaParams,
@@ -64,8 +74,7 @@
         if account.rate <= 0.0 {
             return Ok(());
         }
-        let part = part * (1.0 - self.params.reserve);
-        let (rate, burst) = (account.rate * part, account.burst.max(1.0) * part);
+        let (rate, burst) = self.params.refill(account, part);
         let bucket = self.bucket(now, &account.name);
         bucket.refill(now, rate, burst);
         // A request larger than the burst passes a full bucket, else it would never pass.
@@ -111,6 +120,15 @@
     }
 }
 
+impl QuotaParams {
+    /// Returns the rate a second and the size of an account's bucket.
+    fn refill(&self, account: &gateway::Account, part: f64) -> (f64, f64) {
+        let whole = account.rate * self.window_s + account.burst;
+        let size = (whole * self.overshoot + self.slack) * EXCESS_PART;
+        (whole / self.window_s * part, size.max(1.0) * part)
+    }
+}
+
 impl Bucket {
     fn refill(&mut self, now: Timestamp, rate: f64, burst: f64) {
         let passed = now.since(self.refilled).as_secs_f64();
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -13,9 +13,9 @@
 /// How long a caller is asked to stay away that came before the configuration was known.
 const STARTING: time::Duration = time::Duration::from_millis(500);
 
-/// How long a caller is asked to stay away whose key cannot be checked: about the time in which
-/// its next connection reaches another host.
-const UNCONFIRMED: time::Duration = time::Duration::from_millis(1_000);
+/// How long a caller is asked to stay away whose key cannot be checked: its next connection reaches
+/// another host, which most likely can.
+const UNCONFIRMED: time::Duration = time::Duration::from_millis(100);
 
 /// How long a caller waits that does not say.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(60);
@@ -138,7 +138,9 @@
     trail.set_version(config.version);
     let admitted = match table.admit(host, head.uri.path(), key) {
         Ok(admitted) => admitted,
-        Err(_) if !is_fresh => return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED)),
+        Err(_) if !is_fresh => {
+            return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED).closing());
+        }
         Err(gateway::Denied::NoRoute) => {
             return Err(face::Reply::new(StatusCode::NOT_FOUND, "no_route"));
         }
@@ -148,7 +150,7 @@
     };
     trail.set_route(admitted.route, admitted.account);
     if admitted.account.is_some() && !is_fresh {
-        return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED));
+        return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED).closing());
     }
     if trail.id().is_empty() {
         return Err(face::Reply::new(StatusCode::BAD_REQUEST, "request_id_missing"));
