--- a/crates/decide/src/gateway/digest.rs
+++ b/crates/decide/src/gateway/digest.rs
@@ -9,6 +9,8 @@
     pub incarnation: u64,
     /// Rises with each digest of an incarnation, so that one that comes late is ignored.
     pub number: u64,
+    /// Whether the sender has just started and knows little of what was used.
+    pub is_young: bool,
     /// Whether the sender leaves and says nothing more.
     pub leaving: bool,
     /// What each account has used at the sender.
@@ -38,6 +40,8 @@
     pub account: id::AccountName,
     /// Everything used since the start of the incarnation; never falls.
     pub used: u64,
+    /// What is left in the sender's bucket; below 0 if it is overdrawn.
+    pub level: i64,
 }
 
 /// Holds one daemon's work at one service.
--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -34,6 +34,8 @@
 pub struct News {
     /// What each account has used since the last digest of the sender.
     pub spent: Vec<gateway::AccountSpend>,
+    /// What the sender's buckets hold, if it is heard for the first time.
+    pub levels: Vec<gateway::AccountSpend>,
     /// Whether the sender's loads are to be forgotten.
     pub leaving: bool,
 }
@@ -77,12 +79,14 @@
         member.last = Some((digest.incarnation, digest.number));
         member.heard = (!digest.leaving).then_some(now);
         member.counted = !digest.leaving;
-        let mut news = News { spent: Vec::new(), leaving: digest.leaving };
+        let mut news = News { leaving: digest.leaving, ..News::default() };
         for spend in &digest.spend {
             let before = member.used.insert(spend.account.clone(), spend.used).unwrap_or(0);
             let used = spend.used.saturating_sub(before);
-            if used > 0 && !is_first {
-                news.spent.push(gateway::AccountSpend { account: spend.account.clone(), used });
+            if is_first {
+                news.levels.push(spend.clone());
+            } else if used > 0 {
+                news.spent.push(gateway::AccountSpend { used, ..spend.clone() });
             }
         }
         Some(news)
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -49,6 +49,8 @@
     refilled: Timestamp,
     /// Used at this daemon since its start.
     used: f64,
+    /// Whether another daemon's level was taken over.
+    adopted: bool,
 }
 
 impl Quota {
@@ -98,17 +100,30 @@
         self.bucket(now, account).level -= cost;
     }
 
+    /// Takes over what another daemon's bucket holds, right after the start.
+    ///
+    /// All daemons' buckets follow the same uses; a daemon that has just started knows of none and
+    /// would refuse callers who are within their quotas.
+    pub fn adopt(&mut self, now: Timestamp, account: &id::AccountName, level: i64) {
+        let bucket = self.bucket(now, account);
+        if !bucket.adopted && bucket.used == 0.0 {
+            bucket.adopted = true;
+            bucket.level = bucket.level.max(level as f64);
+        }
+    }
+
     /// Returns what each account has used at this daemon since its start.
     pub fn used(&self) -> Vec<gateway::AccountSpend> {
         let spend = |(account, bucket): (&id::AccountName, &Bucket)| gateway::AccountSpend {
             account: account.clone(),
             used: bucket.used as u64,
+            level: bucket.level as i64,
         };
-        self.buckets.iter().filter(|(_, bucket)| bucket.used > 0.0).map(spend).collect()
+        self.buckets.iter().map(spend).collect()
     }
 
     fn bucket(&mut self, now: Timestamp, account: &id::AccountName) -> &mut Bucket {
-        let new = || Bucket { level: 0.0, refilled: now, used: 0.0 };
+        let new = || Bucket { level: 0.0, refilled: now, used: 0.0, adopted: false };
         self.buckets.entry(account.clone()).or_insert_with(new)
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -76,7 +76,7 @@
 fn tell(shared: &state::Shared, leaving: bool) {
     let (digest, others) = {
         let mut core = shared.core();
-        (core.own_digest(leaving), core.mesh.others())
+        (core.own_digest(shared.now(), leaving), core.mesh.others())
     };
     shared.tell(&gateway::Message::Digest(digest), &others);
 }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -25,10 +25,14 @@
     homes: collections::HashMap<id::EndpointName, id::PoolName>,
     /// By route, the longest that a caller was ready to wait.
     longest: collections::HashMap<String, std::time::Duration>,
+    started: Timestamp,
     incarnation: u64,
     digests: u64,
 }
 
+/// For how long after its start a daemon's picture of the quotas is not taken over by others.
+const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// A caller with less than this part of the usual time left has been refused before.
 const RETURNING_PART: f64 = 0.97;
 
@@ -53,6 +57,7 @@
             services: collections::HashMap::new(),
             homes: collections::HashMap::new(),
             longest: collections::HashMap::new(),
+            started: Timestamp::ZERO,
             incarnation,
             digests: 0,
         }
@@ -139,6 +144,11 @@
         for spend in &news.spent {
             self.quota.note_others(now, &spend.account, spend.used as f64);
         }
+        if !digest.is_young {
+            for spend in &news.levels {
+                self.quota.adopt(now, &spend.account, spend.level);
+            }
+        }
         let peer = from;
         if news.leaving {
             self.forget(peer);
@@ -168,7 +178,7 @@
     }
 
     /// Returns what the others are to be told.
-    pub(crate) fn own_digest(&mut self, leaving: bool) -> gateway::Digest {
+    pub(crate) fn own_digest(&mut self, now: Timestamp, leaving: bool) -> gateway::Digest {
         self.digests += 1;
         let mut pools = Vec::new();
         for (name, service) in &self.services {
@@ -181,6 +191,7 @@
             incarnation: self.incarnation,
             number: self.digests,
             leaving,
+            is_young: now.since(self.started) < YOUNG,
             spend: self.quota.used(),
             pools,
         }
