gateway: tests against scripted endpoints; a dropped gateway ends its tasks

Found by them: a gateway that is dropped without a stop left its listeners running until the kernel's limit of 5 s.

--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -0,0 +1,71 @@
+//! Which daemons are heard.
+
+use std::{net::SocketAddr, time::Duration};
+
+use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh};
+use trefoildyke_types::time::Timestamp;
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_600))
+}
+
+fn mesh(members: u8) -> Mesh {
+    let mut mesh = Mesh::new(address(1), Duration::from_secs(1));
+    mesh.replace(&(1..=members).map(address).collect::<Vec<_>>());
+    mesh
+}
+
+fn digest(incarnation: u64, number: u64, used: u64) -> Digest {
+    let spend = AccountSpend { account: "cascadia".into(), used, level: 0 };
+    Digest { incarnation, number, spend: vec![spend], ..Digest::default() }
+}
+
+fn spent(mesh: &mut Mesh, ms: u64, digest: &Digest) -> Option<u64> {
+    let news = mesh.note(Timestamp::from_millis(ms), address(2), digest)?;
+    Some(news.spent.iter().map(|spend| spend.used).sum())
+}
+
+#[test]
+fn each_use_is_counted_once_over_lost_late_and_repeated_digests() {
+    let mut mesh = mesh(2);
+    assert_eq!(spent(&mut mesh, 0, &digest(7, 1, 100)), Some(0));
+    assert_eq!(spent(&mut mesh, 50, &digest(7, 4, 180)), Some(80));
+    assert_eq!(spent(&mut mesh, 60, &digest(7, 3, 150)), None);
+    assert_eq!(spent(&mut mesh, 70, &digest(7, 4, 180)), None);
+    assert_eq!(spent(&mut mesh, 99, &digest(7, 5, 180)), Some(0));
+}
+
+#[test]
+fn a_restarted_daemon_counts_from_nought() {
+    let mut mesh = mesh(2);
+    spent(&mut mesh, 0, &digest(7, 90, 1_000));
+    assert_eq!(spent(&mut mesh, 50, &digest(8, 1, 30)), Some(30));
+}
+
+#[test]
+fn strangers_are_not_heard() {
+    let mut mesh = mesh(2);
+    assert!(mesh.note(Timestamp::ZERO, address(9), &digest(7, 1, 5)).is_none());
+    assert!(!mesh.is_member(address(9)));
+}
+
+#[test]
+fn the_part_that_is_heard_falls_with_silence_and_rises_with_digests() {
+    let mut mesh = mesh(4);
+    assert_eq!(mesh.part(Timestamp::ZERO), 0.25);
+    for peer in 2..=4 {
+        mesh.note(Timestamp::ZERO, address(peer), &digest(7, 1, 0));
+    }
+    assert_eq!(mesh.part(Timestamp::from_millis(900)), 1.0);
+    assert!(mesh.expire(Timestamp::from_millis(900)).is_empty());
+    assert_eq!(mesh.part(Timestamp::from_millis(1_100)), 0.25);
+    assert_eq!(mesh.expire(Timestamp::from_millis(1_100)).len(), 3);
+    assert!(mesh.expire(Timestamp::from_millis(1_200)).is_empty());
+}
+
+#[test]
+fn a_member_that_is_not_listed_any_more_does_not_count() {
+    let mut mesh = mesh(4);
+    assert_eq!(mesh.replace(&[address(1), address(2)]).len(), 2);
+    assert_eq!(mesh.count(), 2);
+}
--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions about opaque requests.
+
+mod attempt;
+mod budget;
+mod freshness;
+mod loads;
+mod mesh;
+mod pool;
+mod quota;
+mod roster;
+mod support;
+mod table;
--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/quota.rs
@@ -0,0 +1,126 @@
+//! Quotas over all daemons.
+
+use proptest::prelude::*;
+use trefoildyke_decide::gateway::{Account, AccountUnit, Quota, QuotaParams};
+use trefoildyke_types::{id::AccountName, time::Timestamp};
+
+const WINDOW_MS: u64 = 8_000;
+
+fn account(rate: f64, burst: f64) -> Account {
+    Account {
+        name: "cascadia".into(),
+        keys: vec![],
+        priority: None,
+        rate,
+        burst,
+        unit: AccountUnit::Tokens { undeclared: 200 },
+    }
+}
+
+fn params() -> QuotaParams {
+    QuotaParams { window_s: 8.0, overshoot: 0.1, slack: 72_000.0 }
+}
+
+/// The largest use in any window, by the ends of uses.
+fn largest(uses: &[(u64, f64)]) -> f64 {
+    let window = |end: u64| {
+        let within = uses.iter().filter(|(ms, _)| *ms <= end && *ms + WINDOW_MS > end);
+        within.map(|(_, cost)| cost).sum()
+    };
+    uses.iter().map(|(end, _)| window(*end)).fold(0.0, f64::max)
+}
+
+/// Plays a flood at several daemons that hear each other after `delay_ms`.
+fn flood(daemons: usize, delay_ms: u64, part: f64, cost: f64) -> Vec<(u64, f64)> {
+    let account = account(24_000.0, 88_000.0);
+    let mut quotas = vec![Quota::new(params()); daemons];
+    for quota in &mut quotas {
+        quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
+    }
+    let mut uses = Vec::new();
+    let mut told: Vec<(u64, usize)> = Vec::new();
+    for ms in (0..40_000).step_by(5) {
+        let now = Timestamp::from_millis(ms);
+        let is_due = |(sent, _): &(u64, usize)| sent + delay_ms <= ms;
+        for (_, from) in told.extract_if(.., |entry| is_due(entry)).collect::<Vec<_>>() {
+            for (number, quota) in quotas.iter_mut().enumerate() {
+                if number != from {
+                    quota.note_others(now, &AccountName::from("cascadia"), cost);
+                }
+            }
+        }
+        for (number, quota) in quotas.iter_mut().enumerate() {
+            if quota.take(now, &account, cost, part).is_ok() {
+                uses.push((ms, cost));
+                told.push((ms, number));
+            }
+        }
+    }
+    uses
+}
+
+const LIMIT: f64 = (24_000.0 * 8.0 + 88_000.0) * 1.1 + 72_000.0;
+
+#[test]
+fn seven_daemons_that_hear_each_other_keep_a_flood_within_the_quota() {
+    let uses = flood(7, 55, 1.0, 900.0);
+    assert!(largest(&uses) <= LIMIT, "{} of {LIMIT}", largest(&uses));
+    let used: f64 = uses.iter().map(|(_, cost)| cost).sum();
+    assert!(used > 24_000.0 * 40.0, "the quota was not used: {used}");
+}
+
+#[test]
+fn daemons_that_hear_nobody_keep_to_their_parts() {
+    let uses = flood(7, u64::MAX / 2, 1.0 / 7.0, 900.0);
+    assert!(largest(&uses) <= LIMIT, "{} of {LIMIT}", largest(&uses));
+}
+
+#[test]
+fn one_request_larger_than_the_bucket_passes_when_the_bucket_is_full() {
+    let account = account(100.0, 100.0);
+    let mut quota = Quota::new(QuotaParams { slack: 0.0, ..params() });
+    quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
+    assert!(quota.take(Timestamp::ZERO, &account, 500.0, 1.0).is_err());
+    assert!(quota.take(Timestamp::from_millis(20_000), &account, 500.0, 1.0).is_ok());
+}
+
+#[test]
+fn a_refusal_says_when_the_bucket_will_do() {
+    let account = account(800.0, 0.0);
+    let mut quota = Quota::new(QuotaParams { slack: 0.0, ..params() });
+    quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
+    let wait = quota.take(Timestamp::ZERO, &account, 100.0, 1.0).unwrap_err();
+    let later = Timestamp::from_millis((wait * 1_000.0) as u64 + 1);
+    assert!(quota.take(later, &account, 100.0, 1.0).is_ok());
+}
+
+#[test]
+fn a_daemon_that_has_just_started_takes_over_a_level_once() {
+    let account = account(24_000.0, 88_000.0);
+    let name = AccountName::from("cascadia");
+    let mut quota = Quota::new(params());
+    quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
+    quota.adopt(Timestamp::ZERO, &name, 5_000);
+    quota.adopt(Timestamp::ZERO, &name, 5_000_000);
+    assert!(quota.take(Timestamp::ZERO, &account, 5_000.0, 1.0).is_ok());
+    assert!(quota.take(Timestamp::ZERO, &account, 1.0, 1.0).is_err());
+}
+
+proptest! {
+    #[test]
+    fn no_window_exceeds_the_quota_at_one_daemon(
+        gaps in proptest::collection::vec((0_u64..400, 1.0_f64..30_000.0), 1..600),
+    ) {
+        let account = account(24_000.0, 88_000.0);
+        let mut quota = Quota::new(params());
+        let mut uses = Vec::new();
+        let mut ms = 0;
+        for (gap, cost) in gaps {
+            ms += gap;
+            if quota.take(Timestamp::from_millis(ms), &account, cost, 1.0).is_ok() {
+                uses.push((ms, cost));
+            }
+        }
+        prop_assert!(largest(&uses) <= LIMIT);
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -0,0 +1,72 @@
+//! What the tests of the gateway's decisions share.
+
+use std::time::Duration;
+
+use trefoildyke_decide::gateway::{
+    Demand, Grant, Outcome, Pool, PoolParams, RosterEntry, Ticket, Verdict,
+};
+use trefoildyke_types::{id::PoolName, time::Timestamp};
+
+pub(super) fn entry(name: &str) -> RosterEntry {
+    RosterEntry {
+        endpoint: name.into(),
+        service: "assistant".into(),
+        address: ([127, 0, 0, 1], 7_420).into(),
+        zone: "a".into(),
+        slots: 2,
+        draining: false,
+    }
+}
+
+/// A pool in availability zone `a` with endpoints of two slots each.
+pub(super) fn pool(names: &[&str]) -> Pool {
+    let mut pool = Pool::new(PoolParams::default(), "a".into(), 4);
+    for name in names {
+        pool.list(Timestamp::ZERO, &entry(name));
+    }
+    pool
+}
+
+pub(super) fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// A request of `rank` at `ms` with a short prompt, which waits for three seconds.
+pub(super) fn demand(ms: u64, rank: u8) -> Demand {
+    Demand {
+        rank,
+        prompt: 300,
+        expected: 50.0,
+        gap: Duration::from_millis(400),
+        objective: at(ms + 500),
+        leaves: at(ms + 3_000),
+        returning: false,
+        deadline: at(ms + 15_000),
+        repeatable: false,
+        tried: vec![],
+    }
+}
+
+pub(super) fn granted(verdict: Verdict) -> Grant {
+    match verdict {
+        Verdict::Granted(grant) => grant,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+pub(super) fn queued(verdict: Verdict) -> Ticket {
+    match verdict {
+        Verdict::Queued(ticket) => ticket,
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+/// Ends a request and returns whom its slot goes to.
+pub(super) fn end(pool: &mut Pool, ms: u64, grant: &Grant) -> Vec<Ticket> {
+    pool.end(at(ms), grant, grant.prompt, Outcome::Served);
+    pool.grant_waiting(at(ms)).into_iter().map(|(ticket, _)| ticket).collect()
+}
+
+pub(super) fn service() -> PoolName {
+    "assistant".into()
+}
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod coordinate;
 mod endpoints;
+mod gateway;
 mod intents;
 mod members;
 mod orders;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,8 @@
 
 /// Runs one gateway.
 pub struct Gateway {
+    /// Where it listens, with the ports that the system chose.
+    addresses: settings::Listen,
     shared: sync::Arc<state::Shared>,
     closing: tokio_sync::CancellationToken,
     ending: tokio_sync::CancellationToken,
@@ -37,38 +39,53 @@
         let listen = settings.listen;
         let shared = state::Shared::new(settings, journal, metrics::Metrics::new()?);
         let shared = sync::Arc::new(shared);
-        let gateway = Self {
+        let mut gateway = Self {
+            addresses: listen,
             shared,
             closing: tokio_sync::CancellationToken::new(),
             ending: tokio_sync::CancellationToken::new(),
         };
-        kernel.block_on(gateway.serve(kernel, listen))?;
+        gateway.addresses = kernel.block_on(gateway.serve(kernel, listen))?;
         let incarnation = gateway.shared.core().incarnation();
-        let started = record::Event::Started { incarnation, callers: listen.callers };
+        let callers = gateway.addresses.callers;
+        let started = record::Event::Started { incarnation, callers };
         gateway.shared.journal.write(&started);
         Ok(gateway)
     }
 
-    async fn serve(&self, kernel: &kernel::Kernel, at: settings::Listen) -> anyhow::Result<()> {
+    async fn serve(
+        &self,
+        kernel: &kernel::Kernel,
+        mut at: settings::Listen,
+    ) -> anyhow::Result<settings::Listen> {
         let shared = || sync::Arc::clone(&self.shared);
         let (closing, ending) = (self.closing.clone(), self.ending.clone());
         let traffic = kernel.traffic();
         let callers = bind("callers", at.callers).await?;
+        at.callers = callers.local_addr()?;
         traffic.spawn("callers", face::serve(shared(), callers, closing, ending.clone()));
         let ready = bind("ready", at.ready).await?;
+        at.ready = ready.local_addr()?;
         let served = listen::serve(shared(), ready, listen::Face::Ready, ending.clone());
         traffic.spawn("ready", served);
         if let Some(address) = at.metrics {
             let metrics = bind("metrics", address).await?;
+            at.metrics = Some(metrics.local_addr()?);
             let served = listen::serve(shared(), metrics, listen::Face::Metrics, ending.clone());
             traffic.spawn("metrics", served);
         }
         let socket = net::UdpSocket::bind(at.peers).await;
         let socket = socket.with_context(|| format!("peers: cannot use {}", at.peers))?;
+        at.peers = socket.local_addr()?;
         let socket = sync::Arc::new(socket);
         self.shared.set_socket(sync::Arc::clone(&socket));
         traffic.spawn("exchange", exchange::run(shared(), socket, ending));
-        Ok(())
+        Ok(at)
+    }
+
+    /// Returns where the gateway listens.
+    pub const fn addresses(&self) -> &settings::Listen {
+        &self.addresses
     }
 
     /// Returns the means to tell the gateway what to believe.
@@ -99,6 +116,14 @@
     }
 }
 
+impl Drop for Gateway {
+    /// Ends what a graceful stop has not ended.
+    fn drop(&mut self) {
+        self.closing.cancel();
+        self.ending.cancel();
+    }
+}
+
 async fn bind(field: &str, address: std::net::SocketAddr) -> anyhow::Result<net::TcpListener> {
     let listener = net::TcpListener::bind(address).await;
     listener.with_context(|| format!("{field}: cannot listen on {address}; choose a free address"))
--- /dev/null
+++ b/crates/gateway/tests/testsuite/harness/caller.rs
@@ -0,0 +1,147 @@
+//! A caller that sends bytes and reads answers as they come.
+
+use std::{io::Read as _, io::Write as _, net, time};
+
+/// A connection to a gateway.
+pub(crate) struct Caller {
+    stream: net::TcpStream,
+    read: Vec<u8>,
+}
+
+/// An answer as the caller saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the answer was complete by its own framing.
+    pub(crate) whole: bool,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let line = |line: &'_ str| line.to_ascii_lowercase().starts_with(&format!("{name}:"));
+        self.head
+            .lines()
+            .find(|text| line(text))
+            .and_then(|text| text.split_once(": "))
+            .map(|x| x.1)
+    }
+}
+
+impl Caller {
+    pub(crate) fn connect(address: net::SocketAddr) -> Self {
+        let stream = net::TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(time::Duration::from_secs(10))).unwrap();
+        Self { stream, read: Vec::new() }
+    }
+
+    pub(crate) fn write(&mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).unwrap();
+    }
+
+    /// Sends one request.
+    pub(crate) fn send(&mut self, line: &str, headers: &[(&str, &str)], body: &str) {
+        let mut text = format!("{line} HTTP/1.1\r\nHost: claims.example\r\n");
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        self.write(&format!("{text}\r\n{body}"));
+    }
+
+    /// Reads one answer; `None` if the connection ended without one.
+    pub(crate) fn reply(&mut self) -> Option<Reply> {
+        let end = loop {
+            if let Some(end) = find(&self.read, b"\r\n\r\n") {
+                break end;
+            }
+            if !self.more() {
+                return None;
+            }
+        };
+        let head = String::from_utf8_lossy(&self.read[..end]).into_owned();
+        self.read.drain(..end + 4);
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let mut reply = Reply { status, head, body: String::new(), whole: false };
+        if reply.header("transfer-encoding").is_some() {
+            self.chunks(&mut reply);
+        } else {
+            self.sized(&mut reply);
+        }
+        Some(reply)
+    }
+
+    /// Reads the head of an answer and the first part of its body.
+    pub(crate) fn first_part(&mut self) -> String {
+        while find(&self.read, b"\n\n").is_none() {
+            if !self.more() {
+                break;
+            }
+        }
+        String::from_utf8_lossy(&self.read).into_owned()
+    }
+
+    /// Says whether the other end closes the connection without another byte.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        let mut byte = [0];
+        matches!(self.stream.read(&mut byte), Ok(0))
+    }
+
+    fn sized(&mut self, reply: &mut Reply) {
+        let length = reply.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        while self.read.len() < length && self.more() {}
+        reply.whole = self.read.len() >= length;
+        let length = length.min(self.read.len());
+        reply.body = String::from_utf8_lossy(&self.read[..length]).into_owned();
+        self.read.drain(..length);
+    }
+
+    fn chunks(&mut self, reply: &mut Reply) {
+        loop {
+            let Some(line) = self.line() else { return };
+            let Ok(size) = usize::from_str_radix(line.trim(), 16) else { return };
+            while self.read.len() < size + 2 {
+                if !self.more() {
+                    return;
+                }
+            }
+            reply.body.push_str(&String::from_utf8_lossy(&self.read[..size]));
+            self.read.drain(..size + 2);
+            if size == 0 {
+                reply.whole = true;
+                return;
+            }
+        }
+    }
+
+    fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = find(&self.read, b"\r\n") {
+                let line = String::from_utf8_lossy(&self.read[..end]).into_owned();
+                self.read.drain(..end + 2);
+                return Some(line);
+            }
+            if !self.more() {
+                return None;
+            }
+        }
+    }
+
+    fn more(&mut self) -> bool {
+        let mut buffer = [0; 4096];
+        match self.stream.read(&mut buffer) {
+            Ok(0) | Err(_) => false,
+            Ok(length) => {
+                self.read.extend_from_slice(&buffer[..length]);
+                true
+            }
+        }
+    }
+}
+
+fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/harness/endpoint.rs
@@ -0,0 +1,149 @@
+//! An endpoint that does what a script says.
+
+use std::io::{Read as _, Write as _};
+use std::{net, sync, thread, time};
+
+/// One thing that an endpoint does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Answers 200 with a body of known length, the request's id and a seal.
+    Answer(&'static str),
+    /// Answers a status with an empty body, the request's id and a seal.
+    Status(u16),
+    /// Says that it has not run the request.
+    NotRun,
+    /// Begins a stream.
+    Stream,
+    /// Sends events of a stream, in one chunk.
+    Events(&'static str),
+    /// Ends a stream.
+    EndStream,
+    /// Sends these bytes as they are; `{id}` stands for the request's id.
+    Raw(&'static str),
+    /// Waits.
+    Pause(time::Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// Runs until the test ends.
+pub(crate) struct Endpoint {
+    pub(crate) address: net::SocketAddr,
+    seen: sync::Arc<sync::Mutex<Vec<String>>>,
+    closed: sync::Arc<sync::atomic::AtomicUsize>,
+}
+
+impl Endpoint {
+    /// Starts an endpoint that follows `scripts` in the order of requests, the last for all others.
+    pub(crate) fn start(scripts: Vec<Vec<Step>>) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let closed = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
+        let scripts = sync::Arc::new(scripts);
+        let endpoint = Self { address, seen: seen.clone(), closed: closed.clone() };
+        // Ends with the test's process.
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (seen, scripts) = (seen.clone(), scripts.clone());
+                let closed = closed.clone();
+                thread::spawn(move || {
+                    serve(stream, &seen, &scripts);
+                    closed.fetch_add(1, sync::atomic::Ordering::Relaxed);
+                });
+            }
+        });
+        endpoint
+    }
+
+    /// Returns the requests so far, each with its body.
+    pub(crate) fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Returns how many connections have ended.
+    pub(crate) fn closed(&self) -> usize {
+        self.closed.load(sync::atomic::Ordering::Relaxed)
+    }
+}
+
+fn serve(mut stream: net::TcpStream, seen: &sync::Mutex<Vec<String>>, scripts: &[Vec<Step>]) {
+    while let Some(request) = read(&mut stream) {
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len() - 1
+        };
+        let script = scripts.get(number).or(scripts.last()).unwrap();
+        for step in script {
+            if !play(&mut stream, step, &header(&request, "trefoildyke-request-id")) {
+                return;
+            }
+        }
+    }
+}
+
+/// Does one step; says whether the connection goes on.
+fn play(stream: &mut net::TcpStream, step: &Step, id: &str) -> bool {
+    let head = format!("trefoildyke-request-id: {id}\r\ntrefoildyke-seal: sealed-{id}\r\n");
+    let text = match step {
+        Step::Answer(body) => {
+            format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\n{body}", body.len())
+        }
+        Step::Status(status) => {
+            format!("HTTP/1.1 {status} Some\r\n{head}Content-Length: 0\r\n\r\n")
+        }
+        Step::NotRun => {
+            let head = "HTTP/1.1 503 Full\r\ntrefoildyke-not-run: 1\r\n";
+            format!("{head}Content-Length: 0\r\n\r\n")
+        }
+        Step::Stream => format!(
+            "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        ),
+        Step::Events(events) => format!("{:x}\r\n{events}\r\n", events.len()),
+        Step::EndStream => "0\r\n\r\n".to_owned(),
+        Step::Raw(bytes) => bytes.replace("{id}", id),
+        Step::Pause(length) => {
+            thread::sleep(*length);
+            return true;
+        }
+        Step::Close => return false,
+        Step::Reset => {
+            let socket = socket2::SockRef::from(&*stream);
+            socket.set_linger(Some(time::Duration::ZERO)).unwrap();
+            return false;
+        }
+    };
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+fn read(stream: &mut net::TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = header(head, "content-length").parse().unwrap_or(0);
+            if body.len() >= length {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+        }
+    }
+}
+
+/// Returns a header's value, empty if it is missing.
+fn header(request: &str, name: &str) -> String {
+    let mut lines = request.lines().take_while(|line| !line.is_empty());
+    let value = lines.find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    });
+    value.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -0,0 +1,164 @@
+//! A gateway that was told what to believe.
+
+use std::{net, time};
+
+use trefoildyke_decide::gateway::{
+    Account, AccountUnit, Config, Limits, RosterEntry, Route, RouteKind, Service, Target,
+};
+use trefoildyke_gateway::{Feed, Gateway, Journal, Listen, Settings};
+use trefoildyke_kernel as kernel;
+
+use crate::harness::{Caller, Endpoint, Reply};
+
+/// A running gateway.
+pub(crate) struct Stack {
+    /// Taken by [`Stack::stop`].
+    running: Option<(kernel::Kernel, Gateway)>,
+    pub(crate) feed: Feed,
+    pub(crate) addresses: Listen,
+}
+
+impl Stack {
+    /// Starts a gateway with nothing but its settings.
+    pub(crate) fn bare(change: impl FnOnce(&mut Settings)) -> Self {
+        let free: net::SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let listen = Listen { callers: free, ready: free, metrics: Some(free), peers: free };
+        let mut settings = Settings::new("host-1".into(), "a".into(), listen);
+        settings.key_age = time::Duration::from_secs(60);
+        settings.ready_age = time::Duration::from_secs(60);
+        change(&mut settings);
+        let kernel = kernel::Kernel::builder().with_traffic_threads(1).start().unwrap();
+        let (journal, _) = Journal::start().unwrap();
+        let gateway = Gateway::start(&kernel, settings, journal).unwrap();
+        let (feed, addresses) = (gateway.feed(), *gateway.addresses());
+        Self { running: Some((kernel, gateway)), feed, addresses }
+    }
+
+    /// Starts a gateway in front of endpoints, with the routes of [`routes`].
+    pub(crate) fn start(endpoints: &[&Endpoint]) -> Self {
+        let stack = Self::bare(|_| ());
+        stack.believe(endpoints);
+        stack
+    }
+
+    /// Tells the gateway of the usual configuration and these endpoints.
+    pub(crate) fn believe(&self, endpoints: &[&Endpoint]) {
+        self.feed.configure(config(1), self.feed.now());
+        self.feed.endpoints(entries(endpoints));
+    }
+
+    pub(crate) fn caller(&self) -> Caller {
+        Caller::connect(self.addresses.callers)
+    }
+
+    /// Sends one request on a connection of its own.
+    pub(crate) fn ask(&self, line: &str) -> Option<Reply> {
+        self.ask_with(line, &[])
+    }
+
+    /// Sends one request with further headers on a connection of its own.
+    pub(crate) fn ask_with(&self, line: &str, headers: &[(&str, &str)]) -> Option<Reply> {
+        let mut caller = self.caller();
+        let mut all = vec![
+            ("trefoildyke-request-id", "r1"),
+            ("trefoildyke-key", "k1"),
+            ("trefoildyke-deadline-ms", "3000"),
+        ];
+        all.extend_from_slice(headers);
+        caller.send(line, &all, "");
+        caller.reply()
+    }
+
+    /// Stops gracefully and returns how many requests were cut off.
+    pub(crate) fn stop(mut self) -> usize {
+        let (kernel, gateway) = self.running.take().unwrap();
+        let cut = kernel.block_on(gateway.stop());
+        assert!(kernel.close().is_empty());
+        cut
+    }
+}
+
+impl Drop for Stack {
+    fn drop(&mut self) {
+        if let Some((kernel, gateway)) = self.running.take() {
+            drop(gateway);
+            let _ = kernel.close();
+        }
+    }
+}
+
+/// Returns list entries for endpoints, in their order `e0`, `e1` and so on.
+pub(crate) fn entries(endpoints: &[&Endpoint]) -> Vec<RosterEntry> {
+    let entry = |(number, endpoint): (usize, &&Endpoint)| RosterEntry {
+        endpoint: format!("e{number}").as_str().into(),
+        service: "svc".into(),
+        address: endpoint.address,
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+    };
+    endpoints.iter().enumerate().map(entry).collect()
+}
+
+fn route(name: &str, kind: RouteKind, attempts: u32) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "claims.example".to_owned(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target { service: "svc".into(), weight: 1.0 }],
+        kind,
+        timeout_ms: 2_000,
+        objective_ms: 300,
+        gap_ms: 400,
+        patience_ms: None,
+        priority: 0,
+        attempts,
+        public: name == "open",
+    }
+}
+
+pub(crate) fn account(key: &str) -> Account {
+    Account {
+        name: "cascadia".into(),
+        keys: vec![key.to_owned()],
+        priority: None,
+        rate: 0.0,
+        burst: 0.0,
+        unit: AccountUnit::Requests,
+    }
+}
+
+/// The usual configuration: a route for each kind.
+fn config(version: u64) -> Config {
+    Config {
+        version,
+        routes: vec![
+            route("once", RouteKind::Once, 1),
+            route("again", RouteKind::Idempotent, 2),
+            route("stream", RouteKind::Stream { resumable: false }, 1),
+            route("resume", RouteKind::Stream { resumable: true }, 2),
+            route("open", RouteKind::Once, 1),
+        ],
+        services: vec![Service { name: "svc".into(), connections: 100, event_tokens: 4 }],
+        accounts: vec![account("k1")],
+        limits: Limits { body_bytes: 1_000, ..Limits::default() },
+    }
+}
+
+impl Stack {
+    /// Puts a changed version of the usual configuration in force.
+    pub(crate) fn reconfigure(&self, version: u64, change: impl FnOnce(&mut Config)) {
+        let mut config = config(version);
+        change(&mut config);
+        self.feed.configure(config, self.feed.now());
+    }
+
+    /// Waits until `holds` does, for five seconds at most.
+    pub(crate) fn wait_until(what: &str, holds: impl Fn() -> bool) {
+        let end = time::Instant::now() + time::Duration::from_secs(5);
+        while !holds() {
+            assert!(time::Instant::now() < end, "not within five seconds: {what}");
+            std::thread::sleep(time::Duration::from_millis(5));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the gateway against scripted endpoints on loopback.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
+
+mod harness;
+
+mod callers;
+mod drains;
+mod failures;
+mod keys;
+mod malformed;
+mod peers;
+mod quotas;
+mod stops;
+mod streams;
