--- a/crates/decide/tests/testsuite/gateway/loads.rs
+++ b/crates/decide/tests/testsuite/gateway/loads.rs
@@ -51,7 +51,7 @@
 impl World {
     fn new() -> Self {
         let mut pool = Pool::new(PoolParams::default(), "a".into(), 4);
-        for index in 0..SPEEDS.len() {
+        for (index, speed) in SPEEDS.iter().enumerate() {
             let entry = RosterEntry {
                 endpoint: index.to_string().as_str().into(),
                 service: "assistant".into(),
@@ -63,7 +63,7 @@
             pool.list(at(0), &entry);
             // What a few streams would have taught.
             for _ in 0..60 {
-                pool.event(at(0), &entry.endpoint, 4.7 * SPEEDS[index] * 4.0 / 1_000.0);
+                pool.event(at(0), &entry.endpoint, 4.7 * speed * 4.0 / 1_000.0);
             }
         }
         Self {
@@ -138,7 +138,7 @@
 
     /// Streams speak while they run.
     fn heard(&mut self, now: Timestamp) {
-        if now.as_millis() % 100 == 0 {
+        if now.as_millis().is_multiple_of(100) {
             for run in &self.running {
                 let (_, speed) = speed(&run.grant);
                 self.pool.event(now, &run.grant.endpoint, 4.7 * speed * 4.0 / 1_000.0);
--- a/crates/gateway/src/face/course.rs
+++ b/crates/gateway/src/face/course.rs
@@ -45,7 +45,7 @@
     pub(crate) failure: gateway::Failure,
     pub(crate) detail: String,
     /// The endpoint's own failure, which may be passed on.
-    pub(crate) response: Option<hyper::Response<face::Body>>,
+    pub(crate) response: Option<Box<hyper::Response<face::Body>>>,
     /// Whether the time for the final answer has come.
     pub(crate) is_late: bool,
     /// Whether the retry budget has paid for a further send.
@@ -287,7 +287,7 @@
         mut self,
         next: gateway::Next,
         failed: &Failed,
-        last: Option<hyper::Response<face::Body>>,
+        last: Option<Box<hyper::Response<face::Body>>>,
     ) -> hyper::Response<face::Body> {
         if next == gateway::Next::NotRun {
             self.refund();
@@ -297,7 +297,7 @@
         if let Some(response) = last {
             self.trail.begun(response.status().as_u16());
             self.trail.ended("endpoint_failed");
-            return response;
+            return *response;
         }
         let reply = if failed.is_late {
             face::Reply::new(StatusCode::GATEWAY_TIMEOUT, "timeout")
@@ -310,13 +310,13 @@
     /// Answers a request that got no place.
     fn unplaced(
         mut self,
-        last: Option<hyper::Response<face::Body>>,
+        last: Option<Box<hyper::Response<face::Body>>>,
         after: time::Duration,
     ) -> hyper::Response<face::Body> {
         if let Some(response) = last {
             self.trail.begun(response.status().as_u16());
             self.trail.ended("endpoint_failed");
-            return response;
+            return *response;
         }
         if self.attempt.may_have_run() {
             let reply = face::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost");
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -36,7 +36,7 @@
     if is_failure {
         let detail = format!("answered {}", head.status.as_u16());
         let failed = face::Failed::new(gateway::Failure::Failed, detail);
-        return Err(face::Failed { response: Some(response), ..failed });
+        return Err(face::Failed { response: Some(Box::new(response)), ..failed });
     }
     course.trail.begun(head.status.as_u16());
     course.trail.ended("served");
