gateway, platform: three daemons read the store, the others ask them

Ruled out: stale reads for these (they confirm nothing), passing confirmations on without a question (a datagram may have waited in a suspended host's socket, so its age cannot be told). Readers follow from the members by rendezvous hashing; who hears nothing fresh from three readers asks the store.

--- a/crates/decide/src/gateway/digest.rs
+++ b/crates/decide/src/gateway/digest.rs
@@ -31,6 +31,33 @@
         /// Where the slot is.
         endpoint: id::EndpointName,
     },
+    /// Asks what the receiver knows of the store.
+    Ask {
+        /// The asker's time; comes back in the answer, so that its age can be told.
+        stamp: u64,
+    },
+    /// Answers [`Message::Ask`].
+    Told {
+        /// The time that the question named.
+        stamp: u64,
+        /// What the sender knows.
+        known: Known,
+    },
+}
+
+/// Says what a daemon knows of the store, and how old that is. All ages are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Known {
+    /// The version of the configuration in force.
+    pub version: u64,
+    /// How long ago it was confirmed.
+    pub confirmed: u32,
+    /// Stands for the list of endpoints: equal lists have equal marks.
+    pub roster: u64,
+    /// How long ago the list was read.
+    pub read: u32,
+    /// For how long the list's source has answered without a break.
+    pub steady: u32,
 }
 
 /// Holds what an account has used at one daemon since its start.
--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -29,6 +29,13 @@
     used: collections::HashMap<id::AccountName, u64>,
 }
 
+/// How many daemons read the store at least: two may be lost or cut off.
+const LEAST_READERS: usize = 3;
+
+/// For how many daemons one reads it. At two questions a second each, answering takes a reader
+/// about 64 datagrams a second.
+const DAEMONS_EACH: usize = 32;
+
 /// Holds what a digest adds to what was known.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
@@ -123,6 +130,24 @@
         self.members.contains_key(&address)
     }
 
+    /// Returns the daemons that read the store for all, in the order in which to ask them.
+    ///
+    /// Every daemon works them out from its own list. Where lists differ, there are some more
+    /// readers for a while, or somebody is asked who has to ask himself; ages are told either way.
+    pub fn readers(&self) -> Vec<net::SocketAddr> {
+        let mut all: Vec<_> = self.members.keys().copied().chain([self.own]).collect();
+        all.sort_by_cached_key(|address| {
+            xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+        });
+        all.truncate(LEAST_READERS.max(self.count() / DAEMONS_EACH));
+        all
+    }
+
+    /// Says whether this daemon reads the store for all.
+    pub fn is_reader(&self) -> bool {
+        self.members.is_empty() || self.readers().contains(&self.own)
+    }
+
     /// Returns the addresses of the others.
     pub fn others(&self) -> Vec<net::SocketAddr> {
         self.members.keys().copied().collect()
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -41,13 +41,17 @@
     grace: time::Duration,
     /// When the source began to answer without a break.
     steady: Option<Timestamp>,
+    /// When the list was read last.
+    read: Option<Timestamp>,
+    /// Stands for the entries.
+    mark: u64,
     entries: collections::BTreeMap<id::EndpointName, RosterEntry>,
 }
 
 impl Roster {
     /// Creates an empty list.
     pub const fn new(grace: time::Duration) -> Self {
-        Self { grace, steady: None, entries: collections::BTreeMap::new() }
+        Self { grace, steady: None, read: None, mark: 0, entries: collections::BTreeMap::new() }
     }
 
     /// Notes that the source did not answer.
@@ -55,6 +59,26 @@
         self.steady = None;
     }
 
+    /// Takes over that the source has been steady since `since`, as another daemon says who reads it.
+    pub fn assume_steady(&mut self, since: Timestamp) {
+        self.steady = Some(self.steady.map_or(since, |steady| steady.min(since)));
+    }
+
+    /// Returns since when the source has answered without a break.
+    pub const fn steady(&self) -> Option<Timestamp> {
+        self.steady
+    }
+
+    /// Returns when the list was read last.
+    pub const fn read(&self) -> Option<Timestamp> {
+        self.read
+    }
+
+    /// Returns a number that is the same for equal lists.
+    pub const fn mark(&self) -> u64 {
+        self.mark
+    }
+
     /// Returns how many endpoints are listed.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -84,6 +108,18 @@
                 self.entries.insert(endpoint, entry);
             }
         }
+        self.read = Some(now);
+        if !changes.is_empty() {
+            self.mark = mark(&self.entries);
+        }
         changes
     }
 }
+
+fn mark(entries: &collections::BTreeMap<id::EndpointName, RosterEntry>) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+    for entry in entries.values() {
+        hasher.update(format!("{entry:?}").as_bytes());
+    }
+    hasher.digest()
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,7 +12,7 @@
 /// Whoever follows the source of these calls it; the gateway decides what follows from them.
 #[derive(Clone)]
 pub struct Feed {
-    shared: sync::Arc<state::Shared>,
+    pub(crate) shared: sync::Arc<state::Shared>,
 }
 
 impl Feed {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! told through a [`Feed`]: the configuration, the endpoints and the other daemons. Decisions are
 //! in `trefoildyke_decide::gateway`; this crate carries them out.
 
+mod ask;
 mod clock;
 mod exchange;
 mod face;
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -107,6 +107,22 @@
         }
     }
 
+    /// Returns what this daemon knows of the store, for another member that asks.
+    pub(crate) fn known(&self, now: Timestamp, from: net::SocketAddr) -> Option<gateway::Known> {
+        let ms = |age: std::time::Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        let since = |time: Option<Timestamp>| time.map(|time| ms(now.since(time)));
+        if !self.mesh.is_member(from) {
+            return None;
+        }
+        Some(gateway::Known {
+            version: self.table.as_ref()?.config().version,
+            confirmed: ms(self.freshness.age(now)?),
+            roster: self.roster.mark(),
+            read: since(self.roster.read())?,
+            steady: since(self.roster.steady()).unwrap_or(0),
+        })
+    }
+
     /// Takes in the changes of the list of endpoints.
     pub(crate) fn list(&mut self, now: Timestamp, changes: &[gateway::RosterChange]) {
         for change in changes {
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -8,7 +8,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{clock, metrics, record, settings, state, upstream};
+use crate::{ask, clock, metrics, record, settings, state, upstream};
 
 /// Holds the gateway's state and the means to act.
 pub(crate) struct Shared {
@@ -19,6 +19,8 @@
     /// Counts the requests in progress.
     pub(crate) gate: kernel::Gate,
     pub(crate) links: upstream::Links,
+    /// What other daemons are asked about the store.
+    pub(crate) questions: ask::Questions,
     socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
     core: sync::Mutex<state::Core>,
     /// Set when a graceful stop has begun.
@@ -44,6 +46,7 @@
             metrics,
             gate: kernel::Gate::default(),
             links,
+            questions: ask::Questions::default(),
             socket: sync::OnceLock::new(),
             core,
             stopping: atomic::AtomicBool::new(false),
