gateway: bind the sockets before the state knows its address; tests of asking

A test with ports that the system chose showed that a daemon did not know its own address and took itself for another member (six readers of six).

--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -69,3 +69,19 @@
     assert_eq!(mesh.replace(&[address(1), address(2)]).len(), 2);
     assert_eq!(mesh.count(), 2);
 }
+
+#[test]
+fn few_daemons_read_for_all_and_all_agree_on_them() {
+    let members: Vec<_> = (1..=100).map(address).collect();
+    let mut readers = Vec::new();
+    for own in &members {
+        let mut mesh = Mesh::new(*own, Duration::from_secs(1));
+        mesh.replace(&members);
+        if mesh.is_reader() {
+            readers.push(*own);
+        }
+        assert_eq!(mesh.readers().len(), 3);
+    }
+    assert_eq!(readers.len(), 3);
+    assert!(Mesh::new(address(1), Duration::from_secs(1)).is_reader(), "alone");
+}
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -46,3 +46,25 @@
     let changes = roster.replace(at(5_000), vec![draining.clone()]);
     assert_eq!(changes, [RosterChange::Listed(draining)]);
 }
+
+#[test]
+fn equal_lists_have_equal_marks_and_others_have_others() {
+    let mut first = Roster::new(GRACE);
+    let mut second = Roster::new(GRACE);
+    first.replace(at(0), vec![entry("a"), entry("b")]);
+    second.replace(at(9), vec![entry("b"), entry("a")]);
+    assert_eq!(first.mark(), second.mark());
+    let mut draining = entry("a");
+    draining.draining = true;
+    second.replace(at(10), vec![draining, entry("b")]);
+    assert_ne!(first.mark(), second.mark());
+}
+
+#[test]
+fn a_list_that_is_read_seldom_is_steady_if_another_daemon_says_so() {
+    let mut roster = Roster::new(GRACE);
+    roster.replace(at(0), vec![entry("a"), entry("b")]);
+    roster.failed();
+    roster.assume_steady(at(1_000));
+    assert_eq!(gone(&roster.replace(at(4_000), vec![entry("a")])), 1);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,8 +18,6 @@
 
 /// Runs one gateway.
 pub struct Gateway {
-    /// Where it listens, with the ports that the system chose.
-    addresses: settings::Listen,
     shared: sync::Arc<state::Shared>,
     closing: tokio_sync::CancellationToken,
     ending: tokio_sync::CancellationToken,
@@ -36,56 +34,41 @@
         settings: settings::Settings,
         journal: record::Journal,
     ) -> anyhow::Result<Self> {
-        let listen = settings.listen;
-        let shared = state::Shared::new(settings, journal, metrics::Metrics::new()?);
-        let shared = sync::Arc::new(shared);
-        let mut gateway = Self {
-            addresses: listen,
+        let sockets = kernel.block_on(Sockets::bind(settings.listen))?;
+        let settings = settings::Settings { listen: sockets.addresses, ..settings };
+        let callers = settings.listen.callers;
+        let shared =
+            sync::Arc::new(state::Shared::new(settings, journal, metrics::Metrics::new()?));
+        let gateway = Self {
             shared,
             closing: tokio_sync::CancellationToken::new(),
             ending: tokio_sync::CancellationToken::new(),
         };
-        gateway.addresses = kernel.block_on(gateway.serve(kernel, listen))?;
+        gateway.serve(kernel, sockets);
         let incarnation = gateway.shared.core().incarnation();
-        let callers = gateway.addresses.callers;
-        let started = record::Event::Started { incarnation, callers };
-        gateway.shared.journal.write(&started);
+        gateway.shared.journal.write(&record::Event::Started { incarnation, callers });
         Ok(gateway)
     }
 
-    async fn serve(
-        &self,
-        kernel: &kernel::Kernel,
-        mut at: settings::Listen,
-    ) -> anyhow::Result<settings::Listen> {
+    fn serve(&self, kernel: &kernel::Kernel, sockets: Sockets) {
         let shared = || sync::Arc::clone(&self.shared);
         let (closing, ending) = (self.closing.clone(), self.ending.clone());
         let traffic = kernel.traffic();
-        let callers = bind("callers", at.callers).await?;
-        at.callers = callers.local_addr()?;
-        traffic.spawn("callers", face::serve(shared(), callers, closing, ending.clone()));
-        let ready = bind("ready", at.ready).await?;
-        at.ready = ready.local_addr()?;
-        let served = listen::serve(shared(), ready, listen::Face::Ready, ending.clone());
+        traffic.spawn("callers", face::serve(shared(), sockets.callers, closing, ending.clone()));
+        let served = listen::serve(shared(), sockets.ready, listen::Face::Ready, ending.clone());
         traffic.spawn("ready", served);
-        if let Some(address) = at.metrics {
-            let metrics = bind("metrics", address).await?;
-            at.metrics = Some(metrics.local_addr()?);
+        if let Some(metrics) = sockets.metrics {
             let served = listen::serve(shared(), metrics, listen::Face::Metrics, ending.clone());
             traffic.spawn("metrics", served);
         }
-        let socket = net::UdpSocket::bind(at.peers).await;
-        let socket = socket.with_context(|| format!("peers: cannot use {}", at.peers))?;
-        at.peers = socket.local_addr()?;
-        let socket = sync::Arc::new(socket);
+        let socket = sync::Arc::new(sockets.peers);
         self.shared.set_socket(sync::Arc::clone(&socket));
         traffic.spawn("exchange", exchange::run(shared(), socket, ending));
-        Ok(at)
     }
 
     /// Returns where the gateway listens.
-    pub const fn addresses(&self) -> &settings::Listen {
-        &self.addresses
+    pub fn addresses(&self) -> &settings::Listen {
+        &self.shared.settings.listen
     }
 
     /// Returns the means to tell the gateway what to believe.
@@ -124,6 +107,36 @@
     }
 }
 
+/// Holds bound sockets.
+struct Sockets {
+    /// Where they are, with the ports that the system chose.
+    addresses: settings::Listen,
+    callers: net::TcpListener,
+    ready: net::TcpListener,
+    metrics: Option<net::TcpListener>,
+    peers: net::UdpSocket,
+}
+
+impl Sockets {
+    async fn bind(at: settings::Listen) -> anyhow::Result<Self> {
+        let callers = bind("callers", at.callers).await?;
+        let ready = bind("ready", at.ready).await?;
+        let metrics = match at.metrics {
+            Some(address) => Some(bind("metrics", address).await?),
+            None => None,
+        };
+        let peers = net::UdpSocket::bind(at.peers).await;
+        let peers = peers.with_context(|| format!("peers: cannot use {}", at.peers))?;
+        let addresses = settings::Listen {
+            callers: callers.local_addr()?,
+            ready: ready.local_addr()?,
+            metrics: metrics.as_ref().map(net::TcpListener::local_addr).transpose()?,
+            peers: peers.local_addr()?,
+        };
+        Ok(Self { addresses, callers, ready, metrics, peers })
+    }
+}
+
 async fn bind(field: &str, address: std::net::SocketAddr) -> anyhow::Result<net::TcpListener> {
     let listener = net::TcpListener::bind(address).await;
     listener.with_context(|| format!("{field}: cannot listen on {address}; choose a free address"))
