gateway: smaller digests, and other zones less often in a large system

Accounts are told when used and all of them twice a second; beyond 16 members other zones are told every 200 ms.

--- a/crates/decide/src/gateway/digest.rs
+++ b/crates/decide/src/gateway/digest.rs
@@ -2,7 +2,8 @@
 
 use trefoildyke_types::id;
 
-/// Holds one daemon's part of the shared state: a full picture, so a lost one does no harm.
+/// Holds one daemon's part of the shared state: full pictures and running totals, so a lost one does
+/// no harm.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Digest {
     /// The sender's incarnation; a new one starts all counters anew.
@@ -13,7 +14,7 @@
     pub is_young: bool,
     /// Whether the sender leaves and says nothing more.
     pub leaving: bool,
-    /// What each account has used at the sender.
+    /// What the accounts have used at the sender that were used of late, from time to time all.
     pub spend: Vec<AccountSpend>,
     /// The sender's work, by service.
     pub pools: Vec<PoolDigest>,
--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub struct Mesh {
     own: net::SocketAddr,
+    /// This daemon's availability zone.
+    zone: id::ZoneName,
     /// How long a member may be silent before its digest is forgotten.
     silence: time::Duration,
     /// Addresses of the others.
@@ -21,6 +23,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Member {
+    zone: Option<id::ZoneName>,
     /// The last digest's incarnation and number.
     last: Option<(u64, u64)>,
     heard: Option<Timestamp>,
@@ -29,6 +32,20 @@
     used: collections::HashMap<id::AccountName, u64>,
 }
 
+/// Names another daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Where it is told and heard.
+    pub address: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: id::ZoneName,
+}
+
+/// Up to how many members each is told everything at once, wherever it is.
+///
+/// Messages grow with the square of the members, and bytes between availability zones are paid for.
+const SMALL: usize = 16;
+
 /// How many daemons read the store at least: two may be lost or cut off.
 const LEAST_READERS: usize = 3;
 
@@ -49,19 +66,21 @@
 
 impl Mesh {
     /// Starts with no other member; `own` is this daemon's address for digests.
-    pub const fn new(own: net::SocketAddr, silence: time::Duration) -> Self {
-        Self { own, silence, members: collections::BTreeMap::new() }
+    pub const fn new(own: net::SocketAddr, zone: id::ZoneName, silence: time::Duration) -> Self {
+        Self { own, zone, silence, members: collections::BTreeMap::new() }
     }
 
     /// Takes in the list of members and returns those that are gone from it.
-    pub fn replace(&mut self, list: &[net::SocketAddr]) -> Vec<net::SocketAddr> {
-        let gone = |(address, _): &(&net::SocketAddr, &Member)| !list.contains(address);
+    pub fn replace(&mut self, list: &[Peer]) -> Vec<net::SocketAddr> {
+        let is_listed =
+            |address: &net::SocketAddr| list.iter().any(|peer| peer.address == *address);
+        let gone = |(address, _): &(&net::SocketAddr, &Member)| !is_listed(*address);
         let gone: Vec<_> = self.members.iter().filter(gone).map(|(address, _)| *address).collect();
         for address in &gone {
             self.members.remove(address);
         }
-        for address in list.iter().filter(|address| **address != self.own) {
-            self.members.entry(*address).or_default();
+        for peer in list.iter().filter(|peer| peer.address != self.own) {
+            self.members.entry(peer.address).or_default().zone = Some(peer.zone.clone());
         }
         gone
     }
@@ -148,6 +167,24 @@
         self.members.is_empty() || self.readers().contains(&self.own)
     }
 
+    /// Returns the addresses of those who are told at once: all of a small system, else those of
+    /// this availability zone.
+    pub fn near(&self) -> Vec<net::SocketAddr> {
+        self.select(true)
+    }
+
+    /// Returns the addresses of those who are told less often.
+    pub fn far(&self) -> Vec<net::SocketAddr> {
+        self.select(false)
+    }
+
+    fn select(&self, near: bool) -> Vec<net::SocketAddr> {
+        let is_small = self.count() <= SMALL;
+        let is_near = |member: &Member| is_small || member.zone.as_ref() == Some(&self.zone);
+        let chosen = self.members.iter().filter(|(_, member)| is_near(member) == near);
+        chosen.map(|(address, _)| *address).collect()
+    }
+
     /// Returns the addresses of the others.
     pub fn others(&self) -> Vec<net::SocketAddr> {
         self.members.keys().copied().collect()
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 };
 pub use digest::{AccountSpend, Digest, EndpointLoad, Known, Message, PoolDigest};
 pub use freshness::Freshness;
-pub use mesh::{Mesh, News};
+pub use mesh::{Mesh, News, Peer};
 pub use pool::{
     Demand, EndpointState, Grant, Offer, Outcome, Pool, PoolParams, Refused, Ticket, Verdict,
 };
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -51,6 +51,8 @@
     used: f64,
     /// Whether another daemon's level was taken over.
     adopted: bool,
+    /// Whether it was used since the others were told.
+    changed: bool,
 }
 
 impl Quota {
@@ -86,6 +88,7 @@
         }
         bucket.level -= cost;
         bucket.used += cost;
+        bucket.changed = true;
         Ok(())
     }
 
@@ -112,18 +115,25 @@
         }
     }
 
-    /// Returns what each account has used at this daemon since its start.
-    pub fn used(&self) -> Vec<gateway::AccountSpend> {
-        let spend = |(account, bucket): (&id::AccountName, &Bucket)| gateway::AccountSpend {
-            account: account.clone(),
-            used: bucket.used as u64,
-            level: bucket.level as i64,
-        };
-        self.buckets.iter().map(spend).collect()
+    /// Returns what each account has used at this daemon since its start: of all accounts, or only
+    /// of those that were used since the last call.
+    pub fn used(&mut self, all: bool) -> Vec<gateway::AccountSpend> {
+        let mut used = Vec::new();
+        for (account, bucket) in &mut self.buckets {
+            if std::mem::take(&mut bucket.changed) || all {
+                used.push(gateway::AccountSpend {
+                    account: account.clone(),
+                    used: bucket.used as u64,
+                    level: bucket.level as i64,
+                });
+            }
+        }
+        used
     }
 
     fn bucket(&mut self, now: Timestamp, account: &id::AccountName) -> &mut Bucket {
-        let new = || Bucket { level: 0.0, refilled: now, used: 0.0, adopted: false };
+        let new =
+            || Bucket { level: 0.0, refilled: now, used: 0.0, adopted: false, changed: false };
         self.buckets.entry(account.clone()).or_insert_with(new)
     }
 
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -2,16 +2,22 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh};
+use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh, Peer};
 use trefoildyke_types::time::Timestamp;
 
 fn address(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_600))
 }
 
+/// Daemons of which every other one is in availability zone `b`.
+fn peers(count: u8) -> Vec<Peer> {
+    let zone = |number: u8| if number.is_multiple_of(2) { "b" } else { "a" };
+    (1..=count).map(|number| Peer { address: address(number), zone: zone(number).into() }).collect()
+}
+
 fn mesh(members: u8) -> Mesh {
-    let mut mesh = Mesh::new(address(1), Duration::from_secs(1));
-    mesh.replace(&(1..=members).map(address).collect::<Vec<_>>());
+    let mut mesh = Mesh::new(address(1), "a".into(), Duration::from_secs(1));
+    mesh.replace(&peers(members));
     mesh
 }
 
@@ -66,22 +72,30 @@
 #[test]
 fn a_member_that_is_not_listed_any_more_does_not_count() {
     let mut mesh = mesh(4);
-    assert_eq!(mesh.replace(&[address(1), address(2)]).len(), 2);
+    assert_eq!(mesh.replace(&peers(2)).len(), 2);
     assert_eq!(mesh.count(), 2);
 }
 
 #[test]
 fn few_daemons_read_for_all_and_all_agree_on_them() {
-    let members: Vec<_> = (1..=100).map(address).collect();
+    let members = peers(100);
     let mut readers = Vec::new();
     for own in &members {
-        let mut mesh = Mesh::new(*own, Duration::from_secs(1));
+        let mut mesh = Mesh::new(own.address, "a".into(), Duration::from_secs(1));
         mesh.replace(&members);
         if mesh.is_reader() {
-            readers.push(*own);
+            readers.push(own.address);
         }
         assert_eq!(mesh.readers().len(), 3);
     }
     assert_eq!(readers.len(), 3);
-    assert!(Mesh::new(address(1), Duration::from_secs(1)).is_reader(), "alone");
+    assert!(Mesh::new(address(1), "a".into(), Duration::from_secs(1)).is_reader(), "alone");
+}
+
+#[test]
+fn a_large_system_tells_the_other_zones_less_often() {
+    let small = mesh(16);
+    assert_eq!((small.near().len(), small.far().len()), (15, 0));
+    let large = mesh(100);
+    assert_eq!((large.near().len(), large.far().len()), (49, 50));
 }
--- a/crates/decide/tests/testsuite/gateway/quota.rs
+++ b/crates/decide/tests/testsuite/gateway/quota.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use trefoildyke_decide::gateway::{
-    Account, AccountSpend, AccountUnit, Digest, Mesh, Quota, QuotaParams,
+    Account, AccountSpend, AccountUnit, Digest, Mesh, Peer, Quota, QuotaParams,
 };
 use trefoildyke_types::{id::AccountName, time::Timestamp};
 
@@ -117,9 +117,10 @@
     const COST: f64 = 900.0;
     let account = account(24_000.0, 88_000.0);
     let address = |number: usize| SocketAddr::from(([10, 0, 0, number as u8], 7_600));
-    let members: Vec<_> = (0..DAEMONS).map(address).collect();
+    let peer = |number| Peer { address: address(number), zone: "a".into() };
+    let members: Vec<_> = (0..DAEMONS).map(peer).collect();
     let new = |number| {
-        let mut mesh = Mesh::new(address(number), Duration::from_millis(650));
+        let mut mesh = Mesh::new(address(number), "a".into(), Duration::from_millis(650));
         mesh.replace(&members);
         (Quota::new(params()), mesh, 0_u64)
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,12 @@
 /// How often the others are told though nothing has changed, so that they know that it is heard.
 const REST: time::Duration = time::Duration::from_millis(250);
 
+/// How often the daemons of other availability zones are told, in a system that is not small.
+const FAR: time::Duration = time::Duration::from_millis(200);
+
+/// How often everything is told, for those who have missed a digest or have just started.
+const FULL: time::Duration = time::Duration::from_millis(500);
+
 /// The largest datagram that is read, in bytes.
 const LARGEST: usize = 16 << 10;
 
@@ -27,7 +33,7 @@
     let mut buffer = vec![0; LARGEST];
     let mut tick = tokio::time::interval(shared.settings.exchange);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut told = tokio::time::Instant::now();
+    let mut teller = Teller::new();
     loop {
         tokio::select! {
             () = ending.cancelled() => break,
@@ -37,17 +43,64 @@
             }
             _ = tick.tick() => {
                 note_silent(&shared);
-                if shared.take_changed() || told.elapsed() >= REST {
-                    told = tokio::time::Instant::now();
-                    tell(&shared, false);
-                }
+                teller.tell(&shared);
             }
         }
     }
-    tell(&shared, true);
+    let digest = shared.core().own_digest(shared.now(), state::DigestKind::Last);
+    let others = shared.core().mesh.others();
+    shared.tell(&gateway::Message::Digest(digest), &others);
     Ok(())
 }
 
+/// Decides who is told when.
+struct Teller {
+    /// When those who are near, those who are far, and all with everything were told last.
+    near: tokio::time::Instant,
+    far: tokio::time::Instant,
+    full: tokio::time::Instant,
+    /// Whether those who are far have not been told the latest.
+    owed: bool,
+}
+
+impl Teller {
+    fn new() -> Self {
+        let now = tokio::time::Instant::now();
+        Self { near: now, far: now, full: now, owed: true }
+    }
+
+    fn tell(&mut self, shared: &state::Shared) {
+        let changed = shared.take_changed();
+        self.owed |= changed;
+        let to_near = changed || self.near.elapsed() >= REST;
+        let to_far = self.far.elapsed() >= if self.owed { FAR } else { REST };
+        if !to_near && !to_far {
+            return;
+        }
+        // What changed since the last digest to all is in each full one.
+        let is_full = to_far || self.full.elapsed() >= FULL;
+        let kind = if is_full { state::DigestKind::Full } else { state::DigestKind::Usual };
+        let (digest, mut others) = {
+            let mut core = shared.core();
+            let others = if to_near { core.mesh.near() } else { vec![] };
+            (core.own_digest(shared.now(), kind), others)
+        };
+        let now = tokio::time::Instant::now();
+        if to_near {
+            self.near = now;
+        }
+        if is_full {
+            self.full = now;
+        }
+        if to_far {
+            others.extend(shared.core().mesh.far());
+            self.far = now;
+            self.owed = false;
+        }
+        shared.tell(&gateway::Message::Digest(digest), &others);
+    }
+}
+
 fn note_silent(shared: &state::Shared) {
     let news = shared.core().tick(shared.now());
     if news.silent > 0 {
@@ -79,11 +132,3 @@
         Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
     }
 }
-
-fn tell(shared: &state::Shared, leaving: bool) {
-    let (digest, others) = {
-        let mut core = shared.core();
-        (core.own_digest(shared.now(), leaving), core.mesh.others())
-    };
-    shared.tell(&gateway::Message::Digest(digest), &others);
-}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,6 @@
 //! How a gateway is told what to believe.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
 use trefoildyke_decide::gateway;
 use trefoildyke_types::time::Timestamp;
@@ -67,8 +67,8 @@
         self.shared.core().roster.failed();
     }
 
-    /// Takes in the addresses of all daemons.
-    pub fn members(&self, list: &[net::SocketAddr]) {
+    /// Takes in the list of all daemons.
+    pub fn members(&self, list: &[gateway::Peer]) {
         let mut core = self.shared.core();
         let before = core.mesh.others();
         core.members(list);
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -31,6 +31,17 @@
     digests: u64,
 }
 
+/// Says which digest is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DigestKind {
+    /// With the accounts that were used since the last.
+    Usual,
+    /// With all accounts.
+    Full,
+    /// The last of this daemon.
+    Last,
+}
+
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
 const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
 
@@ -53,7 +64,7 @@
             table: None,
             freshness: gateway::Freshness::new(settings.key_age),
             quota: gateway::Quota::new(settings.quota),
-            mesh: gateway::Mesh::new(settings.listen.peers, PEER_SILENCE),
+            mesh: gateway::Mesh::new(settings.listen.peers, settings.zone.clone(), PEER_SILENCE),
             roster: gateway::Roster::new(settings.list_grace),
             services: collections::HashMap::new(),
             homes: collections::HashMap::new(),
@@ -144,7 +155,7 @@
     }
 
     /// Takes in the list of members.
-    pub(crate) fn members(&mut self, list: &[net::SocketAddr]) {
+    pub(crate) fn members(&mut self, list: &[gateway::Peer]) {
         for peer in self.mesh.replace(list) {
             self.forget(peer);
         }
@@ -195,7 +206,7 @@
     }
 
     /// Returns what the others are to be told.
-    pub(crate) fn own_digest(&mut self, now: Timestamp, leaving: bool) -> gateway::Digest {
+    pub(crate) fn own_digest(&mut self, now: Timestamp, kind: DigestKind) -> gateway::Digest {
         self.digests += 1;
         let mut pools = Vec::new();
         for (name, service) in &self.services {
@@ -207,9 +218,9 @@
         gateway::Digest {
             incarnation: self.incarnation,
             number: self.digests,
-            leaving,
+            leaving: kind == DigestKind::Last,
             is_young: now.since(self.started) < YOUNG,
-            spend: self.quota.used(),
+            spend: self.quota.used(kind != DigestKind::Usual),
             pools,
         }
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,7 +6,7 @@
 mod slot;
 mod waiting;
 
-pub(crate) use core::Core;
+pub(crate) use core::{Core, DigestKind};
 pub(crate) use service::{Asked, Service};
 pub(crate) use shared::Shared;
 pub(crate) use slot::Slot;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use trefoildyke_decide::gateway::AccountUnit;
+use trefoildyke_decide::gateway::{AccountUnit, Peer};
 
 use crate::harness::{Endpoint, Stack, Step};
 
+fn peer(address: std::net::SocketAddr) -> Peer {
+    Peer { address, zone: "a".into() }
+}
+
 fn meet(stacks: &[Stack]) {
-    let members: Vec<_> = stacks.iter().map(|stack| stack.addresses.peers).collect();
+    let members: Vec<_> = stacks.iter().map(|stack| peer(stack.addresses.peers)).collect();
     for stack in stacks {
         stack.feed.members(&members);
     }
@@ -72,7 +76,7 @@
         (1..=1).map(|port| std::net::SocketAddr::from(([127, 0, 0, 1], port))).collect();
     for stack in &stacks {
         let own = stack.addresses.peers;
-        stack.feed.members(&[own, nobody[0]]);
+        stack.feed.members(&[peer(own), peer(nobody[0])]);
     }
     std::thread::sleep(Duration::from_millis(1_100));
     let served = serve(2);
