--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -178,8 +178,13 @@
         self.select(false)
     }
 
+    /// Says whether the system is so large that other availability zones are told less often.
+    pub fn is_large(&self) -> bool {
+        self.count() > SMALL
+    }
+
     fn select(&self, near: bool) -> Vec<net::SocketAddr> {
-        let is_small = self.count() <= SMALL;
+        let is_small = !self.is_large();
         let is_near = |member: &Member| is_small || member.zone.as_ref() == Some(&self.zone);
         let chosen = self.members.iter().filter(|(_, member)| is_near(member) == near);
         chosen.map(|(address, _)| *address).collect()
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -49,6 +49,8 @@
     pub address: std::net::SocketAddr,
     /// The prompt's tokens.
     pub prompt: u32,
+    /// When the slot was given.
+    pub at: Timestamp,
     /// The predicted time to the first event, in milliseconds.
     pub first_ms: u32,
     /// How many requests are believed to run there already, over all daemons.
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -43,8 +43,21 @@
     kept: collections::VecDeque<offers::Kept>,
     /// Offers that are to be told.
     offers: Vec<Offer>,
+    /// How long a request holds its slot, in seconds.
+    hold: endpoint::Mean,
+    /// Whether the system is so large that other availability zones are heard less often.
+    large: bool,
 }
 
+/// The assumed time that a request holds its slot before any has ended, in seconds.
+const PRIOR_HOLD_S: f64 = 0.5;
+
+/// Over how many requests that time is followed.
+const HOLD_WINDOW: f64 = 50.0;
+
+/// From how many times the time for which digests show it too long on a request's own time is long.
+const LONG_HOLD: f64 = 4.0;
+
 impl Pool {
     /// Creates a pool without endpoints for a daemon in `zone`.
     pub fn new(params: PoolParams, zone: id::ZoneName, event_tokens: u32) -> Self {
@@ -60,6 +73,8 @@
             ranks: ranks::Ranks::default(),
             kept: collections::VecDeque::new(),
             offers: Vec::new(),
+            hold: endpoint::Mean::new(PRIOR_HOLD_S, HOLD_WINDOW),
+            large: false,
         }
     }
 
@@ -68,6 +83,11 @@
         self.event_tokens = event_tokens;
     }
 
+    /// Takes in whether the system is so large that other availability zones are heard less often.
+    pub const fn set_large(&mut self, large: bool) {
+        self.large = large;
+    }
+
     /// Takes in a listed endpoint.
     pub fn list(&mut self, now: Timestamp, entry: &gateway::RosterEntry) {
         match self.endpoints.get_mut(&entry.endpoint) {
@@ -134,6 +154,9 @@
 
     /// Notes how a granted request ended; `prompt` is 0 if its first event had come.
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
+        if outcome == Outcome::Served {
+            self.hold.observe(now.since(grant.at).as_secs_f64());
+        }
         if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
             endpoint.end(now, prompt, outcome, &self.params);
             self.offer(now, &grant.endpoint);
@@ -184,7 +207,7 @@
     /// Returns what is believed of each endpoint, for logs and metrics.
     pub fn states(&self, now: Timestamp) -> Vec<EndpointState> {
         let state = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            endpoint.state(now, name, self.peers.load(name))
+            endpoint.state(now, name, self.others(name))
         };
         self.endpoints.iter().map(state).collect()
     }
@@ -194,6 +217,22 @@
         Ticket(self.next_ticket)
     }
 
+    /// Returns what the other daemons are believed to have at an endpoint.
+    ///
+    /// A digest shows a request from its start until the next digest, so those that are shorter
+    /// than the time between two are shown for too long: a service of short requests would seem
+    /// full that is nearly idle.
+    fn others(&self, name: &id::EndpointName) -> endpoint::Load {
+        let load = self.peers.load(name);
+        let shown = if self.large { self.params.far_shown } else { self.params.shown };
+        let (shown, hold) = (shown.as_secs_f64(), self.hold.value());
+        if hold >= shown * LONG_HOLD {
+            return load;
+        }
+        let part = hold / (hold + shown);
+        endpoint::Load { running: (f64::from(load.running) * part) as u32, ..load }
+    }
+
     /// Returns how long a request would wait behind `ahead` others, in seconds.
     fn predicted_wait(&self, now: Timestamp, ahead: usize) -> f64 {
         ahead as f64 * self.flow.interval(now)
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -20,7 +20,7 @@
         let mut best: Option<(f64, &id::EndpointName)> = None;
         let usual = self.usual();
         for (name, endpoint) in &self.endpoints {
-            let others = self.peers.load(name);
+            let others = self.others(name);
             let room = self.room(now, endpoint, others, demand.repeatable);
             free += room;
             if room == 0 || demand.tried.contains(name) || !self.suits(now, class, demand, endpoint)
@@ -47,7 +47,7 @@
         name: id::EndpointName,
         demand: &Demand,
     ) -> Option<Grant> {
-        let others = self.peers.load(&name);
+        let others = self.others(&name);
         let age = self.peers.oldest().map_or(0, |heard| now.since(heard).as_millis());
         let endpoint = self.endpoints.get_mut(&name)?;
         let first = endpoint.prompt_ms(&self.params)
@@ -58,6 +58,7 @@
             endpoint: name,
             address: endpoint.address,
             prompt: demand.prompt,
+            at: now,
             first_ms: first as u32,
             beside,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
@@ -67,7 +68,7 @@
     /// Returns how many slots are free that nobody was offered.
     pub(super) fn free(&self, now: Timestamp) -> usize {
         let room = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            self.room(now, endpoint, self.peers.load(name), false)
+            self.room(now, endpoint, self.others(name), false)
         };
         self.endpoints.iter().map(room).sum()
     }
@@ -166,7 +167,8 @@
         let beside = running * own * self.params.beside_weight;
         let pause = (first - self.pause_limit(demand)).max(0.0) * running;
         let fast = (usual.step_ms / endpoint.step_ms() - 1.0).max(0.0) * self.params.fast_ms;
-        let zone = if endpoint.zone == self.zone { 0.0 } else { self.params.zone_ms };
+        let other_zone = if self.large { self.params.far_zone_ms } else { self.params.zone_ms };
+        let zone = if endpoint.zone == self.zone { 0.0 } else { other_zone };
         let failures = endpoint.failure_part() - usual.failures - USUAL_FAILURES;
         let failures = failures.max(0.0) * self.params.failure_ms;
         let doubt = if endpoint.is_doubted(now, &self.params) { DOUBT_MS } else { 0.0 };
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -113,6 +113,19 @@
     assert!(pool.grant_waiting(at(5_000)).is_empty());
 }
 
+/// Requests of 20 ms at three daemons, each of which is shown for up to 50 ms longer.
+#[test]
+fn a_service_of_short_requests_does_not_seem_full() {
+    let mut pool = pool(&["one"]);
+    for ms in (0..2_000).step_by(20) {
+        let grant = granted(pool.arrive(at(ms), demand(ms, 0)));
+        pool.end(at(ms + 20), &grant, grant.prompt, Outcome::Served);
+    }
+    pool.note_peer(at(2_000), peer(2), &digest(&[("one", 1)], &[]));
+    pool.note_peer(at(2_000), peer(3), &digest(&[("one", 1)], &[]));
+    granted(pool.arrive(at(2_001), demand(2_001, 0)));
+}
+
 #[test]
 fn a_place_that_is_given_back_leaves_nothing() {
     let mut pool = pool(&["one"]);
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -96,7 +96,8 @@
     /// Returns the service, which exists from its first mention on.
     pub(crate) fn service(&mut self, name: &id::PoolName) -> &mut state::Service {
         if !self.services.contains_key(name) {
-            let pool = gateway::Pool::new(self.pool_params.clone(), self.zone.clone(), 0);
+            let mut pool = gateway::Pool::new(self.pool_params.clone(), self.zone.clone(), 0);
+            pool.set_large(self.mesh.is_large());
             let (window, ratio, fixed) = self.retry;
             let budget = gateway::RetryBudget::new(window, ratio, fixed);
             self.services.insert(name.clone(), state::Service::new(pool, budget));
@@ -159,6 +160,10 @@
         for peer in self.mesh.replace(list) {
             self.forget(peer);
         }
+        let is_large = self.mesh.is_large();
+        for service in self.services.values_mut() {
+            service.pool.set_large(is_large);
+        }
     }
 
     /// Takes in what another daemon says.
