--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -97,8 +97,10 @@
         if is_same && member.last.is_some_and(|(_, number)| number >= digest.number) {
             return None;
         }
-        // What a member used before it was first heard stays unknown, like after its restart.
+        // What a member used before it was first heard stays unknown, like after its restart. What
+        // it used while it was silent was left to it: both sides kept to their parts.
         let is_first = member.last.is_none();
+        let was_silent = member.heard.is_none_or(|heard| now.since(heard) > self.silence);
         if !is_same {
             member.used.clear();
         }
@@ -111,7 +113,7 @@
             let used = spend.used.saturating_sub(before);
             if is_first {
                 news.levels.push(spend.clone());
-            } else if used > 0 {
+            } else if used > 0 && !was_silent {
                 news.spent.push(gateway::AccountSpend { used, ..spend.clone() });
             }
         }
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -99,3 +99,12 @@
     let large = mesh(100);
     assert_eq!((large.near().len(), large.far().len()), (49, 50));
 }
+
+/// After a cut, the uses of its time must not be charged at once to callers within their quotas.
+#[test]
+fn what_was_used_in_silence_was_left_to_the_silent() {
+    let mut mesh = mesh(2);
+    spent(&mut mesh, 0, &digest(7, 1, 100));
+    assert_eq!(spent(&mut mesh, 8_000, &digest(7, 90, 900_000)), Some(0));
+    assert_eq!(spent(&mut mesh, 8_050, &digest(7, 91, 900_040)), Some(40));
+}
