--- /dev/null
+++ b/crates/gateway/src/face/course/end.rs
@@ -0,0 +1,104 @@
+//! What follows a failed send, and the gateway's own final answers.
+
+use std::time;
+
+use hyper::StatusCode;
+use trefoildyke_decide::gateway;
+
+use crate::{
+    face,
+    face::{Course, Failed, course::refuse},
+    record,
+};
+
+/// The part of the time left for which a caller that was refused stays away. Callers follow a
+/// longer Retry-After only up to a third of it.
+const AWAY_PART: std::ops::Range<f64> = 0.24..0.32;
+
+impl Course {
+    /// Decides and logs what follows a failed send.
+    pub(crate) fn next(&mut self, failed: &Failed) -> gateway::Next {
+        let mut attempt = self.attempt.clone();
+        let is_open = !failed.is_late && self.shared.now() < self.call.give_up;
+        let may_repeat = || is_open && (failed.is_paid || self.take_budget());
+        let next = attempt.failed(failed.failure, may_repeat);
+        self.attempt = attempt;
+        let kind = match failed.failure {
+            gateway::Failure::NotSent => "not_sent",
+            gateway::Failure::Rejected => "rejected",
+            gateway::Failure::Lost => "lost",
+            gateway::Failure::Failed => "failed",
+        };
+        self.shared.metrics.failed(kind);
+        self.shared.journal.write(&record::Event::SendFailed {
+            id: self.call.id.clone(),
+            endpoint: self.tried.last().cloned().unwrap_or_else(|| "".into()),
+            failure: failed.failure,
+            detail: failed.detail.clone(),
+            next,
+        });
+        next
+    }
+
+    /// Answers a request for which nothing more is done.
+    pub(super) fn finish(
+        mut self,
+        next: gateway::Next,
+        failed: &Failed,
+        last: Option<Box<hyper::Response<face::Body>>>,
+    ) -> hyper::Response<face::Body> {
+        if next == gateway::Next::NotRun {
+            self.refund();
+            let reply = face::Reply::not_run("not_sent", self.retry_hint());
+            return refuse(&mut self.trail, reply);
+        }
+        if let Some(response) = last {
+            self.trail.begun(response.status().as_u16());
+            self.trail.ended("endpoint_failed");
+            return *response;
+        }
+        let reply = if failed.is_late {
+            face::Reply::new(StatusCode::GATEWAY_TIMEOUT, "timeout")
+        } else {
+            face::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost")
+        };
+        refuse(&mut self.trail, reply)
+    }
+
+    /// Answers a request that got no place.
+    pub(super) fn unplaced(
+        mut self,
+        last: Option<Box<hyper::Response<face::Body>>>,
+        after: time::Duration,
+    ) -> hyper::Response<face::Body> {
+        if let Some(response) = last {
+            self.trail.begun(response.status().as_u16());
+            self.trail.ended("endpoint_failed");
+            return *response;
+        }
+        if self.attempt.may_have_run() {
+            let reply = face::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost");
+            return refuse(&mut self.trail, reply);
+        }
+        self.refund();
+        let after = after.max(self.spread());
+        refuse(&mut self.trail, face::Reply::not_run("overload", after))
+    }
+
+    /// Returns the part of its time that a caller stays away after a refusal.
+    ///
+    /// Its objective cannot be met any more, so what counts is that it is served when it comes
+    /// back, once: bursts last a few seconds, and those refused together must not return together.
+    fn spread(&self) -> time::Duration {
+        let left = self.call.deadline.since(self.shared.now());
+        left.mul_f64(rand::random_range(AWAY_PART))
+    }
+
+    /// Gives back what a request that has not run took from its account's quota.
+    fn refund(&self) {
+        if let Some(account) = &self.call.account {
+            let now = self.shared.now();
+            self.shared.core().quota.give_back(now, account, self.call.cost);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/face/course/send.rs
@@ -0,0 +1,93 @@
+//! Sending a request to the endpoint that it was given.
+
+use std::sync;
+
+use hyper::header;
+use trefoildyke_decide::gateway;
+
+use crate::{
+    face::{Answered, Course, Failed},
+    state, upstream,
+};
+
+/// The part of the time left after which an idempotent request without an answer is sent again.
+const RESEND_PART: f64 = 0.45;
+
+impl Course {
+    /// Sends the request to the endpoint of `slot` and waits for the head of the answer.
+    ///
+    /// `after` is the last event that was received of a stream.
+    pub(crate) async fn send(
+        &mut self,
+        mut slot: state::Slot,
+        after: Option<&str>,
+    ) -> Result<Answered, Failed> {
+        let request = self.request(&slot, after);
+        let shared = sync::Arc::clone(&self.shared);
+        let id = self.call.id.clone();
+        let grant = slot.grant().clone();
+        let sending = async {
+            let names = &shared.settings.names;
+            upstream::send(&shared.links, names, &grant, &id, &request).await
+        };
+        let mut sending = std::pin::pin!(sending);
+        let left = self.call.give_up.since(self.shared.now());
+        let end = tokio::time::Instant::now() + left;
+        let patience = tokio::time::Instant::now() + left.mul_f64(RESEND_PART);
+        if self.may_send_again() {
+            tokio::select! {
+                sent = &mut sending => return judged(sent, slot),
+                () = tokio::time::sleep_until(patience) => {}
+            }
+            if self.take_budget() {
+                slot.set_outcome(gateway::Outcome::Lost);
+                let failed = Failed::new(gateway::Failure::Lost, "no answer for too long");
+                return Err(Failed { is_paid: true, ..failed });
+            }
+        }
+        match tokio::time::timeout_at(end, sending).await {
+            Ok(sent) => judged(sent, slot),
+            Err(_) => {
+                let failed = Failed::new(gateway::Failure::Lost, "the time was up");
+                Err(Failed { is_late: true, ..failed })
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        slot: &state::Slot,
+        after: Option<&str>,
+    ) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+        let names = &self.shared.settings.names;
+        let mut request = self.call.request.clone();
+        let headers = request.headers_mut();
+        let left = self.call.deadline.since(self.shared.now()).as_millis() as u64;
+        headers.insert(names.deadline.clone(), header::HeaderValue::from(left.max(1)));
+        let endpoint = header::HeaderValue::from_str(slot.grant().endpoint.as_str());
+        if let Ok(endpoint) = endpoint {
+            headers.insert(names.expected_endpoint.clone(), endpoint);
+        }
+        if let Some(Ok(after)) = after.map(header::HeaderValue::from_str) {
+            headers.insert(names.last_event.clone(), after);
+        }
+        request
+    }
+
+    fn may_send_again(&self) -> bool {
+        self.call.kind.is_idempotent() && self.trail.sends() < self.call.attempts
+    }
+}
+
+fn judged(
+    sent: Result<upstream::Answer, upstream::SendError>,
+    mut slot: state::Slot,
+) -> Result<Answered, Failed> {
+    match sent {
+        Ok(answer) => Ok(Answered { answer, slot }),
+        Err(error) => {
+            slot.set_outcome(error.outcome);
+            Err(Failed::new(error.failure, error.detail))
+        }
+    }
+}
--- a/crates/gateway/src/face/trail.rs
+++ b/crates/gateway/src/face/trail.rs
@@ -23,6 +23,8 @@
     sends: u32,
     first: Option<time::Duration>,
     retry_after: Option<time::Duration>,
+    /// The longest pause between two parts of a stream.
+    pause: Option<time::Duration>,
 }
 
 impl Trail {
@@ -40,6 +42,7 @@
             sends: 0,
             first: None,
             retry_after: None,
+            pause: None,
             shared,
         }
     }
@@ -81,6 +84,11 @@
         }
     }
 
+    /// Notes a pause of a stream.
+    pub(crate) fn paused(&mut self, pause: time::Duration) {
+        self.pause = self.pause.max(Some(pause));
+    }
+
     /// Notes how the request has ended.
     pub(crate) const fn ended(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -115,6 +123,7 @@
             total_ms: ms(self.shared.now().since(self.arrived)),
             first_ms: self.first.map(ms),
             retry_ms: self.retry_after.map(ms),
+            pause_ms: self.pause.map(ms),
         });
     }
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -150,5 +150,7 @@
         first_ms: Option<u64>,
         /// After how many milliseconds the caller was asked to come back.
         retry_ms: Option<u64>,
+        /// The longest pause between two parts of a stream, in milliseconds.
+        pause_ms: Option<u64>,
     },
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -103,7 +103,9 @@
                 Some(Err(error)) => return Step::Lost(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    source.slot.heard();
+                    if let Some(pause) = source.slot.heard() {
+                        self.course.trail.paused(pause);
+                    }
                     if let Some(whole) = self.events.push(bytes) {
                         return Step::Part(whole);
                     }
--- a/crates/gateway/src/state/slot.rs
+++ b/crates/gateway/src/state/slot.rs
@@ -1,6 +1,6 @@
 //! A request's place at an endpoint.
 
-use std::sync;
+use std::{sync, time};
 
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
@@ -38,16 +38,21 @@
         self.outcome = outcome;
     }
 
-    /// Notes that something of the answer has come.
-    pub(crate) fn heard(&mut self) {
+    /// Notes that something of the answer has come; returns how long it had paused.
+    pub(crate) fn heard(&mut self) -> Option<time::Duration> {
         let now = self.shared.now();
         let prompt = std::mem::take(&mut self.prompt);
         let mut core = self.shared.core();
         let pool = &mut core.service(&self.service).pool;
         match self.last_event.replace(now) {
-            None => pool.first(now, &self.grant.endpoint, prompt),
+            None => {
+                pool.first(now, &self.grant.endpoint, prompt);
+                None
+            }
             Some(last) => {
-                pool.event(now, &self.grant.endpoint, now.since(last).as_secs_f64());
+                let pause = now.since(last);
+                pool.event(now, &self.grant.endpoint, pause.as_secs_f64());
+                Some(pause)
             }
         }
     }
