--- a/crates/decide/src/gateway/pool/params.rs
+++ b/crates/decide/src/gateway/pool/params.rs
@@ -18,7 +18,7 @@
     pub pause_part: f64,
     /// How much the time beyond it weighs for each stream there; 2.
     pub pause_weight: f64,
-    /// What a slot of an endpoint costs that is twice as fast as the mean, in milliseconds; 60.
+    /// What a slot of an endpoint costs that is twice as fast as the mean, in milliseconds; 150.
     ///
     /// More than a short prompt gains there, less than a long one does: fast endpoints are kept
     /// for long prompts, whose reading stalls the streams beside them the least there.
@@ -64,10 +64,10 @@
             step_ms: 4.0,
             prompt_ms: 1.0 / 38.0,
             first_weight: 2.0,
-            beside_weight: 0.3,
+            beside_weight: 0.6,
             pause_part: 0.6,
             pause_weight: 2.0,
-            fast_ms: 60.0,
+            fast_ms: 300.0,
             zone_ms: 5.0,
             far_zone_ms: 60.0,
             shown: time::Duration::from_millis(25),
