--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -51,7 +51,7 @@
 }
 
 /// How much later a request is due for each second that it will hold its slot, in seconds.
-const LENGTH_WEIGHT: f64 = 0.5;
+const LENGTH_WEIGHT: f64 = 0.3;
 
 /// How much later it is due at most.
 const LONGEST_DELAY: time::Duration = time::Duration::from_secs(3);
