--- a/crates/decide/src/gateway/pool/offers.rs
+++ b/crates/decide/src/gateway/pool/offers.rs
@@ -43,8 +43,11 @@
         if self.free(now) <= self.reserve(now, rank) {
             return;
         }
+        let others = self.others(name).running;
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        if !endpoint.is_usable(now) || endpoint.is_doubted(now, &self.params) {
+        // Several daemons may have taken the same slot; what has ended then is the surplus.
+        let is_full = endpoint.own.running + endpoint.offered + others >= endpoint.slots;
+        if is_full || !endpoint.is_usable(now) || endpoint.is_doubted(now, &self.params) {
             return;
         }
         endpoint.offered += 1;
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -69,6 +69,17 @@
     assert_eq!(pool.grant_waiting(at(200)).len(), 1, "a lapsed offer frees the slot");
 }
 
+/// With three requests in two slots, the end of one makes no room there, whatever is free elsewhere.
+#[test]
+fn a_slot_of_an_overfull_endpoint_is_not_offered() {
+    let mut pool = pool(&["one", "two"]);
+    let grant = granted(pool.arrive(at(0), demand(0, 2)));
+    pool.note_peer(at(2), peer(2), &digest(&[(grant.endpoint.as_str(), 2)], &[]));
+    pool.note_peer(at(2), peer(3), &digest(&[], &[1]));
+    pool.end(at(10), &grant, grant.prompt, Outcome::Served);
+    assert!(pool.take_offers().is_empty());
+}
+
 #[test]
 fn an_offered_slot_goes_to_the_first_waiting_request() {
     let mut pool = pool(&["one"]);
