--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,8 +37,8 @@
         let sockets = kernel.block_on(Sockets::bind(settings.listen))?;
         let settings = settings::Settings { listen: sockets.addresses, ..settings };
         let callers = settings.listen.callers;
-        let shared =
-            sync::Arc::new(state::Shared::new(settings, journal, metrics::Metrics::new()?));
+        let metrics = metrics::Metrics::new(journal.dropped().clone())?;
+        let shared = sync::Arc::new(state::Shared::new(settings, journal, metrics));
         let gateway = Self {
             shared,
             closing: tokio_sync::CancellationToken::new(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,8 @@
 use opentelemetry_sdk::metrics as sdk;
 use prometheus::Encoder as _;
 
+use crate::record;
+
 /// Measures what the gateway does.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -18,7 +20,8 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> anyhow::Result<Self> {
+    /// Creates the instruments; `dropped` counts the log lines that were dropped.
+    pub(crate) fn new(dropped: record::Dropped) -> anyhow::Result<Self> {
         let registry = prometheus::Registry::new();
         let exporter =
             opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
@@ -26,6 +29,11 @@
         let meter = provider.meter("trefoildyke_gateway");
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let histogram = |name, about| meter.f64_histogram(name).with_description(about).build();
+        meter
+            .u64_observable_counter("gateway_log_lines_dropped")
+            .with_description("Log lines that were dropped since the writer was behind.")
+            .with_callback(move |counter| counter.observe(dropped.count(), &[]))
+            .build();
         Ok(Self {
             ended: counter("gateway_requests_ended", "Requests by route and outcome."),
             sends: counter("gateway_sends", "Sends to endpoints."),
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -94,3 +94,24 @@
     let took = begun.elapsed().as_millis();
     assert!((290..800).contains(&took), "{took} ms");
 }
+
+#[test]
+fn metrics_tell_outcomes_times_and_dropped_log_lines() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let stack = Stack::start(&[&endpoint]);
+    stack.ask("GET /once/").unwrap();
+    stack.ask("GET /nowhere/").unwrap();
+    let mut scrape = crate::harness::Caller::connect(stack.addresses.metrics.unwrap());
+    scrape.send("GET /metrics", &[], "");
+    let text = scrape.reply().unwrap().body;
+    for line in [
+        "gateway_requests_ended_total{outcome=\"served\",route=\"once\"",
+        "gateway_requests_ended_total{outcome=\"no_route\",route=\"\"",
+        "gateway_sends_total",
+        "gateway_first_byte_ms_count",
+        "gateway_wait_ms_count",
+        "gateway_log_lines_dropped_total",
+    ] {
+        assert!(text.contains(line), "{line} is missing in {text}");
+    }
+}
