decide: a daemon without a list of members takes a small part of each quota

Cause (by reading): a daemon that could not write its own entry never read the list and took itself for the only member, so several together could break a quota. Test first: mesh::a_daemon_that_knows_no_members_does_not_take_itself_for_the_only_one. The admission of a request is split into steps.

--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -17,6 +17,8 @@
     zone: id::ZoneName,
     /// How long a member may be silent before its digest is forgotten.
     silence: time::Duration,
+    /// Whether the members were ever listed.
+    listed: bool,
     /// Addresses of the others.
     members: collections::BTreeMap<net::SocketAddr, Member>,
 }
@@ -46,6 +48,9 @@
 /// Messages grow with the square of the members, and bytes between availability zones are paid for.
 const SMALL: usize = 16;
 
+/// The part of each quota that a daemon takes that never got a list of the members.
+const UNLISTED_PART: f64 = 1.0 / 32.0;
+
 /// How many daemons read the store at least: two may be lost or cut off.
 const LEAST_READERS: usize = 3;
 
@@ -67,11 +72,12 @@
 impl Mesh {
     /// Starts with no other member; `own` is this daemon's address for digests.
     pub const fn new(own: net::SocketAddr, zone: id::ZoneName, silence: time::Duration) -> Self {
-        Self { own, zone, silence, members: collections::BTreeMap::new() }
+        Self { own, zone, silence, listed: false, members: collections::BTreeMap::new() }
     }
 
     /// Takes in the list of members and returns those that are gone from it.
     pub fn replace(&mut self, list: &[Peer]) -> Vec<net::SocketAddr> {
+        self.listed = true;
         let is_listed =
             |address: &net::SocketAddr| list.iter().any(|peer| peer.address == *address);
         let gone = |(address, _): &(&net::SocketAddr, &Member)| !is_listed(*address);
@@ -135,6 +141,9 @@
 
     /// Returns the part of the members that is heard, this daemon included.
     pub fn part(&self, now: Timestamp) -> f64 {
+        if !self.listed {
+            return UNLISTED_PART;
+        }
         let is_heard =
             |member: &&Member| member.heard.is_some_and(|heard| now.since(heard) <= self.silence);
         let heard = self.members.values().filter(is_heard).count();
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -108,3 +108,11 @@
     assert_eq!(spent(&mut mesh, 8_000, &digest(7, 90, 900_000)), Some(0));
     assert_eq!(spent(&mut mesh, 8_050, &digest(7, 91, 900_040)), Some(40));
 }
+
+#[test]
+fn a_daemon_that_knows_no_members_does_not_take_itself_for_the_only_one() {
+    let mut mesh = Mesh::new(address(1), "a".into(), Duration::from_secs(1));
+    assert!(mesh.part(Timestamp::ZERO) < 0.1);
+    mesh.replace(&peers(1));
+    assert_eq!(mesh.part(Timestamp::ZERO), 1.0);
+}
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -123,10 +123,6 @@
     trail: &mut face::Trail,
     head: &http::request::Parts,
 ) -> Result<Admission, face::Reply> {
-    let names = &shared.settings.names;
-    let host = names::text(&head.headers, &header::HOST);
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let key = names::text(&head.headers, &names.key);
     let (table, is_fresh) = {
         let core = shared.core();
         (core.table.clone(), core.freshness.is_fresh(shared.now()))
@@ -136,18 +132,7 @@
     };
     let config = table.config();
     trail.set_version(config.version);
-    let admitted = match table.admit(host, head.uri.path(), key) {
-        Ok(admitted) => admitted,
-        Err(_) if !is_fresh => {
-            return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED).closing());
-        }
-        Err(gateway::Denied::NoRoute) => {
-            return Err(face::Reply::new(StatusCode::NOT_FOUND, "no_route"));
-        }
-        Err(gateway::Denied::NoKey) => {
-            return Err(face::Reply::new(StatusCode::UNAUTHORIZED, "unknown_key"));
-        }
-    };
+    let admitted = look_up(shared, &table, head, is_fresh)?;
     trail.set_route(admitted.route, admitted.account);
     if admitted.account.is_some() && !is_fresh {
         return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED).closing());
@@ -155,9 +140,8 @@
     if trail.id().is_empty() {
         return Err(face::Reply::new(StatusCode::BAD_REQUEST, "request_id_missing"));
     }
-    let Some(service) = admitted.route.pick(rand::random()) else {
-        return Err(face::Reply::not_run("no_service", STARTING));
-    };
+    let service = admitted.route.pick(rand::random());
+    let service = service.ok_or(face::Reply::not_run("no_service", STARTING))?;
     Ok(Admission {
         service: service.clone(),
         account: admitted.account.cloned(),
@@ -167,6 +151,24 @@
     })
 }
 
+/// Finds the route and the account; denies only on a configuration that is known to be in force.
+fn look_up<'a>(
+    shared: &state::Shared,
+    table: &'a gateway::Table,
+    head: &http::request::Parts,
+    is_fresh: bool,
+) -> Result<gateway::Admitted<'a>, face::Reply> {
+    let names = &shared.settings.names;
+    let host = names::text(&head.headers, &header::HOST);
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let key = names::text(&head.headers, &names.key);
+    table.admit(host, head.uri.path(), key).map_err(|denied| match denied {
+        _ if !is_fresh => face::Reply::not_run("unconfirmed", UNCONFIRMED).closing(),
+        gateway::Denied::NoRoute => face::Reply::new(StatusCode::NOT_FOUND, "no_route"),
+        gateway::Denied::NoKey => face::Reply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
+    })
+}
+
 async fn read_body(admission: &Admission, body: body::Incoming) -> Result<Bytes, face::Reply> {
     let body = Limited::new(body, admission.body_limit).collect();
     match tokio::time::timeout(admission.body_wait, body).await {
--- a/crates/gateway/tests/testsuite/harness/stack.rs
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use trefoildyke_decide::gateway::{
-    Account, AccountUnit, Config, Limits, RosterEntry, Route, RouteKind, Service, Target,
+    Account, AccountUnit, Config, Limits, Peer, RosterEntry, Route, RouteKind, Service, Target,
 };
 use trefoildyke_gateway::{Feed, Gateway, Journal, Listen, Settings};
 use trefoildyke_kernel as kernel;
@@ -43,6 +43,8 @@
 
     /// Tells the gateway of the usual configuration and these endpoints.
     pub(crate) fn believe(&self, endpoints: &[&Endpoint]) {
+        let own = Peer { address: self.addresses.peers, zone: "a".into() };
+        self.feed.members(&[own]);
         self.feed.configure(config(1), self.feed.now());
         self.feed.endpoints(entries(endpoints));
     }
