--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -80,7 +80,7 @@
         self.listed = true;
         let is_listed =
             |address: &net::SocketAddr| list.iter().any(|peer| peer.address == *address);
-        let gone = |(address, _): &(&net::SocketAddr, &Member)| !is_listed(*address);
+        let gone = |(address, _): &(&net::SocketAddr, &Member)| !is_listed(address);
         let gone: Vec<_> = self.members.iter().filter(gone).map(|(address, _)| *address).collect();
         for address in &gone {
             self.members.remove(address);
