decide: what an account used before it was first named is not charged

Test first: mesh::what_was_used_before_an_account_was_first_named_is_not_charged (red with 900000, then green).

--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -31,6 +31,8 @@
     heard: Option<Timestamp>,
     /// Whether the member's loads are counted.
     counted: bool,
+    /// Whether everything that this incarnation used was heard: it began after another one.
+    whole: bool,
     used: collections::HashMap<id::AccountName, u64>,
 }
 
@@ -109,14 +111,18 @@
         let was_silent = member.heard.is_none_or(|heard| now.since(heard) > self.silence);
         if !is_same {
             member.used.clear();
+            member.whole = !is_first;
         }
         member.last = Some((digest.incarnation, digest.number));
         member.heard = (!digest.leaving).then_some(now);
         member.counted = !digest.leaving;
         let mut news = News { leaving: digest.leaving, ..News::default() };
         for spend in &digest.spend {
-            let before = member.used.insert(spend.account.clone(), spend.used).unwrap_or(0);
-            let used = spend.used.saturating_sub(before);
+            let before = member.used.insert(spend.account.clone(), spend.used);
+            // An account that is named for the first time has used nothing before only in an
+            // incarnation whose begin was heard.
+            let unknown = if member.whole { 0 } else { spend.used };
+            let used = spend.used.saturating_sub(before.unwrap_or(unknown));
             if is_first {
                 news.levels.push(spend.clone());
             } else if used > 0 && !was_silent {
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -116,3 +116,16 @@
     mesh.replace(&peers(1));
     assert_eq!(mesh.part(Timestamp::ZERO), 1.0);
 }
+
+/// Digests name the accounts that were used of late, so the first one need not name all.
+#[test]
+fn what_was_used_before_an_account_was_first_named_is_not_charged() {
+    let mut mesh = mesh(2);
+    let silent = Digest { incarnation: 7, number: 1, ..Digest::default() };
+    assert_eq!(spent(&mut mesh, 0, &silent), Some(0));
+    assert_eq!(spent(&mut mesh, 50, &digest(7, 2, 900_000)), Some(0));
+    assert_eq!(spent(&mut mesh, 99, &digest(7, 3, 900_040)), Some(40));
+    // Its next life begins with nothing used.
+    assert_eq!(spent(&mut mesh, 150, &Digest { incarnation: 8, ..silent }), Some(0));
+    assert_eq!(spent(&mut mesh, 199, &digest(8, 2, 30)), Some(30));
+}
