gateway: idle connections stay within a daemon's part of what an endpoint accepts

Cause (by reading): the number of connections that an endpoint accepts from all was decoded and used nowhere; 89 daemons with 8 idle ones each would pass 590. Test: callers::idle_connections_stay_within_this_daemons_part.

--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -127,7 +127,8 @@
     fn finish(mut self) {
         if let Some(Source { link, mut slot, .. }) = self.source.take() {
             slot.set_outcome(gateway::Outcome::Served);
-            self.course.shared.links.keep(&slot.grant().endpoint, link);
+            let service = &self.course.call.service;
+            self.course.shared.keep(service, &slot.grant().endpoint, link);
         }
         self.course.trail.ended("served");
     }
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -33,7 +33,7 @@
         }
     };
     slot.heard();
-    course.shared.links.keep(&slot.grant().endpoint, answer.link);
+    course.shared.keep(&course.call.service, &slot.grant().endpoint, answer.link);
     let is_failure = head.status.is_server_error();
     slot.set_outcome(if is_failure { gateway::Outcome::Failed } else { gateway::Outcome::Served });
     let body = face::full(body);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -10,6 +10,12 @@
 
 use crate::{ask, clock, metrics, record, settings, state, upstream};
 
+/// The part of the connections that an endpoint accepts which may be idle; requests need the rest.
+const IDLE_PART: f64 = 0.5;
+
+/// How many idle connections are kept to one endpoint at most: about its slots.
+const IDLE_EACH: usize = 8;
+
 /// Holds the gateway's state and the means to act.
 pub(crate) struct Shared {
     pub(crate) settings: settings::Settings,
@@ -129,6 +135,22 @@
         }
     }
 
+    /// Keeps a connection to an endpoint for reuse, within this daemon's part of those that the
+    /// endpoint accepts from all.
+    pub(crate) fn keep(
+        &self,
+        service: &id::PoolName,
+        endpoint: &id::EndpointName,
+        link: upstream::Link,
+    ) {
+        let core = self.core();
+        let table = core.table.as_ref();
+        let accepted = table.and_then(|table| table.service(service)).map_or(0, |s| s.connections);
+        let part = f64::from(accepted) * IDLE_PART / core.mesh.count() as f64;
+        drop(core);
+        self.links.keep(endpoint, link, (part as usize).clamp(1, IDLE_EACH));
+    }
+
     /// Says whether new connections may come, and how old the belief is.
     pub(crate) fn readiness(&self) -> (bool, Option<std::time::Duration>) {
         let now = self.now();
--- a/crates/gateway/src/upstream/links.rs
+++ b/crates/gateway/src/upstream/links.rs
@@ -8,9 +8,6 @@
 
 use crate::upstream;
 
-/// How many idle connections are kept to one endpoint.
-const IDLE_EACH: usize = 8;
-
 /// How long a connection may be idle if the endpoint does not say.
 const IDLE: time::Duration = time::Duration::from_secs(3);
 
@@ -52,15 +49,15 @@
         upstream::Link::open(self, address, self.connect).await
     }
 
-    /// Keeps a connection whose request has ended.
-    pub(crate) fn keep(&self, endpoint: &id::EndpointName, mut link: upstream::Link) {
+    /// Keeps a connection whose request has ended, unless `limit` idle ones are kept already.
+    pub(crate) fn keep(&self, endpoint: &id::EndpointName, mut link: upstream::Link, limit: usize) {
         if !link.is_reusable() {
             return;
         }
         link.idle_until = Some(tokio::time::Instant::now() + link.idle_limit.unwrap_or(IDLE));
         let mut idle = self.lock();
         let links = idle.entry(endpoint.clone()).or_default();
-        if links.len() < IDLE_EACH {
+        if links.len() < limit {
             links.push(link);
         }
     }
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -115,3 +115,24 @@
         assert!(text.contains(line), "{line} is missing in {text}");
     }
 }
+
+/// An endpoint accepts a number of connections from all daemons together.
+#[test]
+fn idle_connections_stay_within_this_daemons_part() {
+    let script = vec![Step::Pause(std::time::Duration::from_millis(100)), Step::Answer("x")];
+    let endpoint = Endpoint::start(vec![script]);
+    let stack = Stack::start(&[&endpoint]);
+    stack.reconfigure(2, |config| config.services[0].connections = 2);
+    let callers: Vec<_> = (0..4)
+        .map(|_| {
+            let mut caller = stack.caller();
+            let headers = [("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")];
+            caller.send("GET /once/", &headers, "");
+            caller
+        })
+        .collect();
+    for mut caller in callers {
+        assert_eq!(caller.reply().unwrap().status, 200);
+    }
+    Stack::wait_until("three of four connections are closed", || endpoint.closed() == 3);
+}
