gateway: a silent stream is given up only if it can go on elsewhere

Cause (by reading): a resumable stream without an event for 1.6 s was dropped, and only then was the retry budget asked; without budget a living stream was cut. Test first: streams::a_silent_stream_that_may_not_be_sent_again_is_not_given_up (red, then green). Conclusion: the budget is asked first; without it the silence is waited out.

--- a/crates/gateway/src/face/course/mod.rs
+++ b/crates/gateway/src/face/course/mod.rs
@@ -187,6 +187,11 @@
         });
     }
 
+    /// Says whether the request may be sent once more, and takes that from the retry budget.
+    pub(crate) fn pay_repeat(&self) -> bool {
+        self.may_send_again() && self.take_budget()
+    }
+
     pub(super) fn take_budget(&self) -> bool {
         let now = self.shared.now();
         let mut core = self.shared.core();
--- a/crates/gateway/src/face/course/send.rs
+++ b/crates/gateway/src/face/course/send.rs
@@ -39,7 +39,7 @@
                 sent = &mut sending => return judged(sent, slot),
                 () = tokio::time::sleep_until(patience) => {}
             }
-            if self.take_budget() {
+            if self.pay_repeat() {
                 slot.set_outcome(gateway::Outcome::Lost);
                 let failed = Failed::new(gateway::Failure::Lost, "no answer for too long");
                 return Err(Failed { is_paid: true, ..failed });
@@ -74,7 +74,7 @@
         request
     }
 
-    fn may_send_again(&self) -> bool {
+    pub(super) fn may_send_again(&self) -> bool {
         self.call.kind.is_idempotent() && self.trail.sends() < self.call.attempts
     }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -27,7 +27,13 @@
     course.trail.begun(head.status.as_u16());
     let source = Source { body, link: answer.link, slot };
     let end = tokio::time::Instant::now() + course.call.give_up.since(shared.now());
-    let relay = Relay { course, source: Some(source), events: gateway::Events::default(), end };
+    let relay = Relay {
+        course,
+        source: Some(source),
+        events: gateway::Events::default(),
+        end,
+        waits: false,
+    };
     let mut headers = head.headers;
     headers.remove(hyper::header::CONTENT_LENGTH);
     let body = face::frames(stream::unfold(Some(relay), next_part));
@@ -41,6 +47,8 @@
     events: gateway::Events,
     /// When the stream is cut off.
     end: tokio::time::Instant,
+    /// Whether a silence is waited out, since the stream may not be resumed elsewhere.
+    waits: bool,
 }
 
 struct Source {
@@ -54,6 +62,7 @@
     Part(Bytes),
     End,
     Lost(String),
+    Silent,
     Late,
 }
 
@@ -72,10 +81,18 @@
                 relay.course.trail.ended("stream_timeout");
                 return Some((Err(face::Aborted), None));
             }
+            // Silence alone is no reason to end a stream that cannot go on elsewhere.
+            Step::Silent if !relay.course.pay_repeat() => relay.waits = true,
+            Step::Silent => {
+                let failed = face::Failed::new(gateway::Failure::Lost, "no event for too long");
+                if !relay.resume(face::Failed { is_paid: true, ..failed }).await {
+                    return relay.broken();
+                }
+            }
             Step::Lost(detail) => {
-                if !relay.resume(detail).await {
-                    relay.course.trail.ended("stream_broken");
-                    return Some((Err(face::Aborted), None));
+                let failed = face::Failed::new(gateway::Failure::Lost, detail);
+                if !relay.resume(failed).await {
+                    return relay.broken();
                 }
             }
         }
@@ -95,7 +112,7 @@
             let frame = match tokio::time::timeout_at(until, source.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) if until >= end => return Step::Late,
-                Err(_) => return Step::Lost("no event for too long".to_owned()),
+                Err(_) => return Step::Silent,
             };
             match frame {
                 None if self.events.is_cut() => return Step::Lost("cut in an event".to_owned()),
@@ -119,10 +136,16 @@
     /// Returns how long a resumable stream may pause before it is resumed elsewhere.
     fn patience(&self) -> Option<time::Duration> {
         let call = &self.course.call;
-        let is_resumable = call.kind.is_idempotent();
+        let is_resumable = call.kind.is_idempotent() && !self.waits;
         is_resumable.then(|| (call.gap * PATIENCE_GAPS).max(LEAST_PATIENCE))
     }
 
+    /// Ends a stream that cannot go on.
+    fn broken(mut self) -> Part {
+        self.course.trail.ended("stream_broken");
+        Some((Err(face::Aborted), None))
+    }
+
     /// Ends a stream that is complete.
     fn finish(mut self) {
         if let Some(Source { link, mut slot, .. }) = self.source.take() {
@@ -134,13 +157,12 @@
     }
 
     /// Goes on at another endpoint; says whether that was allowed and possible.
-    async fn resume(&mut self, detail: String) -> bool {
+    async fn resume(&mut self, mut failed: face::Failed) -> bool {
         self.events.drop_tail();
         let Some(Source { mut slot, .. }) = self.source.take() else { return false };
         slot.set_outcome(gateway::Outcome::Lost);
         let endpoint = slot.grant().endpoint.clone();
         drop(slot);
-        let mut failed = face::Failed::new(gateway::Failure::Lost, detail);
         loop {
             if self.course.next(&failed) != gateway::Next::Again {
                 return false;
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -95,14 +95,13 @@
 
     /// Returns the service, which exists from its first mention on.
     pub(crate) fn service(&mut self, name: &id::PoolName) -> &mut state::Service {
-        if !self.services.contains_key(name) {
+        let new = || {
             let mut pool = gateway::Pool::new(self.pool_params.clone(), self.zone.clone(), 0);
             pool.set_large(self.mesh.is_large());
             let (window, ratio, fixed) = self.retry;
-            let budget = gateway::RetryBudget::new(window, ratio, fixed);
-            self.services.insert(name.clone(), state::Service::new(pool, budget));
-        }
-        self.services.entry(name.clone()).or_insert_with(|| unreachable!("inserted above"))
+            state::Service::new(pool, gateway::RetryBudget::new(window, ratio, fixed))
+        };
+        self.services.entry(name.clone()).or_insert_with(new)
     }
 
     /// Returns how much of its time a caller that still waits for `waits` has spent on a refusal.
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -95,3 +95,23 @@
     assert!(!reply.whole);
     assert!(begun.elapsed() < Duration::from_millis(900));
 }
+
+/// Silence is waited out if the retry budget does not pay for another endpoint.
+#[test]
+fn a_silent_stream_that_may_not_be_sent_again_is_not_given_up() {
+    let endpoint = Endpoint::start(vec![vec![
+        Step::Stream,
+        Step::Events("id: 1\n\n"),
+        Step::Pause(Duration::from_millis(1_800)),
+        Step::Events("id: 2\n\n"),
+        Step::EndStream,
+    ]]);
+    let stack = Stack::bare(|settings| {
+        settings.retry_ratio = 0.0;
+        settings.retry_fixed = 0.0;
+    });
+    stack.believe(&[&endpoint]);
+    stack.reconfigure(2, |config| config.routes[3].timeout_ms = 4_000);
+    let reply = stack.ask_with("POST /resume/", &[]).unwrap();
+    assert_eq!((reply.body.as_str(), reply.whole), ("id: 1\n\nid: 2\n\n", true));
+}
