gateway: names as a newcomer would expect them

A query and its reply in place of ask and told (an ask is already what a coordinator tells a scheduler), a driver and an access entry in place of course and trail, readiness checks in place of questions. No change of behaviour.

--- a/crates/decide/src/gateway/digest.rs
+++ b/crates/decide/src/gateway/digest.rs
@@ -33,22 +33,22 @@
         endpoint: id::EndpointName,
     },
     /// Asks what the receiver knows of the store.
-    Ask {
-        /// The asker's time; comes back in the answer, so that its age can be told.
+    Query {
+        /// The sender's time; comes back in the reply, so that its age can be told.
         stamp: u64,
     },
-    /// Answers [`Message::Ask`].
-    Told {
-        /// The time that the question named.
+    /// Answers [`Message::Query`].
+    Reply {
+        /// The time that the query named.
         stamp: u64,
         /// What the sender knows.
-        known: Known,
+        view: StoreView,
     },
 }
 
 /// Says what a daemon knows of the store, and how old that is. All ages are in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Known {
+pub struct StoreView {
     /// The version of the configuration in force.
     pub version: u64,
     /// How long ago it was confirmed.
--- a/crates/decide/src/gateway/freshness.rs
+++ b/crates/decide/src/gateway/freshness.rs
@@ -21,7 +21,7 @@
         Self { horizon, confirmed: None }
     }
 
-    /// Notes that the configuration was in force at `as_of`, the time at which the question that
+    /// Notes that the configuration was in force at `as_of`, the time at which the query that
     /// confirmed it was sent.
     pub fn confirm(&mut self, as_of: Timestamp) {
         self.confirmed = self.confirmed.max(Some(as_of));
--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -56,7 +56,7 @@
 /// How many daemons read the store at least: two may be lost or cut off.
 const LEAST_READERS: usize = 3;
 
-/// For how many daemons one reads it. At two questions a second each, answering takes a reader
+/// For how many daemons one reads it. At two queries a second each, answering takes a reader
 /// about 64 datagrams a second.
 const DAEMONS_EACH: usize = 32;
 
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -21,7 +21,7 @@
     Account, AccountUnit, Admitted, Config, Denied, Limits, Route, RouteKind, Service, Table,
     Target,
 };
-pub use digest::{AccountSpend, Digest, EndpointLoad, Known, Message, PoolDigest};
+pub use digest::{AccountSpend, Digest, EndpointLoad, Message, PoolDigest, StoreView};
 pub use events::{EventTooLong, Events};
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News, Peer};
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -122,13 +122,13 @@
             drop(core);
             shared.set_changed();
         }
-        Ok(gateway::Message::Ask { stamp }) => {
-            let known = shared.core().known(shared.now(), from);
-            if let Some(known) = known {
-                shared.tell(&gateway::Message::Told { stamp, known }, &[from]);
+        Ok(gateway::Message::Query { stamp }) => {
+            let view = shared.core().store_view(shared.now(), from);
+            if let Some(view) = view {
+                shared.tell(&gateway::Message::Reply { stamp, view }, &[from]);
             }
         }
-        Ok(gateway::Message::Told { stamp, known }) => shared.questions.told(stamp, known),
+        Ok(gateway::Message::Reply { stamp, view }) => shared.queries.replied(stamp, view),
         Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
     }
 }
--- a/crates/gateway/src/face/trail.rs
+++ b/crates/gateway/src/face/access.rs
@@ -9,7 +9,7 @@
 use crate::{names, record, state};
 
 /// Follows one request; logs its end when dropped.
-pub(crate) struct Trail {
+pub(crate) struct AccessEntry {
     shared: sync::Arc<state::Shared>,
     id: String,
     arrived: Timestamp,
@@ -27,7 +27,7 @@
     pause: Option<time::Duration>,
 }
 
-impl Trail {
+impl AccessEntry {
     pub(crate) fn new(shared: sync::Arc<state::Shared>, headers: &HeaderMap) -> Self {
         let id = names::text(headers, &shared.settings.names.request_id).unwrap_or_default();
         Self {
@@ -107,7 +107,7 @@
     }
 }
 
-impl Drop for Trail {
+impl Drop for AccessEntry {
     fn drop(&mut self) {
         self.shared.metrics.ended(&self.route, self.outcome);
         let ms = |length: time::Duration| length.as_millis() as u64;
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -20,7 +20,7 @@
 /// How long a caller waits that does not say.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(60);
 
-/// Holds an admitted request and what its course depends on.
+/// Holds an admitted request and what its driver depends on.
 pub(crate) struct Call {
     pub(crate) id: String,
     /// The request for the endpoint, without the headers that each send adds.
@@ -60,22 +60,22 @@
 impl Call {
     /// Admits a request by its head, reads its body and takes its cost from the quota.
     ///
-    /// Notes in `trail` what is found out, also of a request that is refused.
+    /// Notes in `access` what is found out, also of a request that is refused.
     pub(crate) async fn read(
         shared: &state::Shared,
-        trail: &mut face::Trail,
+        access: &mut face::AccessEntry,
         request: hyper::Request<body::Incoming>,
     ) -> Result<Self, face::Reply> {
         let (head, body) = request.into_parts();
         let names = &shared.settings.names;
-        let admission = admit(shared, trail, &head)?;
-        let id = trail.id().to_owned();
+        let admission = admit(shared, access, &head)?;
+        let id = access.id().to_owned();
         let waits = names::number(&head.headers, &names.deadline);
         let waits = waits.map_or(DEFAULT_DEADLINE, time::Duration::from_millis);
         let body = read_body(&admission, body).await?;
         let tokens = tokens(names::text(&head.headers, &names.tokens));
         let cost = charge(shared, &admission, tokens)?;
-        let arrived = trail.arrived();
+        let arrived = access.arrived();
         let route = &admission.route;
         let limit = waits.min(time::Duration::from_millis(route.timeout_ms));
         let (prompt, most) = tokens.unwrap_or((0, 0));
@@ -120,7 +120,7 @@
 
 fn admit(
     shared: &state::Shared,
-    trail: &mut face::Trail,
+    access: &mut face::AccessEntry,
     head: &http::request::Parts,
 ) -> Result<Admission, face::Reply> {
     let (table, is_fresh) = {
@@ -131,13 +131,13 @@
         return Err(face::Reply::not_run("starting", STARTING));
     };
     let config = table.config();
-    trail.set_version(config.version);
+    access.set_version(config.version);
     let admitted = look_up(shared, &table, head, is_fresh)?;
-    trail.set_route(admitted.route, admitted.account);
+    access.set_route(admitted.route, admitted.account);
     if admitted.account.is_some() && !is_fresh {
         return Err(face::Reply::not_run("unconfirmed", UNCONFIRMED).closing());
     }
-    if trail.id().is_empty() {
+    if access.id().is_empty() {
         return Err(face::Reply::new(StatusCode::BAD_REQUEST, "request_id_missing"));
     }
     let service = admitted.route.pick(rand::random());
--- a/crates/gateway/src/face/course/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     face,
-    face::{Course, Failed, course::refuse},
+    face::{Driver, Failed, driver::refuse},
     record,
 };
 
@@ -15,7 +15,7 @@
 /// longer Retry-After only up to a third of it.
 const AWAY_PART: std::ops::Range<f64> = 0.24..0.32;
 
-impl Course {
+impl Driver {
     /// Decides and logs what follows a failed send.
     pub(crate) fn next(&mut self, failed: &Failed) -> gateway::Next {
         let mut attempt = self.attempt.clone();
@@ -50,11 +50,11 @@
         if next == gateway::Next::NotRun {
             self.refund();
             let reply = face::Reply::not_run("not_sent", self.retry_hint());
-            return refuse(&mut self.trail, reply);
+            return refuse(&mut self.access, reply);
         }
         if let Some(response) = last {
-            self.trail.begun(response.status().as_u16());
-            self.trail.ended("endpoint_failed");
+            self.access.begun(response.status().as_u16());
+            self.access.ended("endpoint_failed");
             return *response;
         }
         let reply = if failed.is_late {
@@ -62,7 +62,7 @@
         } else {
             face::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost")
         };
-        refuse(&mut self.trail, reply)
+        refuse(&mut self.access, reply)
     }
 
     /// Answers a request that got no place.
@@ -72,17 +72,17 @@
         after: time::Duration,
     ) -> hyper::Response<face::Body> {
         if let Some(response) = last {
-            self.trail.begun(response.status().as_u16());
-            self.trail.ended("endpoint_failed");
+            self.access.begun(response.status().as_u16());
+            self.access.ended("endpoint_failed");
             return *response;
         }
         if self.attempt.may_have_run() {
             let reply = face::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost");
-            return refuse(&mut self.trail, reply);
+            return refuse(&mut self.access, reply);
         }
         self.refund();
         let after = after.max(self.spread());
-        refuse(&mut self.trail, face::Reply::not_run("overload", after))
+        refuse(&mut self.access, face::Reply::not_run("overload", after))
     }
 
     /// Returns the part of its time that a caller stays away after a refusal.
--- a/crates/gateway/src/face/course/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -1,4 +1,4 @@
-//! The course of one request: waiting, sending, and what follows a failure.
+//! Carrying one request through: waiting, sending, and what follows a failure.
 
 mod end;
 mod send;
@@ -24,10 +24,10 @@
 const STOPPING: time::Duration = time::Duration::from_millis(100);
 
 /// Carries one admitted request.
-pub(crate) struct Course {
+pub(crate) struct Driver {
     pub(crate) shared: sync::Arc<state::Shared>,
     pub(crate) call: face::Call,
-    pub(crate) trail: face::Trail,
+    pub(crate) access: face::AccessEntry,
     attempt: gateway::Attempt,
     tried: Vec<id::EndpointName>,
     /// Holds up the end of a graceful stop.
@@ -64,33 +64,33 @@
     shared: sync::Arc<state::Shared>,
     request: hyper::Request<body::Incoming>,
 ) -> hyper::Response<face::Body> {
-    let mut trail = face::Trail::new(sync::Arc::clone(&shared), request.headers());
+    let mut access = face::AccessEntry::new(sync::Arc::clone(&shared), request.headers());
     let Some(pass) = shared.gate.enter() else {
-        return refuse(&mut trail, face::Reply::not_run("stopping", STOPPING).closing());
+        return refuse(&mut access, face::Reply::not_run("stopping", STOPPING).closing());
     };
-    match face::Call::read(&shared, &mut trail, request).await {
-        Ok(call) => Course::new(shared, call, trail, pass).run().await,
-        Err(reply) => refuse(&mut trail, reply),
+    match face::Call::read(&shared, &mut access, request).await {
+        Ok(call) => Driver::new(shared, call, access, pass).run().await,
+        Err(reply) => refuse(&mut access, reply),
     }
 }
 
-fn refuse(trail: &mut face::Trail, reply: face::Reply) -> hyper::Response<face::Body> {
-    trail.refused(reply.reason, reply.status.as_u16(), reply.retry_after);
+fn refuse(access: &mut face::AccessEntry, reply: face::Reply) -> hyper::Response<face::Body> {
+    access.refused(reply.reason, reply.status.as_u16(), reply.retry_after);
     reply.response()
 }
 
-impl Course {
+impl Driver {
     fn new(
         shared: sync::Arc<state::Shared>,
         call: face::Call,
-        trail: face::Trail,
+        access: face::AccessEntry,
         pass: kernel::Pass,
     ) -> Self {
         let is_idempotent = call.kind.is_idempotent();
         let repeat =
             if is_idempotent { gateway::Repeat::Idempotent } else { gateway::Repeat::Never };
         let attempt = gateway::Attempt::new(repeat, call.attempts);
-        Self { shared, call, trail, attempt, tried: Vec::new(), _pass: pass }
+        Self { shared, call, access, attempt, tried: Vec::new(), _pass: pass }
     }
 
     async fn run(mut self) -> hyper::Response<face::Body> {
@@ -172,14 +172,14 @@
     fn note_sent(&mut self, slot: &state::Slot, asked: Timestamp) {
         let grant = slot.grant();
         self.attempt.sent();
-        self.trail.sent(&grant.endpoint);
+        self.access.sent(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
         let waited = self.shared.now().since(asked).as_millis() as u64;
         self.shared.metrics.sent(waited);
         self.shared.journal.write(&record::Event::Sent {
             id: self.call.id.clone(),
             endpoint: grant.endpoint.clone(),
-            send: self.trail.sends(),
+            send: self.access.sends(),
             waited_ms: waited,
             first_ms: grant.first_ms,
             beside: grant.beside,
--- a/crates/gateway/src/face/course/send.rs
+++ b/crates/gateway/src/face/driver/send.rs
@@ -6,14 +6,14 @@
 use trefoildyke_decide::gateway;
 
 use crate::{
-    face::{Answered, Course, Failed},
+    face::{Answered, Driver, Failed},
     state, upstream,
 };
 
 /// The part of the time left after which an idempotent request without an answer is sent again.
 const RESEND_PART: f64 = 0.45;
 
-impl Course {
+impl Driver {
     /// Sends the request to the endpoint of `slot` and waits for the head of the answer.
     ///
     /// `after` is the last event that was received of a stream.
@@ -75,7 +75,7 @@
     }
 
     pub(super) fn may_send_again(&self) -> bool {
-        self.call.kind.is_idempotent() && self.trail.sends() < self.call.attempts
+        self.call.kind.is_idempotent() && self.access.sends() < self.call.attempts
     }
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -25,7 +25,7 @@
         self.shared.now()
     }
 
-    /// Puts a version in force that the source confirmed to a question sent at `as_of`.
+    /// Puts a version in force that the source confirmed to a query sent at `as_of`.
     ///
     /// An older version than the one in force is ignored.
     pub fn configure(&self, config: gateway::Config, as_of: Timestamp) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 //! told through a [`Feed`]: the configuration, the endpoints and the other daemons. Decisions are
 //! in `trefoildyke_decide::gateway`; this crate carries them out.
 
-mod ask;
 mod clock;
 mod exchange;
 mod face;
@@ -14,6 +13,7 @@
 mod listen;
 mod metrics;
 mod names;
+mod query;
 mod record;
 mod relay;
 mod settings;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -18,17 +18,17 @@
 
 /// Starts passing on a stream.
 pub(crate) fn stream(
-    mut course: face::Course,
+    mut driver: face::Driver,
     answered: face::Answered,
 ) -> hyper::Response<face::Body> {
     let face::Answered { answer, slot } = answered;
     let (head, body) = answer.response.into_parts();
-    let shared = std::sync::Arc::clone(&course.shared);
-    course.trail.begun(head.status.as_u16());
+    let shared = std::sync::Arc::clone(&driver.shared);
+    driver.access.begun(head.status.as_u16());
     let source = Source { body, link: answer.link, slot };
-    let end = tokio::time::Instant::now() + course.call.give_up.since(shared.now());
+    let end = tokio::time::Instant::now() + driver.call.give_up.since(shared.now());
     let relay = Relay {
-        course,
+        driver,
         source: Some(source),
         events: gateway::Events::default(),
         end,
@@ -41,7 +41,7 @@
 }
 
 struct Relay {
-    course: face::Course,
+    driver: face::Driver,
     /// Where events come from; `None` after the end.
     source: Option<Source>,
     events: gateway::Events,
@@ -78,11 +78,11 @@
                 return None;
             }
             Step::Late => {
-                relay.course.trail.ended("stream_timeout");
+                relay.driver.access.ended("stream_timeout");
                 return Some((Err(face::Aborted), None));
             }
             // Silence alone is no reason to end a stream that cannot go on elsewhere.
-            Step::Silent if !relay.course.pay_repeat() => relay.waits = true,
+            Step::Silent if !relay.driver.pay_repeat() => relay.waits = true,
             Step::Silent => {
                 let failed = face::Failed::new(gateway::Failure::Lost, "no event for too long");
                 if !relay.resume(face::Failed { is_paid: true, ..failed }).await {
@@ -121,7 +121,7 @@
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(pause) = source.slot.heard() {
-                        self.course.trail.paused(pause);
+                        self.driver.access.paused(pause);
                     }
                     match self.events.push(bytes) {
                         Ok(Some(whole)) => return Step::Part(whole),
@@ -135,14 +135,14 @@
 
     /// Returns how long a resumable stream may pause before it is resumed elsewhere.
     fn patience(&self) -> Option<time::Duration> {
-        let call = &self.course.call;
+        let call = &self.driver.call;
         let is_resumable = call.kind.is_idempotent() && !self.waits;
         is_resumable.then(|| (call.gap * PATIENCE_GAPS).max(LEAST_PATIENCE))
     }
 
     /// Ends a stream that cannot go on.
     fn broken(mut self) -> Part {
-        self.course.trail.ended("stream_broken");
+        self.driver.access.ended("stream_broken");
         Some((Err(face::Aborted), None))
     }
 
@@ -150,10 +150,10 @@
     fn finish(mut self) {
         if let Some(Source { link, mut slot, .. }) = self.source.take() {
             slot.set_outcome(gateway::Outcome::Served);
-            let service = &self.course.call.service;
-            self.course.shared.keep(service, &slot.grant().endpoint, link);
+            let service = &self.driver.call.service;
+            self.driver.shared.keep(service, &slot.grant().endpoint, link);
         }
-        self.course.trail.ended("served");
+        self.driver.access.ended("served");
     }
 
     /// Goes on at another endpoint; says whether that was allowed and possible.
@@ -164,12 +164,12 @@
         let endpoint = slot.grant().endpoint.clone();
         drop(slot);
         loop {
-            if self.course.next(&failed) != gateway::Next::Again {
+            if self.driver.next(&failed) != gateway::Next::Again {
                 return false;
             }
-            let Ok(slot) = self.course.place().await else { return false };
+            let Ok(slot) = self.driver.place().await else { return false };
             let after = self.events.last().map(str::to_owned);
-            match self.course.send(slot, after.as_deref()).await {
+            match self.driver.send(slot, after.as_deref()).await {
                 Ok(answered) if answered.answer.response.status().is_success() => {
                     self.take_over(answered, &endpoint, after);
                     return true;
@@ -193,8 +193,8 @@
         let face::Answered { answer, slot } = answered;
         let body = answer.response.into_body();
         self.source = Some(Source { body, link: answer.link, slot });
-        self.course.shared.journal.write(&record::Event::Resumed {
-            id: self.course.call.id.clone(),
+        self.driver.shared.journal.write(&record::Event::Resumed {
+            id: self.driver.call.id.clone(),
             endpoint: endpoint.clone(),
             after: after.unwrap_or_default(),
         });
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -14,12 +14,12 @@
 /// An answer that breaks off on the way is never begun at the caller, so the request can still be
 /// repeated where that is allowed.
 pub(crate) async fn whole(
-    course: &mut face::Course,
+    driver: &mut face::Driver,
     answered: face::Answered,
 ) -> Result<hyper::Response<face::Body>, face::Failed> {
     let face::Answered { answer, mut slot } = answered;
     let (head, body) = answer.response.into_parts();
-    let left = course.call.give_up.since(course.shared.now());
+    let left = driver.call.give_up.since(driver.shared.now());
     let body = Limited::new(body, LARGEST);
     let body = match tokio::time::timeout(left, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -33,17 +33,17 @@
         }
     };
     slot.heard();
-    course.shared.keep(&course.call.service, &slot.grant().endpoint, answer.link);
+    driver.shared.keep(&driver.call.service, &slot.grant().endpoint, answer.link);
     let is_failure = head.status.is_server_error();
     slot.set_outcome(if is_failure { gateway::Outcome::Failed } else { gateway::Outcome::Served });
     let body = face::full(body);
-    let response = face::response_head(&course.shared, head.headers, head.status, body);
+    let response = face::response_head(&driver.shared, head.headers, head.status, body);
     if is_failure {
         let detail = format!("answered {}", head.status.as_u16());
         let failed = face::Failed::new(gateway::Failure::Failed, detail);
         return Err(face::Failed { response: Some(Box::new(response)), ..failed });
     }
-    course.trail.begun(head.status.as_u16());
-    course.trail.ended("served");
+    driver.access.begun(head.status.as_u16());
+    driver.access.ended("served");
     Ok(response)
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -51,7 +51,7 @@
 pub struct Listen {
     /// For callers.
     pub callers: net::SocketAddr,
-    /// For the question whether new connections may come.
+    /// For readiness checks.
     pub ready: net::SocketAddr,
     /// For metrics; `None` serves none.
     pub metrics: Option<net::SocketAddr>,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -119,13 +119,17 @@
     }
 
     /// Returns what this daemon knows of the store, for another member that asks.
-    pub(crate) fn known(&self, now: Timestamp, from: net::SocketAddr) -> Option<gateway::Known> {
+    pub(crate) fn store_view(
+        &self,
+        now: Timestamp,
+        from: net::SocketAddr,
+    ) -> Option<gateway::StoreView> {
         let ms = |age: std::time::Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         let since = |time: Option<Timestamp>| time.map(|time| ms(now.since(time)));
         if !self.mesh.is_member(from) {
             return None;
         }
-        Some(gateway::Known {
+        Some(gateway::StoreView {
             version: self.table.as_ref()?.config().version,
             confirmed: ms(self.freshness.age(now)?),
             roster: self.roster.mark(),
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -8,7 +8,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{ask, clock, metrics, record, settings, state, upstream};
+use crate::{clock, metrics, query, record, settings, state, upstream};
 
 /// The part of the connections that an endpoint accepts which may be idle; requests need the rest.
 const IDLE_PART: f64 = 0.5;
@@ -26,12 +26,12 @@
     pub(crate) gate: kernel::Gate,
     pub(crate) links: upstream::Links,
     /// What other daemons are asked about the store.
-    pub(crate) questions: ask::Questions,
+    pub(crate) queries: query::Queries,
     socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
     core: sync::Mutex<state::Core>,
     /// Set when a graceful stop has begun.
     stopping: atomic::AtomicBool,
-    /// What was answered last to the question whether new connections may come.
+    /// The last answer to a readiness check.
     ready: atomic::AtomicBool,
     /// Set when the others have not been told the latest.
     changed: atomic::AtomicBool,
@@ -52,7 +52,7 @@
             metrics,
             gate: kernel::Gate::default(),
             links,
-            questions: ask::Questions::default(),
+            queries: query::Queries::default(),
             socket: sync::OnceLock::new(),
             core,
             stopping: atomic::AtomicBool::new(false),
@@ -98,8 +98,7 @@
         self.changed.swap(false, atomic::Ordering::Relaxed)
     }
 
-    /// Notes what is answered to the question whether new connections may come; says whether that
-    /// has changed.
+    /// Notes the answer to a readiness check; says whether that has changed.
     pub(crate) fn note_ready(&self, ready: bool) -> bool {
         self.ready.swap(ready, atomic::Ordering::Relaxed) != ready
     }
