daemon: what waits is refused at once when the daemon is cut off

A request that was admitted in the moment before the daemon counted as cut off got a permit that may not be used, handed it back and asked for another, every 100 ms until its deadline of 60 s. Its caller learned nothing, and the test's wait for a refusal ended first.

What else could have taken 60 s: the harness gives up on silence after 20 s, but a waiting stream sends comment lines, so it waits on.

Now a daemon that becomes cut off ends what waits, as a stop does, with 'isolated' and a time to come back; a permit that comes then does the same. Before: the new test waited in vain for 30 s (failed); after: 4 tests of cut:: pass in 6.9 s.

--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -65,6 +65,7 @@
         let deadline = self.context.clock.instant(self.job.deadline);
         let mut passed = false;
         let mut gone = None;
+        let mut isolation = self.context.isolation.changes();
         let first = std::mem::take(&mut self.job.actions);
         self.carry_out(first);
         while !self.job.state.is_final() {
@@ -89,6 +90,11 @@
                     }
                     Input::CallerGone
                 }
+                // The sender lives as long as the context.
+                Ok(()) = isolation.changed() => match *isolation.borrow_and_update() {
+                    true => Input::Isolated,
+                    false => continue,
+                },
                 input = self.operation.next() => match input {
                     Some(input) => input,
                     None => self.ended(),
@@ -115,6 +121,15 @@
             Input::Chunk(_) => {}
             other => self.note("input", || format!("{other:?}")),
         }
+        let is_unusable = matches!(input, Input::UnusablePermit(_));
+        self.advance(input);
+        // While the daemon is cut off no permit can be used, so another one would not help.
+        if is_unusable && self.context.isolation.is_isolated() {
+            self.advance(Input::Isolated);
+        }
+    }
+
+    fn advance(&mut self, input: Input) {
         self.job.state.join(self.job.entry.is_second());
         let actions = self.job.state.step(self.context.clock.now(), input);
         self.carry_out(actions);
--- a/crates/daemon/src/coordinate/isolation.rs
+++ b/crates/daemon/src/coordinate/isolation.rs
@@ -1,9 +1,6 @@
 //! Whether this daemon reaches anyone who could tell it what is in force.
 
-use std::{
-    sync::{self, atomic},
-    time,
-};
+use std::{sync, time};
 
 use tokio::sync::watch;
 use trefoildyke_decide::members;
@@ -14,13 +11,29 @@
 const PROBE_KEY: &str = "probe";
 
 /// Says whether this daemon is cut off. Clones share the state.
-#[derive(Clone, Debug, Default)]
-pub struct Isolation(sync::Arc<atomic::AtomicBool>);
+#[derive(Clone, Debug)]
+pub struct Isolation(sync::Arc<watch::Sender<bool>>);
 
 impl Isolation {
     /// Returns whether neither the key-value service nor any peer was reached for the bound.
     pub fn is_isolated(&self) -> bool {
-        self.0.load(atomic::Ordering::Acquire)
+        *self.0.borrow()
+    }
+
+    /// Returns what is told of each later change.
+    pub(super) fn changes(&self) -> watch::Receiver<bool> {
+        self.0.subscribe()
+    }
+
+    /// Takes in whether this daemon is cut off; says whether that is new.
+    fn set(&self, is_isolated: bool) -> bool {
+        self.0.send_if_modified(|current| std::mem::replace(current, is_isolated) != is_isolated)
+    }
+}
+
+impl Default for Isolation {
+    fn default() -> Self {
+        Self(sync::Arc::new(watch::Sender::new(false)))
     }
 }
 
@@ -55,7 +68,7 @@
                 reached = asked;
             }
             let is_isolated = reached.elapsed() >= self.bound;
-            if is_isolated != self.isolation.0.swap(is_isolated, atomic::Ordering::AcqRel) {
+            if self.isolation.set(is_isolated) {
                 log::warn!(target: "coordinate", "cut off from everyone: {is_isolated}");
             }
             tokio::time::sleep(period).await;
--- a/crates/decide/src/coordinate/input.rs
+++ b/crates/decide/src/coordinate/input.rs
@@ -71,6 +71,8 @@
     CallerGone,
     /// The daemon is being stopped.
     Stop,
+    /// The daemon reaches neither the key-value service nor any peer.
+    Isolated,
     /// The endpoint of the permit that is held takes no new work any more.
     EndpointLeaving,
     /// The daemon was paused; what it knew of its surroundings may be old.
--- a/crates/decide/src/coordinate/request_state.rs
+++ b/crates/decide/src/coordinate/request_state.rs
@@ -125,7 +125,8 @@
             Input::Refused(refusal) => self.coordinator_refused(refusal),
             Input::DeadlinePassed => self.give_up(Reason::Deadline),
             Input::CallerGone => self.caller_gone(),
-            Input::Stop => self.stop(),
+            Input::Stop => self.stop_waiting(Reason::Stopping),
+            Input::Isolated => self.stop_waiting(Reason::Isolated),
             Input::Paused | Input::EndpointLeaving => self.void_permit(),
         }
     }
@@ -205,9 +206,10 @@
         }
     }
 
-    fn stop(&mut self) -> Vec<Action> {
+    /// Ends a request that was not dispatched and that this daemon can no longer dispatch.
+    fn stop_waiting(&mut self, reason: Reason) -> Vec<Action> {
         match self.phase {
-            Phase::Waiting(_) | Phase::Recorded => self.give_up(Reason::Stopping),
+            Phase::Waiting(_) | Phase::Recorded => self.give_up(reason),
             _ => vec![],
         }
     }
--- a/crates/decide/tests/testsuite/coordinate/request_state.rs
+++ b/crates/decide/tests/testsuite/coordinate/request_state.rs
@@ -164,9 +164,25 @@
     }
     let mut state = dispatched();
     assert_eq!(step(&mut state, Input::Stop), []);
+    assert_eq!(step(&mut state, Input::Isolated), []);
     assert_eq!(step(&mut state, Input::CallerGone), []);
 }
 
+#[test]
+fn what_waits_is_refused_at_once_when_the_daemon_is_cut_off() {
+    let opening = fixture::opening(fixture::chosen(NOW_MS), false);
+    let admission = Admission::Start(Recording::Required);
+    let (mut state, actions) = RequestState::start(opening, admission);
+    assert_eq!(actions, [Action::Ask]);
+    let permit = fixture::permit("e1");
+    let actions = step(&mut state, Input::UnusablePermit(permit.clone()));
+    assert_eq!(actions, [Action::HandBack(permit), Action::Ask]);
+    let refusal = Reason::Isolated.not_run();
+    assert!(refusal.retry_after_ms.is_some());
+    let actions = step(&mut state, Input::Isolated);
+    assert_eq!(actions, [Action::Withdraw, Action::Refuse(refusal)]);
+}
+
 #[test]
 fn a_connection_that_never_stood_leads_to_another_endpoint() {
     let mut state = dispatched();
--- a/crates/trefoildyked/tests/testsuite/cut.rs
+++ b/crates/trefoildyked/tests/testsuite/cut.rs
@@ -1,11 +1,16 @@
 //! Connections and daemons that are cut off.
 
+use std::time;
+
 use trefoildyke_types::request;
 
 use crate::harness::{self, caller};
 
 const TOKENS: u32 = 100;
 
+/// Far above the three seconds after which a daemon counts as cut off, far below the deadline.
+const SOON: time::Duration = time::Duration::from_secs(30);
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_whose_connection_is_cut_comes_back_at_another_daemon() {
     let cluster = harness::Cluster::start("cut_caller", harness::Layout::default()).await;
@@ -66,3 +71,23 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_waits_is_refused_when_the_daemon_reaches_nobody() {
+    let layout = harness::Layout { engines: 1, slots: 1, ..harness::Layout::default() };
+    let mut cluster = harness::Cluster::start("cut_waits", layout).await;
+    let client = harness::Caller::default();
+    let daemon = cluster.daemons[0].callers;
+    let mut running = client.open(daemon, &caller::model(4_000)).await.unwrap();
+    assert!(running.read_tokens(1).await);
+    let mut waiting = client.open(daemon, &caller::model(TOKENS)).await.unwrap();
+    waiting.accepted().await;
+    cluster.set_mode(&cluster.kv, serde_json::json!({"mode": "silent"})).await;
+    for daemon in &mut cluster.daemons[1..] {
+        daemon.process.kill();
+    }
+    let outcome = tokio::time::timeout(SOON, waiting.finish()).await;
+    let Ok(harness::Outcome::Refused(refusal)) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((refusal.kind, &*refusal.reason), (request::RefusalKind::NotRun, "isolated"));
+    assert!(refusal.retry_after_ms.is_some());
+}
