gateway: the line of a request's end tells rank, prompt and expected length

An overload's refusal could not be explained from the log: what its order was decided by was missing.

--- a/crates/gateway/src/face/access.rs
+++ b/crates/gateway/src/face/access.rs
@@ -6,7 +6,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{names, record, state};
+use crate::{face, names, record, state};
 
 /// Follows one request; logs its end when dropped.
 pub(crate) struct AccessEntry {
@@ -16,6 +16,12 @@
     route: String,
     account: Option<id::AccountName>,
     version: u64,
+    /// Its rank, once it was admitted.
+    rank: Option<u8>,
+    /// The length of the prompt in tokens.
+    prompt: u32,
+    /// The expected length of the answer in tokens.
+    expected: f64,
     /// How it has ended; a request that is dropped without an outcome was left by its caller.
     outcome: &'static str,
     status: u16,
@@ -36,6 +42,9 @@
             route: String::new(),
             account: None,
             version: 0,
+            rank: None,
+            prompt: 0,
+            expected: 0.0,
             outcome: "caller_left",
             status: 0,
             endpoint: None,
@@ -64,6 +73,13 @@
         self.account = account.map(|account| account.name.clone());
     }
 
+    /// Notes what the request's order and place are decided by.
+    pub(crate) fn admitted(&mut self, call: &face::Call) {
+        self.rank = Some(call.rank);
+        self.prompt = call.prompt;
+        self.expected = call.expected;
+    }
+
     /// Notes one more send.
     pub(crate) fn sent(&mut self, endpoint: &id::EndpointName) {
         self.sends += 1;
@@ -116,6 +132,9 @@
             route: std::mem::take(&mut self.route),
             account: self.account.take(),
             version: self.version,
+            rank: self.rank,
+            prompt: self.prompt,
+            expected: self.expected as u32,
             outcome: self.outcome,
             status: self.status,
             endpoint: self.endpoint.take(),
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -136,6 +136,12 @@
         account: Option<id::AccountName>,
         /// The version of the configuration that was applied.
         version: u64,
+        /// Its rank; `None` if it was refused before it had one.
+        rank: Option<u8>,
+        /// The length of its prompt in tokens.
+        prompt: u32,
+        /// The expected length of its answer in tokens.
+        expected: u32,
         /// How it ended.
         outcome: &'static str,
         /// The status that was answered.
