--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -31,6 +31,10 @@
     heard: Option<Timestamp>,
     /// Whether the member's loads are counted.
     counted: bool,
+    /// Whether it can place the requests of others.
+    placing: gateway::Placing,
+    /// Until when it is not asked, since it left a question unanswered.
+    doubted_until: Option<Timestamp>,
     /// Whether everything that this incarnation used was heard: it began after another one.
     whole: bool,
     used: collections::HashMap<id::AccountName, u64>,
@@ -60,6 +64,14 @@
 /// about 64 datagrams a second.
 const DAEMONS_EACH: usize = 32;
 
+/// How many daemons are told of the work at a service: the one that places its requests, and the one
+/// that takes over when that one is lost.
+const PLACERS: usize = 2;
+
+/// For how long a daemon is not asked that left a question unanswered: until its silence would be
+/// noticed by everyone, or it has come back.
+const DOUBT: time::Duration = time::Duration::from_millis(1_000);
+
 /// Holds what a digest adds to what was known.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
@@ -77,6 +89,11 @@
         Self { own, zone, silence, listed: false, members: collections::BTreeMap::new() }
     }
 
+    /// Returns this daemon's address for digests.
+    pub const fn own(&self) -> net::SocketAddr {
+        self.own
+    }
+
     /// Takes in the list of members and returns those that are gone from it.
     pub fn replace(&mut self, list: &[Peer]) -> Vec<net::SocketAddr> {
         self.listed = true;
@@ -116,6 +133,7 @@
         member.last = Some((digest.incarnation, digest.number));
         member.heard = (!digest.leaving).then_some(now);
         member.counted = !digest.leaving;
+        member.placing = if digest.leaving { gateway::Placing::Unable } else { digest.placing };
         let mut news = News { leaving: digest.leaving, ..News::default() };
         for spend in &digest.spend {
             let before = member.used.insert(spend.account.clone(), spend.used);
@@ -184,6 +202,53 @@
         self.members.is_empty() || self.readers().contains(&self.own)
     }
 
+    /// Notes that a member did not answer, or cannot place requests.
+    pub fn doubt(&mut self, now: Timestamp, address: net::SocketAddr) {
+        if let Some(member) = self.members.get_mut(&address) {
+            member.doubted_until = Some(now + DOUBT);
+        }
+    }
+
+    /// Returns the daemons that may place the requests of `service`: the one that does so, the one that
+    /// takes over when it is lost, and a new one that is about to.
+    ///
+    /// Found by rendezvous hashing, so that all daemons with the same members find the same one, and
+    /// that the loss of one moves only its own services. Those that have just started come last.
+    /// `own` says whether this daemon can. Never empty: who hears nobody places its own.
+    pub fn placers(
+        &self,
+        now: Timestamp,
+        service: &id::PoolName,
+        own: gateway::Placing,
+    ) -> Vec<net::SocketAddr> {
+        let is_asked = |member: &Member| {
+            let is_heard = member.heard.is_some_and(|heard| now.since(heard) <= self.silence);
+            is_heard && member.doubted_until.is_none_or(|until| now >= until)
+        };
+        let others = self.members.iter().filter(|(_, member)| is_asked(member));
+        let others = others.map(|(address, member)| (member.placing, *address));
+        let all = others.chain([(own, self.own)]);
+        let able = all.filter(|(placing, _)| *placing != gateway::Placing::Unable);
+        let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
+        let mut found = Vec::with_capacity(PLACERS + 1);
+        let mut heaviest = None;
+        for (placing, address) in able {
+            let rank = (placing, weight(seed, address));
+            if heaviest.is_none_or(|(most, _)| rank.1 > most) {
+                heaviest = Some((rank.1, address));
+            }
+            let place = found.partition_point(|(before, _)| *before > rank);
+            found.insert(place, (rank, address));
+            found.truncate(PLACERS);
+        }
+        let mut placers: Vec<_> = found.into_iter().map(|(_, address)| address).collect();
+        let next = heaviest.map_or(self.own, |(_, address)| address);
+        if !placers.contains(&next) {
+            placers.push(next);
+        }
+        placers
+    }
+
     /// Returns the addresses of those who are told at once: all of a small system, else those of
     /// this availability zone.
     pub fn near(&self) -> Vec<net::SocketAddr> {
@@ -212,3 +277,15 @@
         self.members.keys().copied().collect()
     }
 }
+
+/// Returns how high a daemon stands among those that may place the requests of a service, whose name
+/// is hashed to `seed`.
+fn weight(seed: u64, address: net::SocketAddr) -> u64 {
+    let mut bytes = [0_u8; 18];
+    match address.ip() {
+        net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        net::IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(&bytes, seed)
+}
--- /dev/null
+++ b/crates/decide/src/gateway/message/load.rs
@@ -0,0 +1,60 @@
+//! What a daemon tells the daemon that places a service's requests.
+
+use trefoildyke_types::id;
+
+/// Holds one daemon's work at one service: a full picture, so a lost one does no harm.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LoadReport {
+    /// The sender's incarnation; a new one starts all counters anew.
+    pub incarnation: u64,
+    /// Rises with each report of an incarnation, so that one that comes late is ignored.
+    pub number: u64,
+    /// The service.
+    pub service: id::PoolName,
+    /// The last place that the receiver gave to the sender and that is counted here.
+    pub placed: u64,
+    /// The endpoints at which the sender has work or of which it has learned something.
+    pub endpoints: Vec<EndpointLoad>,
+}
+
+/// Holds one daemon's work at one endpoint.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct EndpointLoad {
+    /// The endpoint.
+    pub endpoint: id::EndpointName,
+    /// Requests sent and not ended.
+    pub running: u16,
+    /// Prompt tokens sent whose first event has not come.
+    pub prefill: u32,
+    /// For how long the sender has heard nothing from there though it has work, in milliseconds.
+    pub silent_ms: u32,
+    /// What the sender has learned since its last report.
+    pub learned: Learned,
+}
+
+/// Holds what was seen of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Learned {
+    /// Events of streams.
+    pub steps: u16,
+    /// The mean time between two tokens in them, in milliseconds.
+    pub step_ms: f32,
+    /// Answers.
+    pub served: u16,
+    /// Failed and broken answers.
+    pub failed: u16,
+    /// Rejections, and connections that could not be opened.
+    pub refused: u16,
+}
+
+impl Learned {
+    /// Says whether nothing was seen.
+    pub const fn is_empty(&self) -> bool {
+        self.steps == 0 && self.served == 0 && self.failed == 0 && self.refused == 0
+    }
+
+    pub(crate) fn note_step(&mut self, step_ms: f64) {
+        self.steps = self.steps.saturating_add(1);
+        self.step_ms += (step_ms as f32 - self.step_ms) / f32::from(self.steps);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -0,0 +1,45 @@
+//! What daemons tell each other.
+
+mod digest;
+mod load;
+mod placing;
+mod store_view;
+
+use trefoildyke_types::id;
+
+pub use digest::{AccountSpend, Digest, Placing};
+pub use load::{EndpointLoad, Learned, LoadReport};
+pub use placing::{Ask, PlaceReply, Placed};
+pub use store_view::StoreView;
+
+/// Is what daemons send each other.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Message {
+    /// The sender's part of what all know.
+    Digest(Digest),
+    /// The sender's work, for the daemon that places the service's requests.
+    Load(LoadReport),
+    /// Asks for a place.
+    Ask(Ask),
+    /// Replies to [`Message::Ask`].
+    Placed(Placed),
+    /// Takes [`Message::Ask`] back: the request needs no place any more.
+    Withdraw {
+        /// The service.
+        service: id::PoolName,
+        /// The request's number.
+        number: u64,
+    },
+    /// Asks what the receiver knows of the store.
+    Query {
+        /// The sender's time; comes back in the reply, so that its age can be told.
+        stamp: u64,
+    },
+    /// Answers [`Message::Query`].
+    Reply {
+        /// The time that the query named.
+        stamp: u64,
+        /// What the sender knows.
+        view: StoreView,
+    },
+}
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -7,10 +7,10 @@
 mod attempt;
 mod budget;
 mod config;
-mod digest;
 mod events;
 mod freshness;
 mod mesh;
+mod message;
 mod pool;
 mod quota;
 mod roster;
@@ -21,12 +21,13 @@
     Account, AccountUnit, Admitted, Config, Denied, Limits, Route, RouteKind, Service, Table,
     Target,
 };
-pub use digest::{AccountSpend, Digest, EndpointLoad, Message, PoolDigest, StoreView};
 pub use events::{EventTooLong, Events};
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News, Peer};
-pub use pool::{
-    Demand, EndpointState, Grant, Offer, Outcome, Pool, PoolParams, Refused, Ticket, Verdict,
+pub use message::{
+    AccountSpend, Ask, Digest, EndpointLoad, Learned, LoadReport, Message, PlaceReply, Placed,
+    Placing, StoreView,
 };
+pub use pool::{Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Ticket, Verdict};
 pub use quota::{Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -9,6 +9,8 @@
 pub struct Demand {
     /// The rank; 0 is served first.
     pub rank: u8,
+    /// The availability zone of the daemon that has the request.
+    pub zone: id::ZoneName,
     /// The length of the prompt in tokens; 0 where no model is asked.
     pub prompt: u32,
     /// The expected length of the answer in tokens.
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -14,6 +14,26 @@
     window: f64,
 }
 
+impl Load {
+    pub(super) const fn add(&mut self, prompt: u32) {
+        self.running += 1;
+        self.prefill = self.prefill.saturating_add(prompt);
+    }
+
+    pub(super) const fn remove(&mut self, prompt: u32) {
+        self.running = self.running.saturating_sub(1);
+        self.prefill = self.prefill.saturating_sub(prompt);
+    }
+
+    /// Returns both together.
+    pub(super) const fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            prefill: self.prefill.saturating_add(other.prefill),
+        }
+    }
+}
+
 impl Mean {
     /// Starts at `prior`, which counts as one observation, and remembers about `window`.
     pub(super) const fn new(prior: f64, window: f64) -> Self {
@@ -25,8 +45,14 @@
     }
 
     pub(super) fn observe(&mut self, value: f64) {
-        self.seen = (self.seen + 1.0).min(self.window);
-        self.value += (value - self.value) / self.seen;
+        self.observe_many(value, 1);
+    }
+
+    /// Takes in `count` observations whose mean is `value`.
+    pub(super) fn observe_many(&mut self, value: f64, count: u16) {
+        let count = f64::from(count);
+        self.seen = (self.seen + count).min(self.window);
+        self.value += (value - self.value) * (count / self.seen).min(1.0);
     }
 }
 
@@ -48,14 +74,18 @@
     pub(super) draining: bool,
     /// What this daemon has sent.
     pub(super) own: Load,
-    /// Slots that were offered to other daemons and are kept free for them.
-    pub(super) offered: u32,
+    /// What other daemons were given and have not reported yet.
+    pub(super) promised: Load,
     /// The time between two tokens, in milliseconds.
     step: Mean,
     /// The part of the answers that were failures or broken.
     failures: Mean,
+    /// What was seen here and the others have not been told.
+    learned: gateway::Learned,
     /// When anything came from the endpoint, or work was sent to it after it had none.
     heard: Timestamp,
+    /// When anything came from the endpoint.
+    spoke: Option<Timestamp>,
     /// Until when it gets no work.
     paused_until: Timestamp,
     /// Failed connections and rejections in a row.
@@ -85,6 +115,10 @@
 /// Over how many events the step time is followed: about two streams.
 const STEP_WINDOW: f64 = 60.0;
 
+/// An endpoint that has spoken to some daemon so recently is not left alone because another one was
+/// refused there.
+const ALIVE: time::Duration = time::Duration::from_millis(300);
+
 /// Over how many answers failures are followed.
 const FAILURE_WINDOW: f64 = 8.0;
 
@@ -100,10 +134,12 @@
             slots: entry.slots.max(1),
             draining: entry.draining,
             own: Load::default(),
-            offered: 0,
+            promised: Load::default(),
             step: Mean::new(params.step_ms, STEP_WINDOW),
             failures: Mean::new(0.0, FAILURE_WINDOW),
+            learned: gateway::Learned::default(),
             heard: now,
+            spoke: None,
             paused_until: Timestamp::ZERO,
             strikes: 0,
         }
@@ -116,23 +152,63 @@
         self.draining = entry.draining;
     }
 
-    pub(super) fn start(&mut self, now: Timestamp, prompt: u32) {
-        if self.own.running == 0 {
+    /// Notes a request that is sent there, where `load` is believed to be already.
+    pub(super) fn start(&mut self, now: Timestamp, prompt: u32, load: Load) {
+        if load.running == 0 {
             self.heard = now;
         }
-        self.own.running += 1;
-        self.own.prefill += prompt;
+        self.own.add(prompt);
     }
 
-    pub(super) fn first(&mut self, now: Timestamp, prompt: u32) {
+    fn hear(&mut self, now: Timestamp) {
         self.heard = now;
+        self.spoke = Some(now);
+    }
+
+    /// Takes in what another daemon has seen.
+    pub(super) fn learn(
+        &mut self,
+        now: Timestamp,
+        load: &gateway::EndpointLoad,
+        params: &gateway::PoolParams,
+    ) {
+        let learned = &load.learned;
+        let silent = time::Duration::from_millis(u64::from(load.silent_ms));
+        let heard =
+            Timestamp::from_micros(now.as_micros().saturating_sub(silent.as_micros() as u64));
+        if load.running > 0 || learned.served > 0 || learned.steps > 0 {
+            self.heard = self.heard.max(heard);
+            self.spoke = self.spoke.max(Some(heard));
+        }
+        if learned.served > 0 || learned.steps > 0 {
+            self.strikes = 0;
+        }
+        self.step.observe_many(f64::from(learned.step_ms), learned.steps);
+        self.failures.observe_many(0.0, learned.served);
+        self.failures.observe_many(1.0, learned.failed);
+        // One daemon may be cut off alone; what speaks to others is not to be left alone for it.
+        let is_alive = self.spoke.is_some_and(|spoke| now.since(spoke) < ALIVE);
+        if learned.refused > 0 && !is_alive {
+            self.pause(now, params);
+        }
+    }
+
+    /// Returns what the others have not been told yet, as told.
+    pub(super) fn take_learned(&mut self) -> gateway::Learned {
+        std::mem::take(&mut self.learned)
+    }
+
+    pub(super) fn first(&mut self, now: Timestamp, prompt: u32) {
+        self.hear(now);
         self.strikes = 0;
         self.own.prefill = self.own.prefill.saturating_sub(prompt);
     }
 
     pub(super) fn event(&mut self, now: Timestamp, step_ms: f64) {
-        self.heard = now;
-        self.step.observe(step_ms.min(LONGEST_STEP_MS));
+        self.hear(now);
+        let step_ms = step_ms.min(LONGEST_STEP_MS);
+        self.step.observe(step_ms);
+        self.learned.note_step(step_ms);
     }
 
     pub(super) fn end(
@@ -142,20 +218,25 @@
         outcome: gateway::Outcome,
         params: &gateway::PoolParams,
     ) {
-        self.own.running = self.own.running.saturating_sub(1);
-        self.own.prefill = self.own.prefill.saturating_sub(prompt);
+        self.own.remove(prompt);
         match outcome {
             gateway::Outcome::Served => {
-                self.heard = now;
+                self.hear(now);
                 self.strikes = 0;
+                self.learned.served = self.learned.served.saturating_add(1);
                 self.failures.observe(0.0);
             }
             gateway::Outcome::Failed => {
-                self.heard = now;
+                self.hear(now);
+                self.learned.failed = self.learned.failed.saturating_add(1);
+                self.failures.observe(1.0);
+            }
+            gateway::Outcome::Lost => {
+                self.learned.failed = self.learned.failed.saturating_add(1);
                 self.failures.observe(1.0);
             }
-            gateway::Outcome::Lost => self.failures.observe(1.0),
             gateway::Outcome::Rejected | gateway::Outcome::Unreachable => {
+                self.learned.refused = self.learned.refused.saturating_add(1);
                 self.pause(now, params);
             }
             gateway::Outcome::Cancelled | gateway::Outcome::Unused => {}
@@ -173,16 +254,21 @@
         !self.draining && now >= self.paused_until
     }
 
-    /// Returns for how long the endpoint has said nothing though it has work.
-    pub(super) fn silence(&self, now: Timestamp) -> time::Duration {
-        if self.own.running == 0 { time::Duration::ZERO } else { now.since(self.heard) }
+    /// Returns for how long the endpoint has said nothing though it has `load`.
+    pub(super) fn silence(&self, now: Timestamp, load: Load) -> time::Duration {
+        if load.running == 0 { time::Duration::ZERO } else { now.since(self.heard) }
     }
 
     /// Says whether the endpoint is doubted: it gets one request at a time, to find out.
-    pub(super) fn is_doubted(&self, now: Timestamp, params: &gateway::PoolParams) -> bool {
-        let prompt = f64::from(self.own.prefill) * self.prompt_ms(params) * 3.0;
+    pub(super) fn is_doubted(
+        &self,
+        now: Timestamp,
+        load: Load,
+        params: &gateway::PoolParams,
+    ) -> bool {
+        let prompt = f64::from(load.prefill) * self.prompt_ms(params) * 3.0;
         let patience = params.silence + time::Duration::from_secs_f64(prompt / 1_000.0);
-        self.strikes > 0 || self.silence(now) > patience
+        self.strikes > 0 || self.silence(now, load) > patience
     }
 
     pub(super) const fn step_ms(&self) -> f64 {
@@ -198,6 +284,17 @@
         self.failures.value()
     }
 
+    /// Describes what this daemon has at the endpoint.
+    pub(super) fn report(&self, now: Timestamp, name: &id::EndpointName) -> gateway::EndpointLoad {
+        gateway::EndpointLoad {
+            endpoint: name.clone(),
+            running: u16::try_from(self.own.running).unwrap_or(u16::MAX),
+            prefill: self.own.prefill,
+            silent_ms: self.silence(now, self.own).as_millis() as u32,
+            learned: gateway::Learned::default(),
+        }
+    }
+
     pub(super) fn state(
         &self,
         now: Timestamp,
@@ -210,7 +307,7 @@
             others: others.running,
             step_ms: self.step.value(),
             failures: self.failures.value(),
-            silent_ms: self.silence(now).as_millis() as u64,
+            silent_ms: self.silence(now, self.own).as_millis() as u64,
         }
     }
 }
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -3,10 +3,10 @@
 mod demand;
 mod endpoint;
 mod flow;
-mod offers;
 mod params;
 mod peers;
 mod place;
+mod promises;
 mod queue;
 mod ranks;
 
@@ -18,19 +18,18 @@
 
 pub use demand::{Demand, Grant, Outcome, Refused, Ticket, Verdict};
 pub use endpoint::EndpointState;
-pub use offers::Offer;
 pub use params::PoolParams;
 
-/// Decides which of one daemon's requests go to which endpoint of a service, and when.
+/// Decides which requests go to which endpoint of a service, and when.
 ///
 /// Engines admit in order of arrival and know no priority, so a request is sent only where a slot
-/// is free, and waits here, where a more urgent one can still pass it. Each daemon decides alone.
-/// What the others have sent is known from their digests, at most a few tens of milliseconds old;
-/// two daemons that take the same slot at once cost a short wait at the engine and nothing else.
+/// is free, and waits here, where a more urgent one can still pass it. One daemon decides for all
+/// that agree on it; what the others have sent it knows from their reports. Two daemons that decide
+/// at once, since their members differ for a moment, cost short waits at the engines and nothing
+/// else.
 #[derive(Clone, Debug)]
 pub struct Pool {
     params: PoolParams,
-    zone: id::ZoneName,
     /// Tokens in an event of a stream; 0 if the service runs no model.
     event_tokens: u32,
     endpoints: collections::BTreeMap<id::EndpointName, endpoint::Endpoint>,
@@ -39,31 +38,18 @@
     next_ticket: u64,
     flow: flow::Flow,
     ranks: ranks::Ranks,
-    /// Slots that are kept free for others, the oldest first.
-    kept: collections::VecDeque<offers::Kept>,
-    /// Offers that are to be told.
-    offers: Vec<Offer>,
-    /// How long a request holds its slot, in seconds.
-    hold: endpoint::Mean,
-    /// Whether the system is so large that other availability zones are heard less often.
-    large: bool,
+    /// Places that were given to other daemons, the oldest first.
+    promises: collections::VecDeque<promises::Promise>,
 }
 
-/// The assumed time that a request holds its slot before any has ended, in seconds.
-const PRIOR_HOLD_S: f64 = 0.5;
-
-/// Over how many requests that time is followed.
-const HOLD_WINDOW: f64 = 50.0;
-
-/// From how many times the time for which digests show it too long on a request's own time is long.
-const LONG_HOLD: f64 = 4.0;
+/// How many waiting requests are looked at for the slots that are free.
+const CANDIDATES: usize = 8;
 
 impl Pool {
-    /// Creates a pool without endpoints for a daemon in `zone`.
-    pub fn new(params: PoolParams, zone: id::ZoneName, event_tokens: u32) -> Self {
+    /// Creates a pool without endpoints.
+    pub fn new(params: PoolParams, event_tokens: u32) -> Self {
         Self {
             params,
-            zone,
             event_tokens,
             endpoints: collections::BTreeMap::new(),
             queue: queue::Queue::default(),
@@ -71,10 +57,7 @@
             next_ticket: 0,
             flow: flow::Flow::default(),
             ranks: ranks::Ranks::default(),
-            kept: collections::VecDeque::new(),
-            offers: Vec::new(),
-            hold: endpoint::Mean::new(PRIOR_HOLD_S, HOLD_WINDOW),
-            large: false,
+            promises: collections::VecDeque::new(),
         }
     }
 
@@ -83,11 +66,6 @@
         self.event_tokens = event_tokens;
     }
 
-    /// Takes in whether the system is so large that other availability zones are heard less often.
-    pub const fn set_large(&mut self, large: bool) {
-        self.large = large;
-    }
-
     /// Takes in a listed endpoint.
     pub fn list(&mut self, now: Timestamp, entry: &gateway::RosterEntry) {
         match self.endpoints.get_mut(&entry.endpoint) {
@@ -154,23 +132,52 @@
 
     /// Notes how a granted request ended; `prompt` is 0 if its first event had come.
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
-        if outcome == Outcome::Served {
-            self.hold.observe(now.since(grant.at).as_secs_f64());
-        }
         if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
             endpoint.end(now, prompt, outcome, &self.params);
-            self.offer(now, &grant.endpoint);
         }
     }
 
+    /// Grants all places that waiting requests can have now, the most urgent first.
+    pub fn grant_waiting(&mut self, now: Timestamp) -> Vec<(Ticket, Grant)> {
+        let mut grants = Vec::new();
+        self.lapse(now);
+        self.queue.note_late(now);
+        while let Some((ticket, grant)) = self.grant_first(now) {
+            self.queue.take(ticket);
+            self.flow.granted(now);
+            grants.push((ticket, grant));
+        }
+        grants
+    }
+
+    fn grant_first(&mut self, now: Timestamp) -> Option<(Ticket, Grant)> {
+        if self.queue.len() == 0 || self.free(now) == 0 {
+            return None;
+        }
+        for (ticket, class, demand) in self.queue.first(CANDIDATES) {
+            if let Some(grant) = self.grant(now, class, &demand) {
+                return Some((ticket, grant));
+            }
+        }
+        None
+    }
+
     /// Takes in what another daemon has at this service.
     pub fn note_peer(
         &mut self,
         now: Timestamp,
         peer: net::SocketAddr,
-        digest: &gateway::PoolDigest,
+        report: &gateway::LoadReport,
     ) {
-        self.peers.note(now, peer, digest);
+        if !self.peers.note(now, peer, report) {
+            return;
+        }
+        for load in &report.endpoints {
+            if let Some(endpoint) = self.endpoints.get_mut(&load.endpoint) {
+                endpoint.learn(now, load, &self.params);
+            }
+        }
+        self.redeem(peer, report.placed);
     }
 
     /// Forgets a daemon that is gone, leaves or says nothing more.
@@ -178,15 +185,21 @@
         self.peers.forget(peer);
     }
 
-    /// Returns this daemon's part for the others.
-    pub fn digest(&self, service: &id::PoolName) -> gateway::PoolDigest {
-        let is_used = |endpoint: &endpoint::Endpoint| endpoint.own.running + endpoint.offered > 0;
-        let endpoints = self.endpoints.iter().filter(|(_, endpoint)| is_used(endpoint));
-        gateway::PoolDigest {
-            service: service.clone(),
-            waiting: self.queue.counts(),
-            endpoints: endpoints.map(|(name, endpoint)| endpoint.load(name)).collect(),
+    /// Returns what this daemon has at the endpoints, and what it has learned since the last call.
+    pub fn report(&mut self, now: Timestamp) -> Vec<gateway::EndpointLoad> {
+        let mut loads = Vec::new();
+        for (name, endpoint) in &mut self.endpoints {
+            let learned = endpoint.take_learned();
+            if endpoint.own.running > 0 || !learned.is_empty() {
+                loads.push(gateway::EndpointLoad { learned, ..endpoint.report(now, name) });
+            }
         }
+        loads
+    }
+
+    /// Says whether this daemon has work at an endpoint.
+    pub fn has_work(&self) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.own.running > 0)
     }
 
     /// Returns how many requests wait.
@@ -207,7 +220,7 @@
     /// Returns what is believed of each endpoint, for logs and metrics.
     pub fn states(&self, now: Timestamp) -> Vec<EndpointState> {
         let state = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            endpoint.state(now, name, self.others(name))
+            endpoint.state(now, name, self.peers.load(name))
         };
         self.endpoints.iter().map(state).collect()
     }
@@ -217,22 +230,6 @@
         Ticket(self.next_ticket)
     }
 
-    /// Returns what the other daemons are believed to have at an endpoint.
-    ///
-    /// A digest shows a request from its start until the next digest, so those that are shorter
-    /// than the time between two are shown for too long: a service of short requests would seem
-    /// full that is nearly idle.
-    fn others(&self, name: &id::EndpointName) -> endpoint::Load {
-        let load = self.peers.load(name);
-        let shown = if self.large { self.params.far_shown } else { self.params.shown };
-        let (shown, hold) = (shown.as_secs_f64(), self.hold.value());
-        if hold >= shown * LONG_HOLD {
-            return load;
-        }
-        let part = hold / (hold + shown);
-        endpoint::Load { running: (f64::from(load.running) * part) as u32, ..load }
-    }
-
     /// Returns how long a request would wait behind `ahead` others, in seconds.
     fn predicted_wait(&self, now: Timestamp, ahead: usize) -> f64 {
         ahead as f64 * self.flow.interval(now)
--- a/crates/decide/src/gateway/pool/params.rs
+++ b/crates/decide/src/gateway/pool/params.rs
@@ -27,13 +27,6 @@
     ///
     /// More than the way there and back, since bytes between availability zones are paid for.
     pub zone_ms: f64,
-    /// The same in a large system, where the loads of other availability zones are known late; 60.
-    pub far_zone_ms: f64,
-    /// How much longer than it lasts a request is shown at an endpoint by its daemon's digests: half
-    /// of the time between two of them; 25 ms.
-    pub shown: time::Duration,
-    /// The same in a large system; 100 ms.
-    pub far_shown: time::Duration,
     /// What the certainty of a failed answer costs, in milliseconds; 3,000.
     pub failure_ms: f64,
     /// The part of the time left that the predicted wait may fill; 0.7.
@@ -69,9 +62,6 @@
             pause_weight: 2.0,
             fast_ms: 300.0,
             zone_ms: 5.0,
-            far_zone_ms: 60.0,
-            shown: time::Duration::from_millis(25),
-            far_shown: time::Duration::from_millis(100),
             failure_ms: 3_000.0,
             patience_part: 0.7,
             reserve: 0.04,
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -20,20 +20,19 @@
         let mut best: Option<(f64, &id::EndpointName)> = None;
         let usual = self.usual();
         for (name, endpoint) in &self.endpoints {
-            let others = self.others(name);
-            let room = self.room(now, endpoint, others, demand.repeatable);
+            let load = self.load(name, endpoint);
+            let room = self.room(now, endpoint, load, demand.repeatable);
             free += room;
             if room == 0 || demand.tried.contains(name) || !self.suits(now, class, demand, endpoint)
             {
                 continue;
             }
-            let cost = self.cost(now, demand, endpoint, others, usual);
+            let cost = self.cost(now, demand, endpoint, load, usual);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
             }
         }
-        // What others wait for with more urgent requests is left to them.
-        if free <= self.peers.waiting_above(class) + self.reserve(now, demand.rank) {
+        if free <= self.reserve(now, demand.rank) {
             return None;
         }
         let name = best?.1.clone();
@@ -47,28 +46,49 @@
         name: id::EndpointName,
         demand: &Demand,
     ) -> Option<Grant> {
-        let others = self.others(&name);
+        let load = self.load(&name, self.endpoints.get(&name)?);
         let age = self.peers.oldest().map_or(0, |heard| now.since(heard).as_millis());
         let endpoint = self.endpoints.get_mut(&name)?;
         let first = endpoint.prompt_ms(&self.params)
-            * f64::from(endpoint.own.prefill + others.prefill + demand.prompt);
-        let beside = endpoint.own.running + others.running;
-        endpoint.start(now, demand.prompt);
+            * f64::from(load.prefill.saturating_add(demand.prompt));
+        endpoint.start(now, demand.prompt, load);
         Some(Grant {
             endpoint: name,
             address: endpoint.address,
             prompt: demand.prompt,
             at: now,
             first_ms: first as u32,
-            beside,
+            beside: load.running,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         })
     }
 
-    /// Returns how many slots are free that nobody was offered.
+    /// Takes the place that the daemon which places the service's requests has given.
+    ///
+    /// Returns `None` if the endpoint takes no work as far as this daemon knows.
+    pub fn take(
+        &mut self,
+        now: Timestamp,
+        name: &id::EndpointName,
+        demand: &Demand,
+    ) -> Option<Grant> {
+        self.endpoints.get(name).filter(|endpoint| endpoint.is_usable(now))?;
+        self.start(now, name.clone(), demand)
+    }
+
+    /// Returns what all daemons are believed to have at an endpoint.
+    pub(super) fn load(
+        &self,
+        name: &id::EndpointName,
+        endpoint: &endpoint::Endpoint,
+    ) -> endpoint::Load {
+        endpoint.own.plus(endpoint.promised).plus(self.peers.load(name))
+    }
+
+    /// Returns how many slots are free.
     pub(super) fn free(&self, now: Timestamp) -> usize {
         let room = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            self.room(now, endpoint, self.others(name), false)
+            self.room(now, endpoint, self.load(name, endpoint), false)
         };
         self.endpoints.iter().map(room).sum()
     }
@@ -78,18 +98,17 @@
         &self,
         now: Timestamp,
         endpoint: &endpoint::Endpoint,
-        others: endpoint::Load,
+        load: endpoint::Load,
         repeatable: bool,
     ) -> usize {
         if !endpoint.is_usable(now) {
             return 0;
         }
-        let running = endpoint.own.running + endpoint.offered + others.running;
-        if !endpoint.is_doubted(now, &self.params) {
-            return endpoint.slots.saturating_sub(running) as usize;
+        if !endpoint.is_doubted(now, load, &self.params) {
+            return endpoint.slots.saturating_sub(load.running) as usize;
         }
         // A doubted endpoint is tried with one request that may be repeated.
-        usize::from(repeatable && endpoint.own.running == 0)
+        usize::from(repeatable && load.running == 0)
     }
 
     /// Returns how many slots a request of `rank` leaves free for more urgent ones.
@@ -156,22 +175,21 @@
         now: Timestamp,
         demand: &Demand,
         endpoint: &endpoint::Endpoint,
-        others: endpoint::Load,
+        load: endpoint::Load,
         usual: Usual,
     ) -> f64 {
         let prompt_ms = endpoint.prompt_ms(&self.params);
-        let running = f64::from(endpoint.own.running + others.running);
-        let ahead = f64::from(endpoint.own.prefill + others.prefill);
+        let running = f64::from(load.running);
+        let ahead = f64::from(load.prefill);
         let own = f64::from(demand.prompt) * prompt_ms;
         let first = ahead * prompt_ms + own;
         let beside = running * own * self.params.beside_weight;
         let pause = (first - self.pause_limit(demand)).max(0.0) * running;
         let fast = (usual.step_ms / endpoint.step_ms() - 1.0).max(0.0) * self.params.fast_ms;
-        let other_zone = if self.large { self.params.far_zone_ms } else { self.params.zone_ms };
-        let zone = if endpoint.zone == self.zone { 0.0 } else { other_zone };
+        let zone = if endpoint.zone == demand.zone { 0.0 } else { self.params.zone_ms };
         let failures = endpoint.failure_part() - usual.failures - USUAL_FAILURES;
         let failures = failures.max(0.0) * self.params.failure_ms;
-        let doubt = if endpoint.is_doubted(now, &self.params) { DOUBT_MS } else { 0.0 };
+        let doubt = if endpoint.is_doubted(now, load, &self.params) { DOUBT_MS } else { 0.0 };
         first * self.params.first_weight
             + beside
             + pause * self.params.pause_weight
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -66,7 +66,7 @@
 }
 
 impl Place {
-    /// Returns the class by which daemons compare what waits: lower ones go first.
+    /// Returns the class: twice the rank, and one more if it is late.
     pub(super) const fn class(&self) -> usize {
         self.rank as usize * 2 + self.late as usize
     }
@@ -125,11 +125,6 @@
         self.order.iter().take(count).filter_map(candidate).collect()
     }
 
-    /// Returns the class of the first request.
-    pub(super) fn first_class(&self) -> Option<usize> {
-        self.order.first().map(Place::class)
-    }
-
     /// Returns how many requests stand before a place.
     pub(super) fn ahead_of(&self, place: &Place) -> usize {
         self.order.iter().take_while(|other| *other < place).count()
@@ -140,19 +135,6 @@
         self.order.iter().take_while(|place| place.rank <= rank).count()
     }
 
-    /// Returns how many requests wait, by class.
-    pub(super) fn counts(&self) -> Vec<u16> {
-        let mut counts: Vec<u16> = Vec::new();
-        for place in &self.order {
-            let class = place.class();
-            if counts.len() <= class {
-                counts.resize(class + 1, 0);
-            }
-            counts[class] = counts[class].saturating_add(1);
-        }
-        counts
-    }
-
     pub(super) fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh, Peer};
+use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh, Peer, Placing};
 use trefoildyke_types::time::Timestamp;
 
 fn address(number: u8) -> SocketAddr {
@@ -129,3 +129,85 @@
     assert_eq!(spent(&mut mesh, 150, &Digest { incarnation: 8, ..silent }), Some(0));
     assert_eq!(spent(&mut mesh, 199, &digest(8, 2, 30)), Some(30));
 }
+
+fn hear(mesh: &mut Mesh, ms: u64, from: u8, placing: Placing) {
+    let digest = Digest { incarnation: 1, number: ms + 1, placing, ..Digest::default() };
+    mesh.note(Timestamp::from_millis(ms), address(from), &digest);
+}
+
+/// Four daemons that have heard each other at `ms`, of which `new` have just started.
+fn met(ms: u64, new: &[u8]) -> Vec<Mesh> {
+    let placing = |number| if new.contains(&number) { Placing::New } else { Placing::Able };
+    let meet = |own: u8| {
+        let mut mesh = Mesh::new(address(own), "a".into(), Duration::from_secs(1));
+        mesh.replace(&peers(4));
+        for from in (1..=4).filter(|from| *from != own) {
+            hear(&mut mesh, ms, from, placing(from));
+        }
+        mesh
+    };
+    (1..=4).map(meet).collect()
+}
+
+fn placers(mesh: &Mesh, ms: u64, own: Placing) -> Vec<SocketAddr> {
+    mesh.placers(Timestamp::from_millis(ms), &"assistant".into(), own)
+}
+
+#[test]
+fn all_daemons_find_the_same_one_that_places_and_the_same_successor() {
+    let found: Vec<_> = met(0, &[]).iter().map(|mesh| placers(mesh, 100, Placing::Able)).collect();
+    assert_eq!(found[0].len(), 2);
+    assert!(found.iter().all(|placers| *placers == found[0]), "{found:?}");
+}
+
+#[test]
+fn services_are_placed_by_different_daemons() {
+    let mesh = &met(0, &[])[0];
+    let placer = |number: u32| {
+        let service = number.to_string().as_str().into();
+        mesh.placers(Timestamp::from_millis(100), &service, Placing::Able)[0]
+    };
+    let all: std::collections::BTreeSet<_> = (0..100).map(placer).collect();
+    assert_eq!(all.len(), 4);
+}
+
+#[test]
+fn a_daemon_that_is_silent_or_left_a_question_unanswered_does_not_place() {
+    let mut mesh = met(0, &[]).remove(0);
+    // Whichever daemon is first, one of the others follows.
+    let before = placers(&mesh, 100, Placing::Unable);
+    mesh.doubt(Timestamp::from_millis(100), before[0]);
+    let doubted = placers(&mesh, 100, Placing::Unable);
+    assert_eq!(doubted[0], before[1]);
+    assert_eq!(placers(&mesh, 1_000, Placing::Unable)[0], before[1]);
+    hear(&mut mesh, 1_050, 2, Placing::Able);
+    hear(&mut mesh, 1_050, 3, Placing::Able);
+    hear(&mut mesh, 1_050, 4, Placing::Able);
+    assert_eq!(placers(&mesh, 1_150, Placing::Unable)[0], before[0], "it may have come back");
+    assert_eq!(placers(&mesh, 3_000, Placing::Able), [address(1)], "nobody is heard any more");
+}
+
+#[test]
+fn a_new_daemon_places_last_and_is_told_what_the_others_have() {
+    let usual = placers(&met(0, &[])[0], 100, Placing::Able);
+    let first = (1..=4).find(|number| address(*number) == usual[0]).unwrap();
+    for mesh in met(0, &[first]) {
+        let own = if mesh.own() == usual[0] { Placing::New } else { Placing::Able };
+        let placers = placers(&mesh, 100, own);
+        assert_ne!(placers[0], usual[0]);
+        assert_eq!(placers.last(), Some(&usual[0]), "it will place soon");
+    }
+    // After all have lost power there is nobody else.
+    let new = met(0, &[1, 2, 3, 4]);
+    assert!(new.iter().all(|mesh| placers(mesh, 100, Placing::New) == usual));
+}
+
+#[test]
+fn a_daemon_that_leaves_or_knows_no_endpoints_places_nothing() {
+    let mut mesh = met(0, &[]).remove(0);
+    for from in 2..=4 {
+        hear(&mut mesh, 50, from, Placing::Unable);
+    }
+    assert_eq!(placers(&mesh, 100, Placing::Able), [address(1)]);
+    assert_eq!(placers(&mesh, 100, Placing::Unable), [address(1)]);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -91,6 +91,7 @@
         }
         if is_full {
             self.full = now;
+            shared.decide(|core| core.report_all(shared.now()));
         }
         if to_far {
             others.extend(shared.core().mesh.far());
@@ -102,7 +103,7 @@
 }
 
 fn note_silent(shared: &state::Shared) {
-    let news = shared.core().tick(shared.now());
+    let news = shared.decide(|core| core.tick(shared.now()));
     if news.silent > 0 {
         shared.journal.write(&record::Event::PeerSilent { count: news.silent });
     }
@@ -111,16 +112,24 @@
 fn take_in(shared: &state::Shared, from: std::net::SocketAddr, bytes: &[u8]) {
     match rmp_serde::from_slice(bytes) {
         Ok(gateway::Message::Digest(digest)) => {
-            shared.core().digest(shared.now(), from, &digest);
+            shared.decide(|core| core.digest(shared.now(), from, &digest));
         }
-        Ok(gateway::Message::Offer { service, endpoint }) => {
-            let now = shared.now();
-            let mut core = shared.core();
-            if core.mesh.is_member(from) {
-                core.accept(now, &service, &endpoint);
-            }
-            drop(core);
-            shared.set_changed();
+        Ok(message) if !shared.core().mesh.is_member(from) => {
+            log::debug!("a message from {from}, which is no member, is ignored: {message:?}");
+        }
+        Ok(gateway::Message::Load(report)) => {
+            shared.decide(|core| core.load(shared.now(), from, &report));
+        }
+        Ok(gateway::Message::Ask(ask)) => {
+            shared.decide(|core| core.service(&ask.service).ask_for(shared.now(), from, &ask));
+        }
+        Ok(gateway::Message::Placed(placed)) => shared.decide(|core| {
+            let service = placed.service.clone();
+            core.service(&service).placed(shared.now(), from, placed);
+            core.report(shared.now(), &service);
+        }),
+        Ok(gateway::Message::Withdraw { service, number }) => {
+            shared.decide(|core| core.service(&service).withdraw(from, number));
         }
         Ok(gateway::Message::Query { stamp }) => {
             let view = shared.core().store_view(shared.now(), from);
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -196,6 +196,10 @@
         let reply = face::Reply::new(StatusCode::TOO_MANY_REQUESTS, "quota");
         face::Reply { retry_after: Some(wait), ..reply }
     })?;
+    drop(core);
+    if account.rate > 0.0 {
+        shared.set_changed();
+    }
     Ok(cost)
 }
 
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -10,7 +10,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{face, record, relay, state, upstream};
+use crate::{face, placing, record, relay, state, upstream};
 
 /// The part of the time until its caller leaves that a request waits for a slot; then the caller is
 /// asked to come back after the burst.
@@ -128,24 +128,10 @@
     /// Waits for a place; fails with the time after which to come back.
     pub(crate) async fn place(&mut self) -> Result<state::Slot, time::Duration> {
         let now = self.shared.now();
-        let demand = self.demand();
-        let asked = self.shared.core().service(&self.call.service).ask(now, demand);
-        self.shared.set_changed();
         let service = self.call.service.clone();
-        let grant = match asked {
-            state::Asked::Granted(grant) => grant,
-            state::Asked::Refused(after) => return Err(after),
-            state::Asked::Queued(ticket, granted) => {
-                let shared = sync::Arc::clone(&self.shared);
-                let waiting = state::Waiting::new(shared, service.clone(), ticket, granted);
-                let part = if self.call.returning { LAST_WAIT_PART } else { WAIT_PART };
-                let limit = self.call.leaves.since(now).mul_f64(part);
-                match waiting.place(limit).await {
-                    Some(grant) => grant,
-                    None => return Err(self.retry_hint()),
-                }
-            }
-        };
+        let part = if self.call.returning { LAST_WAIT_PART } else { WAIT_PART };
+        let end = tokio::time::Instant::now() + self.call.leaves.since(now).mul_f64(part);
+        let grant = placing::place(&self.shared, &service, self.demand(), end).await?;
         let shared = sync::Arc::clone(&self.shared);
         let slot = state::Slot::new(shared, service, grant);
         self.note_sent(&slot, now);
@@ -155,6 +141,7 @@
     fn demand(&self) -> gateway::Demand {
         gateway::Demand {
             rank: self.call.rank,
+            zone: self.shared.settings.zone.clone(),
             prompt: self.call.prompt,
             expected: self.call.expected,
             gap: self.call.gap,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -53,10 +53,11 @@
     /// Takes in the whole list of endpoints as it was at `as_of` or later.
     pub fn endpoints(&self, list: Vec<gateway::RosterEntry>) {
         let now = self.now();
-        let mut core = self.shared.core();
-        let changes = core.roster.replace(now, list);
-        core.list(now, &changes);
-        drop(core);
+        let changes = self.shared.decide(|core| {
+            let changes = core.roster.replace(now, list);
+            core.list(now, &changes);
+            changes
+        });
         for change in changes {
             self.note(change);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod listen;
 mod metrics;
 mod names;
+mod placing;
 mod query;
 mod record;
 mod relay;
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -80,6 +80,13 @@
         /// How many were forgotten at once.
         count: usize,
     },
+    /// Another daemon is not asked for places for a while.
+    PeerDoubted {
+        /// The daemon.
+        peer: std::net::SocketAddr,
+        /// Why.
+        reason: &'static str,
+    },
     /// Whether new connections may come has changed.
     Ready {
         /// Whether they may.
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -13,7 +13,6 @@
 
 /// Holds the beliefs of one daemon. Its methods take the time and do no I/O.
 pub(crate) struct Core {
-    zone: id::ZoneName,
     pool_params: gateway::PoolParams,
     retry: (std::time::Duration, f64, f64),
     pub(crate) table: Option<sync::Arc<gateway::Table>>,
@@ -29,6 +28,9 @@
     started: Timestamp,
     incarnation: u64,
     digests: u64,
+    reports: u64,
+    /// Whether a graceful stop has begun.
+    stopping: bool,
 }
 
 /// Says which digest is made.
@@ -45,6 +47,10 @@
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
 const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// For how long after its start a daemon is asked for places only if there is no other: until it has
+/// read the list of endpoints and the others have told it what they have sent.
+const NEW: std::time::Duration = std::time::Duration::from_millis(2_500);
+
 /// A caller with less than this part of the usual time left has been refused before.
 const RETURNING_PART: f64 = 0.97;
 
@@ -58,7 +64,6 @@
 impl Core {
     pub(crate) fn new(settings: &settings::Settings, incarnation: u64) -> Self {
         Self {
-            zone: settings.zone.clone(),
             pool_params: settings.pool.clone(),
             retry: (settings.retry_window, settings.retry_ratio, settings.retry_fixed),
             table: None,
@@ -72,6 +77,8 @@
             started: Timestamp::ZERO,
             incarnation,
             digests: 0,
+            reports: 0,
+            stopping: false,
         }
     }
 
@@ -96,10 +103,10 @@
     /// Returns the service, which exists from its first mention on.
     pub(crate) fn service(&mut self, name: &id::PoolName) -> &mut state::Service {
         let new = || {
-            let mut pool = gateway::Pool::new(self.pool_params.clone(), self.zone.clone(), 0);
-            pool.set_large(self.mesh.is_large());
+            let pool = gateway::Pool::new(self.pool_params.clone(), 0);
             let (window, ratio, fixed) = self.retry;
-            state::Service::new(pool, gateway::RetryBudget::new(window, ratio, fixed))
+            let budget = gateway::RetryBudget::new(window, ratio, fixed);
+            state::Service::new(name.clone(), pool, budget)
         };
         self.services.entry(name.clone()).or_insert_with(new)
     }
@@ -163,10 +170,6 @@
         for peer in self.mesh.replace(list) {
             self.forget(peer);
         }
-        let is_large = self.mesh.is_large();
-        for service in self.services.values_mut() {
-            service.pool.set_large(is_large);
-        }
     }
 
     /// Takes in what another daemon says.
@@ -185,51 +188,75 @@
                 self.quota.adopt(now, &spend.account, spend.level);
             }
         }
-        let peer = from;
         if news.leaving {
-            self.forget(peer);
-            return;
-        }
-        let told: Vec<_> = digest.pools.iter().map(|pool| &pool.service).collect();
-        for (name, service) in &mut self.services {
-            if !told.contains(&name) {
-                service.pool.forget_peer(peer);
-            }
-        }
-        for pool in &digest.pools {
-            let service = self.service(&pool.service);
-            service.pool.note_peer(now, peer, pool);
-            service.hand_out(now);
+            self.forget(from);
         }
     }
 
-    /// Takes a slot that another daemon offers.
-    pub(crate) fn accept(
+    /// Takes in another daemon's work at a service.
+    pub(crate) fn load(
         &mut self,
         now: Timestamp,
-        service: &id::PoolName,
-        endpoint: &id::EndpointName,
+        from: net::SocketAddr,
+        report: &gateway::LoadReport,
     ) {
-        self.service(service).accept(now, endpoint);
+        let service = self.service(&report.service);
+        service.pool.note_peer(now, from, report);
+        service.hand_out(now);
+    }
+
+    /// Says whether this daemon can place the requests of others.
+    fn placing(&self, now: Timestamp) -> gateway::Placing {
+        if self.stopping || self.roster.is_empty() {
+            return gateway::Placing::Unable;
+        }
+        if now.since(self.started) < NEW { gateway::Placing::New } else { gateway::Placing::Able }
+    }
+
+    /// Returns the other daemon that places the requests of a service, or `None` if this one does.
+    pub(crate) fn placer(&self, now: Timestamp, service: &id::PoolName) -> Option<net::SocketAddr> {
+        let placers = self.mesh.placers(now, service, self.placing(now));
+        placers.first().copied().filter(|placer| *placer != self.mesh.own())
+    }
+
+    /// Tells those who place the requests of a service what this daemon has there.
+    pub(crate) fn report(&mut self, now: Timestamp, service: &id::PoolName) {
+        let mut placers = self.mesh.placers(now, service, self.placing(now));
+        placers.retain(|placer| *placer != self.mesh.own());
+        self.reports += 1;
+        let (incarnation, number) = (self.incarnation, self.reports);
+        self.service(service).report(now, incarnation, number, &placers);
+    }
+
+    /// Tells all that this daemon has anywhere, since a report may have been lost and others may
+    /// place the requests now.
+    pub(crate) fn report_all(&mut self, now: Timestamp) {
+        let with_work = self.services.iter().filter(|(_, service)| service.pool.has_work());
+        let names: Vec<_> = with_work.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.report(now, &name);
+        }
+    }
+
+    /// Returns the messages that decisions have led to since the last call.
+    pub(crate) fn take_mail(&mut self) -> Vec<state::Letter> {
+        self.services.values_mut().flat_map(state::Service::take_mail).collect()
+    }
+
+    pub(crate) const fn begin_stop(&mut self) {
+        self.stopping = true;
     }
 
     /// Returns what the others are to be told.
     pub(crate) fn own_digest(&mut self, now: Timestamp, kind: DigestKind) -> gateway::Digest {
         self.digests += 1;
-        let mut pools = Vec::new();
-        for (name, service) in &self.services {
-            let digest = service.pool.digest(name);
-            if !digest.endpoints.is_empty() || !digest.waiting.is_empty() {
-                pools.push(digest);
-            }
-        }
         gateway::Digest {
             incarnation: self.incarnation,
             number: self.digests,
             leaving: kind == DigestKind::Last,
             is_young: now.since(self.started) < YOUNG,
+            placing: self.placing(now),
             spend: self.quota.used(kind != DigestKind::Usual),
-            pools,
         }
     }
 
@@ -239,13 +266,16 @@
         for peer in &silent {
             self.forget(*peer);
         }
+        for service in self.services.values_mut() {
+            service.expire(now);
+        }
         self.hand_out_all(now);
         PeerNews { silent: silent.len() }
     }
 
     fn forget(&mut self, peer: net::SocketAddr) {
         for service in self.services.values_mut() {
-            service.pool.forget_peer(peer);
+            service.forget(peer);
         }
     }
 
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,13 +1,15 @@
 //! What a gateway believes, and the places that it hands out.
 
+mod asking;
 mod core;
 mod service;
 mod shared;
 mod slot;
 mod waiting;
 
+pub(crate) use asking::Asking;
 pub(crate) use core::{Core, DigestKind};
-pub(crate) use service::{Asked, Service};
+pub(crate) use service::{Letter, Reply, Service, Verdict};
 pub(crate) use shared::Shared;
 pub(crate) use slot::Slot;
 pub(crate) use waiting::Waiting;
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -105,6 +105,8 @@
 
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
+        self.core().begin_stop();
+        self.set_changed();
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -120,18 +122,31 @@
         outcome: gateway::Outcome,
     ) {
         let now = self.now();
-        let mut core = self.core();
-        let decided = core.service(service);
-        decided.pool.end(now, grant, prompt, outcome);
-        decided.hand_out(now);
-        let offers = decided.pool.take_offers();
-        drop(core);
-        self.set_changed();
-        for offer in offers {
-            let service = service.clone();
-            let message = gateway::Message::Offer { service, endpoint: offer.endpoint };
-            self.tell(&message, &[offer.peer]);
+        self.decide(|core| {
+            let decided = core.service(service);
+            decided.pool.end(now, grant, prompt, outcome);
+            decided.hand_out(now);
+            core.report(now, service);
+        });
+    }
+
+    /// Changes the beliefs and sends the messages that follow.
+    pub(crate) fn decide<T>(&self, change: impl FnOnce(&mut state::Core) -> T) -> T {
+        let (result, mail) = {
+            let mut core = self.core();
+            let result = change(&mut core);
+            (result, core.take_mail())
+        };
+        for letter in mail {
+            self.tell(&letter.message, &[letter.to]);
         }
+        result
+    }
+
+    /// Notes that another daemon is not to be asked for places for a while.
+    pub(crate) fn doubt(&self, peer: std::net::SocketAddr, reason: &'static str) {
+        self.core().mesh.doubt(self.now(), peer);
+        self.journal.write(&record::Event::PeerDoubted { peer, reason });
     }
 
     /// Keeps a connection to an endpoint for reuse, within this daemon's part of those that the
--- a/crates/gateway/src/state/slot.rs
+++ b/crates/gateway/src/state/slot.rs
@@ -42,19 +42,20 @@
     pub(crate) fn heard(&mut self) -> Option<time::Duration> {
         let now = self.shared.now();
         let prompt = std::mem::take(&mut self.prompt);
+        let Some(last) = self.last_event.replace(now) else {
+            self.shared.decide(|core| {
+                let service = core.service(&self.service);
+                service.pool.first(now, &self.grant.endpoint, prompt);
+                service.hand_out(now);
+                core.report(now, &self.service);
+            });
+            return None;
+        };
+        let pause = now.since(last);
         let mut core = self.shared.core();
         let pool = &mut core.service(&self.service).pool;
-        match self.last_event.replace(now) {
-            None => {
-                pool.first(now, &self.grant.endpoint, prompt);
-                None
-            }
-            Some(last) => {
-                let pause = now.since(last);
-                pool.event(now, &self.grant.endpoint, pause.as_secs_f64());
-                Some(pause)
-            }
-        }
+        pool.event(now, &self.grant.endpoint, pause.as_secs_f64());
+        Some(pause)
     }
 }
 
--- a/crates/gateway/src/state/waiting.rs
+++ b/crates/gateway/src/state/waiting.rs
@@ -1,6 +1,6 @@
 //! A request that waits for a place.
 
-use std::{sync, time};
+use std::sync;
 
 use tokio::sync::oneshot;
 use trefoildyke_decide::gateway;
@@ -28,9 +28,9 @@
         Self { shared, service, ticket, granted, taken: false }
     }
 
-    /// Returns the place, or `None` if there was none within `limit`.
-    pub(crate) async fn place(mut self, limit: time::Duration) -> Option<gateway::Grant> {
-        let granted = tokio::time::timeout(limit, &mut self.granted).await.ok()?.ok()?;
+    /// Returns the place, or `None` if there was none until `end`.
+    pub(crate) async fn place(mut self, end: tokio::time::Instant) -> Option<gateway::Grant> {
+        let granted = tokio::time::timeout_at(end, &mut self.granted).await.ok()?.ok()?;
         self.taken = true;
         Some(granted)
     }
@@ -47,6 +47,5 @@
             return;
         }
         self.shared.core().service(&self.service).give_up(self.ticket);
-        self.shared.set_changed();
     }
 }
