decide: an endpoint's speed is told by its shortest steps

Cause: the time to read a prompt was predicted from the mean time between tokens, which holds the prompts that are read beside a stream; a busy slow engine seemed four times slower than it is, and busy fast ones seemed slow.

The mean of the steps stays what the length of an answer is judged by.

Test first: prompts_that_are_read_beside_a_stream_do_not_make_its_endpoint_seem_slower predicted 1,121 ms for a prompt that takes 210.

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -39,6 +39,8 @@
     pub steps: u16,
     /// The mean time between two tokens in them, in milliseconds.
     pub step_ms: f32,
+    /// The shortest time between two tokens in them, in milliseconds.
+    pub least_ms: f32,
     /// Answers.
     pub served: u16,
     /// Failed and broken answers.
@@ -54,6 +56,8 @@
     }
 
     pub(crate) fn note_step(&mut self, step_ms: f64) {
+        self.least_ms =
+            if self.steps == 0 { step_ms as f32 } else { self.least_ms.min(step_ms as f32) };
         self.steps = self.steps.saturating_add(1);
         self.step_ms += (step_ms as f32 - self.step_ms) / f32::from(self.steps);
     }
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -56,6 +56,23 @@
     }
 }
 
+/// Follows the lower quarter of a quantity.
+#[derive(Clone, Copy, Debug)]
+struct Low(f64);
+
+/// By what part a quantity's lower quarter moves with one observation.
+const LOW_STEP: f64 = 0.2;
+
+impl Low {
+    fn observe(&mut self, value: f64) {
+        self.0 = if value < self.0 {
+            value.max(self.0 * (1.0 - LOW_STEP * 0.75))
+        } else {
+            value.min(self.0 * (1.0 + LOW_STEP * 0.25))
+        };
+    }
+}
+
 /// Counts requests and prompt tokens at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Load {
@@ -78,6 +95,8 @@
     pub(super) promised: Load,
     /// The time between two tokens, in milliseconds.
     step: Mean,
+    /// The time between two tokens where no prompt is read in between, in milliseconds.
+    pace: Low,
     /// The part of the answers that were failures or broken.
     failures: Mean,
     /// What was seen here and the others have not been told.
@@ -136,6 +155,7 @@
             own: Load::default(),
             promised: Load::default(),
             step: Mean::new(params.step_ms, STEP_WINDOW),
+            pace: Low(params.step_ms),
             failures: Mean::new(0.0, FAILURE_WINDOW),
             learned: gateway::Learned::default(),
             heard: now,
@@ -184,6 +204,9 @@
             self.strikes = 0;
         }
         self.step.observe_many(f64::from(learned.step_ms), learned.steps);
+        if learned.steps > 0 {
+            self.pace.observe(f64::from(learned.least_ms));
+        }
         self.failures.observe_many(0.0, learned.served);
         self.failures.observe_many(1.0, learned.failed);
         // One daemon may be cut off alone; what speaks to others is not to be left alone for it.
@@ -208,6 +231,7 @@
         self.hear(now);
         let step_ms = step_ms.min(LONGEST_STEP_MS);
         self.step.observe(step_ms);
+        self.pace.observe(step_ms);
         self.learned.note_step(step_ms);
     }
 
@@ -275,9 +299,13 @@
         self.step.value()
     }
 
+    pub(super) const fn pace_ms(&self) -> f64 {
+        self.pace.0
+    }
+
     /// Returns how long a prompt token takes, in milliseconds.
     pub(super) fn prompt_ms(&self, params: &gateway::PoolParams) -> f64 {
-        params.prompt_ms * self.step.value() / params.step_ms
+        params.prompt_ms * self.pace.0 / params.step_ms
     }
 
     pub(super) const fn failure_part(&self) -> f64 {
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -185,7 +185,7 @@
         let first = ahead * prompt_ms + own;
         let beside = running * own * self.params.beside_weight;
         let pause = (first - self.pause_limit(demand)).max(0.0) * running;
-        let fast = (usual.step_ms / endpoint.step_ms() - 1.0).max(0.0) * self.params.fast_ms;
+        let fast = (usual.pace_ms / endpoint.pace_ms() - 1.0).max(0.0) * self.params.fast_ms;
         let zone = if endpoint.zone == demand.zone { 0.0 } else { self.params.zone_ms };
         let failures = endpoint.failure_part() - usual.failures - USUAL_FAILURES;
         let failures = failures.max(0.0) * self.params.failure_ms;
@@ -208,7 +208,7 @@
         };
         Usual {
             failures: mean(endpoint::Endpoint::failure_part),
-            step_ms: mean(endpoint::Endpoint::step_ms),
+            pace_ms: mean(endpoint::Endpoint::pace_ms),
         }
     }
 }
@@ -219,5 +219,5 @@
     /// The part of failed answers.
     failures: f64,
     /// The time between two tokens, in milliseconds.
-    step_ms: f64,
+    pace_ms: f64,
 }
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -232,3 +232,21 @@
     returning.returning = true;
     queued(pool.arrive(at(1), returning));
 }
+
+/// On a busy slow engine two of three steps also read a part of somebody's prompt.
+#[test]
+fn prompts_that_are_read_beside_a_stream_do_not_make_its_endpoint_seem_slower() {
+    let mut pool = pool(&["one"]);
+    let running = granted(pool.arrive(at(0), demand(0, 0)));
+    // Events of 4 tokens, at 8 ms a token; with a prompt beside, at 60.
+    for number in 0..120 {
+        let step_ms = if number % 3 == 0 { 8.0 } else { 60.0 };
+        pool.event(at(10 + number), &running.endpoint, step_ms * 4.0 / 1_000.0);
+    }
+    pool.first(at(150), &running.endpoint, running.prompt);
+    let mut long = demand(150, 0);
+    long.prompt = 4_000;
+    let grant = granted(pool.arrive(at(150), long));
+    // 4,000 tokens at twice the usual 1/38 ms.
+    assert!((150..300).contains(&grant.first_ms), "{}", grant.first_ms);
+}
