decide: what fails far more than the others is probed; far digests tell of what was used

The price of failures only orders what is free. Endpoints that all fail alike are used alike. 2. a slot went to requests whose caller would leave before their first event. They wait on now, or are refused in time. A new daemon takes over the level of an account when somebody first names it, since the first digest no longer names all.

--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -77,7 +77,7 @@
 pub struct News {
     /// What each account has used since the last digest of the sender.
     pub spent: Vec<gateway::AccountSpend>,
-    /// What the sender's buckets hold, if it is heard for the first time.
+    /// What the sender's buckets hold of accounts that it names for the first time.
     pub levels: Vec<gateway::AccountSpend>,
     /// Whether the sender's loads are to be forgotten.
     pub leaving: bool,
@@ -141,9 +141,10 @@
             // incarnation whose begin was heard.
             let unknown = if member.whole { 0 } else { spend.used };
             let used = spend.used.saturating_sub(before.unwrap_or(unknown));
-            if is_first {
+            if before.is_none() {
                 news.levels.push(spend.clone());
-            } else if used > 0 && !was_silent {
+            }
+            if !is_first && used > 0 && !was_silent {
                 news.spent.push(gateway::AccountSpend { used, ..spend.clone() });
             }
         }
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -29,5 +29,5 @@
     Placing, StoreView,
 };
 pub use pool::{Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Ticket, Verdict};
-pub use quota::{Quota, QuotaParams};
+pub use quota::{Audience, Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -7,6 +7,14 @@
 /// How much of the failures is usual, as a part of the answers, before it costs anything.
 const USUAL_FAILURES: f64 = 0.1;
 
+/// By how much more of its answers than usual an endpoint must fail to be given only one request at a
+/// time, and only such as may be repeated.
+///
+/// The load that this answers: a burst on a service of which one endpoint fails at once whatever it is
+/// sent, and so is the only one with free slots. Waiting for another is better than that. Well
+/// above what eight answers vary by at the usual rate.
+const FAILING: f64 = 0.4;
+
 /// What an endpoint costs that is doubted, in milliseconds: it is chosen if nothing else is free.
 const DOUBT_MS: f64 = 5_000.0;
 
@@ -21,12 +29,15 @@
         let usual = self.usual();
         for (name, endpoint) in &self.endpoints {
             let load = self.load(name, endpoint);
-            let room = self.room(now, endpoint, load, demand.repeatable);
+            let room = self.room(now, endpoint, load, usual, demand.repeatable);
             free += room;
             if room == 0 || demand.tried.contains(name) || !self.suits(now, class, demand, endpoint)
             {
                 continue;
             }
+            if !self.begins_in_time(now, demand, endpoint, load) {
+                continue;
+            }
             let cost = self.cost(now, demand, endpoint, load, usual);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
@@ -87,8 +98,9 @@
 
     /// Returns how many slots are free.
     pub(super) fn free(&self, now: Timestamp) -> usize {
+        let usual = self.usual();
         let room = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            self.room(now, endpoint, self.load(name, endpoint), false)
+            self.room(now, endpoint, self.load(name, endpoint), usual, false)
         };
         self.endpoints.iter().map(room).sum()
     }
@@ -99,15 +111,17 @@
         now: Timestamp,
         endpoint: &endpoint::Endpoint,
         load: endpoint::Load,
+        usual: Usual,
         repeatable: bool,
     ) -> usize {
         if !endpoint.is_usable(now) {
             return 0;
         }
-        if !endpoint.is_doubted(now, load, &self.params) {
+        let is_failing = endpoint.failure_part() > usual.failures + FAILING;
+        if !is_failing && !endpoint.is_doubted(now, load, &self.params) {
             return endpoint.slots.saturating_sub(load.running) as usize;
         }
-        // A doubted endpoint is tried with one request that may be repeated.
+        // It is tried with one request that may be repeated.
         usize::from(repeatable && load.running == 0)
     }
 
@@ -136,6 +150,22 @@
         demand.expected * endpoint.step_ms() <= left * self.params.feasible_part
     }
 
+    /// Says whether the first event is expected before the caller leaves.
+    ///
+    /// What begins later has held a slot for nothing.
+    fn begins_in_time(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        endpoint: &endpoint::Endpoint,
+        load: endpoint::Load,
+    ) -> bool {
+        let prompt = f64::from(load.prefill.saturating_add(demand.prompt));
+        let read = prompt * endpoint.prompt_ms(&self.params);
+        let begin = self.params.first_ms * endpoint.pace_ms() / self.params.step_ms;
+        demand.gap.is_zero() || read + begin <= demand.patience(now).as_secs_f64() * 1_000.0
+    }
+
     /// Says whether a request may go to an endpoint at all, if there is a slot.
     ///
     /// A long prompt that would stall the streams at a slow endpoint waits for a fast one, as long
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -51,8 +51,21 @@
     used: f64,
     /// Whether another daemon's level was taken over.
     adopted: bool,
-    /// Whether it was used since the others were told.
-    changed: bool,
+    /// Whether it was used since those who are near were told.
+    owed_near: bool,
+    /// The same for those who are far.
+    owed_far: bool,
+}
+
+/// Says whom the uses of accounts are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// Those who are told at once.
+    Near,
+    /// Those who are told less often.
+    Far,
+    /// Everyone.
+    All,
 }
 
 impl Quota {
@@ -88,7 +101,8 @@
         }
         bucket.level -= cost;
         bucket.used += cost;
-        bucket.changed = true;
+        bucket.owed_near = true;
+        bucket.owed_far = true;
         Ok(())
     }
 
@@ -115,12 +129,12 @@
         }
     }
 
-    /// Returns what each account has used at this daemon since its start: of all accounts, or only
-    /// of those that were used since the last call.
-    pub fn used(&mut self, all: bool) -> Vec<gateway::AccountSpend> {
+    /// Returns what each account has used at this daemon since its start: of the accounts that were
+    /// used since `audience` was last told, or of all.
+    pub fn used(&mut self, audience: Audience, all: bool) -> Vec<gateway::AccountSpend> {
         let mut used = Vec::new();
         for (account, bucket) in &mut self.buckets {
-            if std::mem::take(&mut bucket.changed) || all {
+            if bucket.take_owed(audience) || all {
                 used.push(gateway::AccountSpend {
                     account: account.clone(),
                     used: bucket.used as u64,
@@ -132,8 +146,14 @@
     }
 
     fn bucket(&mut self, now: Timestamp, account: &id::AccountName) -> &mut Bucket {
-        let new =
-            || Bucket { level: 0.0, refilled: now, used: 0.0, adopted: false, changed: false };
+        let new = || Bucket {
+            level: 0.0,
+            refilled: now,
+            used: 0.0,
+            adopted: false,
+            owed_near: false,
+            owed_far: false,
+        };
         self.buckets.entry(account.clone()).or_insert_with(new)
     }
 
@@ -155,6 +175,13 @@
 }
 
 impl Bucket {
+    /// Says whether `audience` has to be told of the latest use, and takes it as told.
+    fn take_owed(&mut self, audience: Audience) -> bool {
+        let near = audience != Audience::Far && std::mem::take(&mut self.owed_near);
+        let far = audience != Audience::Near && std::mem::take(&mut self.owed_far);
+        near || far
+    }
+
     fn refill(&mut self, now: Timestamp, rate: f64, burst: f64) {
         let passed = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -211,3 +211,17 @@
     assert_eq!(placers(&mesh, 100, Placing::Able), [address(1)]);
     assert_eq!(placers(&mesh, 100, Placing::Unable), [address(1)]);
 }
+
+/// Digests tell only of what was used of late, so a new daemon hears of an account later than of its
+/// user.
+#[test]
+fn the_level_of_an_account_is_told_when_it_is_first_named() {
+    let mut mesh = mesh(2);
+    let silent = Digest { incarnation: 7, number: 1, ..Digest::default() };
+    let levels = |mesh: &mut Mesh, digest: &Digest| {
+        mesh.note(Timestamp::ZERO, address(2), digest).unwrap().levels.len()
+    };
+    assert_eq!(levels(&mut mesh, &silent), 0);
+    assert_eq!(levels(&mut mesh, &digest(7, 2, 100)), 1);
+    assert_eq!(levels(&mut mesh, &digest(7, 3, 200)), 0);
+}
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -250,3 +250,49 @@
     // 4,000 tokens at twice the usual 1/38 ms.
     assert!((150..300).contains(&grant.first_ms), "{}", grant.first_ms);
 }
+
+/// A burst on a service of which one endpoint fails whatever it is sent, and so always has free slots.
+#[test]
+fn an_endpoint_that_fails_far_more_than_the_others_gets_only_what_may_be_repeated() {
+    let mut pool = pool(&["one", "two", "three"]);
+    let failed = Learned { failed: 12, ..Learned::default() };
+    let mut told = report(1, &[("one", 0)], 0);
+    told.endpoints[0].learned = failed;
+    pool.note_peer(at(0), peer(2), &told);
+    for _ in 0..4 {
+        assert_ne!(granted(pool.arrive(at(1), demand(1, 0))).endpoint.as_str(), "one");
+    }
+    // One that may be repeated shows whether it still fails; what waits in front of it would not.
+    let mut repeatable = demand(1, 0);
+    repeatable.repeatable = true;
+    let mut alone = pool.clone();
+    queued(pool.arrive(at(1), demand(1, 0)));
+    assert!(pool.grant_waiting(at(1)).is_empty());
+    assert_eq!(granted(alone.arrive(at(1), repeatable.clone())).endpoint.as_str(), "one");
+    queued(alone.arrive(at(1), repeatable));
+}
+
+/// With all endpoints failing alike there is none to be spared for.
+#[test]
+fn endpoints_that_all_fail_alike_are_used_alike() {
+    let mut pool = pool(&["one", "two"]);
+    let failed = Learned { failed: 12, ..Learned::default() };
+    let mut told = report(1, &[("one", 0), ("two", 0)], 0);
+    told.endpoints[0].learned = failed;
+    told.endpoints[1].learned = failed;
+    pool.note_peer(at(0), peer(2), &told);
+    for _ in 0..4 {
+        granted(pool.arrive(at(1), demand(1, 0)));
+    }
+}
+
+/// What would begin after its caller has left holds a slot for nothing.
+#[test]
+fn a_request_that_cannot_begin_before_its_caller_leaves_gets_no_slot() {
+    let mut pool = pool(&["one"]);
+    let mut late = demand(0, 0);
+    late.prompt = 8_000;
+    late.leaves = at(100);
+    queued(pool.arrive(at(0), late));
+    granted(super::support::pool(&["one"]).arrive(at(0), demand(0, 0)));
+}
--- a/crates/decide/tests/testsuite/gateway/quota.rs
+++ b/crates/decide/tests/testsuite/gateway/quota.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use trefoildyke_decide::gateway::{
-    Account, AccountSpend, AccountUnit, Digest, Mesh, Peer, Quota, QuotaParams,
+    Account, AccountSpend, AccountUnit, Audience, Digest, Mesh, Peer, Quota, QuotaParams,
 };
 use trefoildyke_types::{id::AccountName, time::Timestamp};
 
@@ -194,3 +194,16 @@
         prop_assert!(largest(&uses) <= LIMIT);
     }
 }
+
+#[test]
+fn each_audience_is_told_of_a_use_once() {
+    let account = account(24_000.0, 88_000.0);
+    let mut quota = Quota::new(params());
+    quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
+    quota.take(Timestamp::from_millis(4_000), &account, 900.0, 1.0).unwrap();
+    assert_eq!(quota.used(Audience::Near, false).len(), 1);
+    assert!(quota.used(Audience::Near, false).is_empty());
+    assert_eq!(quota.used(Audience::Far, false).len(), 1);
+    assert!(quota.used(Audience::All, false).is_empty());
+    assert_eq!(quota.used(Audience::Far, true)[0].used, 900);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,12 @@
 /// How often everything is told, for those who have missed a digest or have just started.
 const FULL: time::Duration = time::Duration::from_millis(500);
 
+/// The same for those who are far: most of what daemons send between availability zones is this.
+const FAR_FULL: time::Duration = time::Duration::from_millis(2_000);
+
+/// How often the daemons that place requests are told everything, as a report may have been lost.
+const REPORTS: time::Duration = time::Duration::from_millis(500);
+
 /// The largest datagram that is read, in bytes.
 const LARGEST: usize = 16 << 10;
 
@@ -47,7 +53,8 @@
             }
         }
     }
-    let digest = shared.core().own_digest(shared.now(), state::DigestKind::Last);
+    let kind = state::DigestKind { audience: gateway::Audience::All, full: true, last: true };
+    let digest = shared.core().own_digest(shared.now(), kind);
     let others = shared.core().mesh.others();
     shared.tell(&gateway::Message::Digest(digest), &others);
     Ok(())
@@ -55,50 +62,75 @@
 
 /// Decides who is told when.
 struct Teller {
-    /// When those who are near, those who are far, and all with everything were told last.
-    near: tokio::time::Instant,
-    far: tokio::time::Instant,
-    full: tokio::time::Instant,
-    /// Whether those who are far have not been told the latest.
+    near: Group,
+    far: Group,
+    reported: tokio::time::Instant,
+}
+
+/// Follows when some of the others were told what.
+struct Group {
+    audience: gateway::Audience,
+    /// How often they are told at most.
+    pause: time::Duration,
+    /// How often they are told everything.
+    full: time::Duration,
+    told: tokio::time::Instant,
+    told_all: tokio::time::Instant,
+    /// Whether they have not been told the latest.
     owed: bool,
 }
 
 impl Teller {
     fn new() -> Self {
-        let now = tokio::time::Instant::now();
-        Self { near: now, far: now, full: now, owed: true }
+        Self {
+            near: Group::new(gateway::Audience::Near, time::Duration::ZERO, FULL),
+            far: Group::new(gateway::Audience::Far, FAR, FAR_FULL),
+            reported: tokio::time::Instant::now(),
+        }
     }
 
     fn tell(&mut self, shared: &state::Shared) {
-        let changed = shared.take_changed();
-        self.owed |= changed;
-        let to_near = changed || self.near.elapsed() >= REST;
-        let to_far = self.far.elapsed() >= if self.owed { FAR } else { REST };
-        if !to_near && !to_far {
-            return;
+        if shared.take_changed() {
+            self.near.owed = true;
+            self.far.owed = true;
         }
-        // What changed since the last digest to all is in each full one.
-        let is_full = to_far || self.full.elapsed() >= FULL;
-        let kind = if is_full { state::DigestKind::Full } else { state::DigestKind::Usual };
-        let (digest, mut others) = {
-            let mut core = shared.core();
-            let others = if to_near { core.mesh.near() } else { vec![] };
-            (core.own_digest(shared.now(), kind), others)
-        };
-        let now = tokio::time::Instant::now();
-        if to_near {
-            self.near = now;
-        }
-        if is_full {
-            self.full = now;
+        self.near.tell(shared, gateway::Mesh::near);
+        self.far.tell(shared, gateway::Mesh::far);
+        if self.reported.elapsed() >= REPORTS {
+            self.reported = tokio::time::Instant::now();
             shared.decide(|core| core.report_all(shared.now()));
         }
-        if to_far {
-            others.extend(shared.core().mesh.far());
-            self.far = now;
-            self.owed = false;
+    }
+}
+
+impl Group {
+    fn new(audience: gateway::Audience, pause: time::Duration, full: time::Duration) -> Self {
+        let now = tokio::time::Instant::now();
+        Self { audience, pause, full, told: now, told_all: now, owed: true }
+    }
+
+    fn tell(
+        &mut self,
+        shared: &state::Shared,
+        who: fn(&gateway::Mesh) -> Vec<std::net::SocketAddr>,
+    ) {
+        if self.told.elapsed() < if self.owed { self.pause } else { REST } {
+            return;
+        }
+        let others = who(&shared.core().mesh);
+        if others.is_empty() {
+            return;
         }
+        let now = tokio::time::Instant::now();
+        let full = now.duration_since(self.told_all) >= self.full;
+        let kind = state::DigestKind { audience: self.audience, full, last: false };
+        let digest = shared.core().own_digest(shared.now(), kind);
         shared.tell(&gateway::Message::Digest(digest), &others);
+        self.told = now;
+        self.owed = false;
+        if full {
+            self.told_all = now;
+        }
     }
 }
 
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -35,13 +35,13 @@
 
 /// Says which digest is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum DigestKind {
-    /// With the accounts that were used since the last.
-    Usual,
-    /// With all accounts.
-    Full,
-    /// The last of this daemon.
-    Last,
+pub(crate) struct DigestKind {
+    /// Whom it is for.
+    pub(crate) audience: gateway::Audience,
+    /// Whether it tells of all accounts, not only of those that were used since the last.
+    pub(crate) full: bool,
+    /// Whether it is the last of this daemon.
+    pub(crate) last: bool,
 }
 
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
@@ -253,10 +253,10 @@
         gateway::Digest {
             incarnation: self.incarnation,
             number: self.digests,
-            leaving: kind == DigestKind::Last,
+            leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
             placing: self.placing(now),
-            spend: self.quota.used(kind != DigestKind::Usual),
+            spend: self.quota.used(kind.audience, kind.full),
         }
     }
 
