decide: buckets of quotas start with a daemon's equal part

Ruled out: a full bucket at each start (hosts that are stopped in turn would add up to several windows' excess); taking the level from the store (a call a request). A daemon that has heard another one's level takes that and nothing besides.

Test first: the_first_requests_after_all_daemons_lost_power_are_not_refused.

--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -29,17 +29,26 @@
 /// at the same moment without knowing of each other, and a cut that is noticed only by silence.
 const EXCESS_PART: f64 = 0.4;
 
+/// The part of a full bucket with which one starts at a daemon that does not know the members.
+const UNLISTED_START: f64 = 1.0 / 32.0;
+
 /// Bounds what each account uses over all daemons.
 ///
 /// Every daemon keeps a token bucket for each account and draws from it what it admits itself and
 /// what the others say they have admitted. The bucket refills with all that the quota allows in a
 /// window, spread evenly: the burst as well, since a caller may use it once in each window. A
 /// daemon that hears only a part of the members refills only that part, so that the parts of a
-/// split system together stay within the quota. A bucket starts empty: what was used before a
-/// restart is not known.
-#[derive(Clone, Debug, Default)]
+/// split system together stay within the quota.
+///
+/// What was used before a daemon's start is not known to it. Its buckets start with its equal part of
+/// a full one: all daemons that start at once have one full bucket together, which the excess that is
+/// permitted beside the buckets covers. An empty start refused callers that were within their quotas
+/// right after all daemons had lost power.
+#[derive(Clone, Debug)]
 pub struct Quota {
     params: QuotaParams,
+    /// The part of a full bucket with which one starts here.
+    start_part: f64,
     buckets: collections::HashMap<id::AccountName, Bucket>,
 }
 
@@ -49,6 +58,8 @@
     refilled: Timestamp,
     /// Used at this daemon since its start.
     used: f64,
+    /// Whether nothing was taken from it yet.
+    is_new: bool,
     /// Whether another daemon's level was taken over.
     adopted: bool,
     /// Whether it was used since those who are near were told.
@@ -71,7 +82,12 @@
 impl Quota {
     /// Creates buckets on first use.
     pub fn new(params: QuotaParams) -> Self {
-        Self { params, buckets: collections::HashMap::new() }
+        Self { params, start_part: UNLISTED_START, buckets: collections::HashMap::new() }
+    }
+
+    /// Takes in how many daemons there are, this one included.
+    pub fn set_members(&mut self, count: usize) {
+        self.start_part = 1.0 / count.max(1) as f64;
     }
 
     /// Takes `cost` from the account's bucket, or says in how many seconds to come back.
@@ -92,7 +108,12 @@
             return Ok(());
         }
         let (rate, burst) = self.params.refill(account, part);
+        let (_, whole) = self.params.refill(account, 1.0);
+        let start = whole * self.start_part;
         let bucket = self.bucket(now, &account.name);
+        if std::mem::take(&mut bucket.is_new) && !bucket.adopted {
+            bucket.level += start;
+        }
         bucket.refill(now, rate, burst);
         // A request larger than the burst passes a full bucket, else it would never pass.
         let least = cost.min(burst);
@@ -150,6 +171,7 @@
             level: 0.0,
             refilled: now,
             used: 0.0,
+            is_new: true,
             adopted: false,
             owed_near: false,
             owed_far: false,
--- a/crates/decide/tests/testsuite/gateway/quota.rs
+++ b/crates/decide/tests/testsuite/gateway/quota.rs
@@ -36,15 +36,35 @@
 
 /// Plays a flood at several daemons that hear each other after `delay_ms`.
 fn flood(daemons: usize, delay_ms: u64, part: f64, cost: f64) -> Vec<(u64, f64)> {
+    flood_over_restart(daemons, delay_ms, part, cost, None)
+}
+
+/// Daemons that have just started.
+fn started(daemons: usize, now: Timestamp) -> Vec<Quota> {
+    let mut quota = Quota::new(params());
+    quota.open(now, &[account(24_000.0, 88_000.0)]);
+    quota.set_members(daemons);
+    vec![quota; daemons]
+}
+
+/// The same with a restart of all daemons at a moment.
+fn flood_over_restart(
+    daemons: usize,
+    delay_ms: u64,
+    part: f64,
+    cost: f64,
+    restart: Option<u64>,
+) -> Vec<(u64, f64)> {
     let account = account(24_000.0, 88_000.0);
-    let mut quotas = vec![Quota::new(params()); daemons];
-    for quota in &mut quotas {
-        quota.open(Timestamp::ZERO, std::slice::from_ref(&account));
-    }
+    let mut quotas = started(daemons, Timestamp::ZERO);
     let mut uses = Vec::new();
     let mut told: Vec<(u64, usize)> = Vec::new();
     for ms in (0..40_000).step_by(5) {
         let now = Timestamp::from_millis(ms);
+        if restart == Some(ms) {
+            quotas = started(daemons, now);
+            told.clear();
+        }
         let is_due = |(sent, _): &(u64, usize)| sent + delay_ms <= ms;
         for (_, from) in told.extract_if(.., |entry| is_due(entry)).collect::<Vec<_>>() {
             for (number, quota) in quotas.iter_mut().enumerate() {
@@ -73,6 +93,26 @@
     assert!(used > 24_000.0 * 40.0, "the quota was not used: {used}");
 }
 
+#[test]
+fn a_flood_stays_within_the_quota_though_all_daemons_lose_power() {
+    for restart in [9_000, 9_500, 14_000] {
+        let uses = flood_over_restart(7, 55, 1.0, 900.0, Some(restart));
+        assert!(largest(&uses) <= LIMIT, "{} of {LIMIT}", largest(&uses));
+    }
+}
+
+/// Callers within their quotas go on at once when all daemons come back.
+#[test]
+fn the_first_requests_after_all_daemons_lost_power_are_not_refused() {
+    let account = account(24_000.0, 88_000.0);
+    let at = |ms| Timestamp::from_millis(ms);
+    for mut quota in started(7, at(0)) {
+        for number in 0..4 {
+            assert!(quota.take(at(number * 5), &account, 1_200.0, 1.0 / 7.0).is_ok(), "{number}");
+        }
+    }
+}
+
 #[test]
 fn daemons_that_hear_nobody_keep_to_their_parts() {
     let uses = flood(7, u64::MAX / 2, 1.0 / 7.0, 900.0);
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -170,6 +170,7 @@
         for peer in self.mesh.replace(list) {
             self.forget(peer);
         }
+        self.quota.set_members(self.mesh.count());
     }
 
     /// Takes in what another daemon says.
