gateway: the line of a request's end names the daemon that decided its place

On-call could see that a request was refused or sent, not who decided it, now that another daemon may have.

--- a/crates/gateway/src/face/access.rs
+++ b/crates/gateway/src/face/access.rs
@@ -22,6 +22,8 @@
     prompt: u32,
     /// The expected length of the answer in tokens.
     expected: f64,
+    /// The other daemon that gave or refused the last place.
+    placer: Option<std::net::SocketAddr>,
     /// How it has ended; a request that is dropped without an outcome was left by its caller.
     outcome: &'static str,
     status: u16,
@@ -45,6 +47,7 @@
             rank: None,
             prompt: 0,
             expected: 0.0,
+            placer: None,
             outcome: "caller_left",
             status: 0,
             endpoint: None,
@@ -80,6 +83,11 @@
         self.expected = call.expected;
     }
 
+    /// Notes which other daemon gave or refused the place; `None` for this one.
+    pub(crate) const fn decided_by(&mut self, placer: Option<std::net::SocketAddr>) {
+        self.placer = placer;
+    }
+
     /// Notes one more send.
     pub(crate) fn sent(&mut self, endpoint: &id::EndpointName) {
         self.sends += 1;
@@ -135,6 +143,7 @@
             rank: self.rank,
             prompt: self.prompt,
             expected: self.expected as u32,
+            placer: self.placer,
             outcome: self.outcome,
             status: self.status,
             endpoint: self.endpoint.take(),
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -131,7 +131,9 @@
         let service = self.call.service.clone();
         let part = if self.call.returning { LAST_WAIT_PART } else { WAIT_PART };
         let end = tokio::time::Instant::now() + self.call.leaves.since(now).mul_f64(part);
-        let grant = placing::place(&self.shared, &service, self.demand(), end).await?;
+        let placement = placing::place(&self.shared, &service, self.demand(), end).await;
+        self.access.decided_by(placement.placer);
+        let grant = placement.result?;
         let shared = sync::Arc::clone(&self.shared);
         let slot = state::Slot::new(shared, service, grant);
         self.note_sent(&slot, now);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -20,21 +20,29 @@
 /// After how long without a reply another daemon is asked for a request that waits.
 const WAITING_SILENCE: time::Duration = time::Duration::from_millis(450);
 
-/// Finds a place until `end`; fails with the time after which to come back.
+/// What came of looking for a place.
+pub(crate) struct Placement {
+    /// The other daemon that decided; `None` if this one did.
+    pub(crate) placer: Option<net::SocketAddr>,
+    /// The place, or the time after which to come back.
+    pub(crate) result: Result<gateway::Grant, time::Duration>,
+}
+
+/// Finds a place until `end`.
 pub(crate) async fn place(
     shared: &sync::Arc<state::Shared>,
     service: &id::PoolName,
     mut demand: gateway::Demand,
     end: tokio::time::Instant,
-) -> Result<gateway::Grant, time::Duration> {
+) -> Placement {
     loop {
         let placer = shared.core().placer(shared.now(), service);
         let Some(peer) = placer else {
-            return here(shared, service, demand, end).await;
+            return Placement { placer, result: here(shared, service, demand, end).await };
         };
         match elsewhere(shared, service, &demand, peer, end).await {
-            Elsewhere::Granted(grant) => return Ok(grant),
-            Elsewhere::Refused(after) => return Err(after),
+            Elsewhere::Granted(grant) => return Placement { placer, result: Ok(grant) },
+            Elsewhere::Refused(after) => return Placement { placer, result: Err(after) },
             Elsewhere::Unusable(endpoint) => demand.tried.push(endpoint),
             Elsewhere::Moved => {}
         }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -149,6 +149,8 @@
         prompt: u32,
         /// The expected length of its answer in tokens.
         expected: u32,
+        /// The other daemon that gave or refused its last place, by its address for messages.
+        placer: Option<std::net::SocketAddr>,
         /// How it ended.
         outcome: &'static str,
         /// The status that was answered.
