--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -4,83 +4,10 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway;
-
-/// Follows a quantity by a mean in which older observations fade.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Mean {
-    value: f64,
-    seen: f64,
-    window: f64,
-}
-
-impl Load {
-    pub(super) const fn add(&mut self, prompt: u32) {
-        self.running += 1;
-        self.prefill = self.prefill.saturating_add(prompt);
-    }
-
-    pub(super) const fn remove(&mut self, prompt: u32) {
-        self.running = self.running.saturating_sub(1);
-        self.prefill = self.prefill.saturating_sub(prompt);
-    }
-
-    /// Returns both together.
-    pub(super) const fn plus(self, other: Self) -> Self {
-        Self {
-            running: self.running + other.running,
-            prefill: self.prefill.saturating_add(other.prefill),
-        }
-    }
-}
-
-impl Mean {
-    /// Starts at `prior`, which counts as one observation, and remembers about `window`.
-    pub(super) const fn new(prior: f64, window: f64) -> Self {
-        Self { value: prior, seen: 1.0, window }
-    }
-
-    pub(super) const fn value(&self) -> f64 {
-        self.value
-    }
-
-    pub(super) fn observe(&mut self, value: f64) {
-        self.observe_many(value, 1);
-    }
-
-    /// Takes in `count` observations whose mean is `value`.
-    pub(super) fn observe_many(&mut self, value: f64, count: u16) {
-        let count = f64::from(count);
-        self.seen = (self.seen + count).min(self.window);
-        self.value += (value - self.value) * (count / self.seen).min(1.0);
-    }
-}
-
-/// Follows the lower quarter of a quantity.
-#[derive(Clone, Copy, Debug)]
-struct Low(f64);
-
-/// By what part a quantity's lower quarter moves with one observation.
-const LOW_STEP: f64 = 0.2;
-
-impl Low {
-    fn observe(&mut self, value: f64) {
-        self.0 = if value < self.0 {
-            value.max(self.0 * (1.0 - LOW_STEP * 0.75))
-        } else {
-            value.min(self.0 * (1.0 + LOW_STEP * 0.25))
-        };
-    }
-}
-
-/// Counts requests and prompt tokens at an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Load {
-    /// Requests sent and not ended.
-    pub(super) running: u32,
-    /// Prompt tokens sent whose first event has not come.
-    pub(super) prefill: u32,
-}
+use crate::gateway::{
+    self,
+    pool::{load::Load, mean},
+};
 
 #[derive(Clone, Debug)]
 pub(super) struct Endpoint {
@@ -94,11 +21,11 @@
     /// What other daemons were given and have not reported yet.
     pub(super) promised: Load,
     /// The time between two tokens, in milliseconds.
-    step: Mean,
+    step: mean::Mean,
     /// The time between two tokens where no prompt is read in between, in milliseconds.
-    pace: Low,
+    pace: mean::Low,
     /// The part of the answers that were failures or broken.
-    failures: Mean,
+    failures: mean::Mean,
     /// What was seen here and the others have not been told.
     learned: gateway::Learned,
     /// When anything came from the endpoint, or work was sent to it after it had none.
@@ -154,9 +81,9 @@
             draining: entry.draining,
             own: Load::default(),
             promised: Load::default(),
-            step: Mean::new(params.step_ms, STEP_WINDOW),
-            pace: Low(params.step_ms),
-            failures: Mean::new(0.0, FAILURE_WINDOW),
+            step: mean::Mean::new(params.step_ms, STEP_WINDOW),
+            pace: mean::Low(params.step_ms),
+            failures: mean::Mean::new(0.0, FAILURE_WINDOW),
             learned: gateway::Learned::default(),
             heard: now,
             spoke: None,
--- a/crates/decide/src/gateway/pool/flow.rs
+++ b/crates/decide/src/gateway/pool/flow.rs
@@ -2,12 +2,12 @@
 
 use trefoildyke_types::time::Timestamp;
 
-use crate::gateway::pool::endpoint;
+use crate::gateway::pool::mean;
 
 /// Follows the time between two grants to waiting requests.
 #[derive(Clone, Debug)]
 pub(super) struct Flow {
-    interval: endpoint::Mean,
+    interval: mean::Mean,
     last: Option<Timestamp>,
 }
 
@@ -22,7 +22,7 @@
 
 impl Default for Flow {
     fn default() -> Self {
-        Self { interval: endpoint::Mean::new(PRIOR_S, WINDOW), last: None }
+        Self { interval: mean::Mean::new(PRIOR_S, WINDOW), last: None }
     }
 }
 
--- /dev/null
+++ b/crates/decide/src/gateway/pool/load.rs
@@ -0,0 +1,30 @@
+//! What is at an endpoint.
+
+/// Counts requests and prompt tokens at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Load {
+    /// Requests sent and not ended.
+    pub(super) running: u32,
+    /// Prompt tokens sent whose first event has not come.
+    pub(super) prefill: u32,
+}
+
+impl Load {
+    pub(super) const fn add(&mut self, prompt: u32) {
+        self.running += 1;
+        self.prefill = self.prefill.saturating_add(prompt);
+    }
+
+    pub(super) const fn remove(&mut self, prompt: u32) {
+        self.running = self.running.saturating_sub(1);
+        self.prefill = self.prefill.saturating_sub(prompt);
+    }
+
+    /// Returns both together.
+    pub(super) const fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            prefill: self.prefill.saturating_add(other.prefill),
+        }
+    }
+}
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -3,12 +3,15 @@
 mod demand;
 mod endpoint;
 mod flow;
+mod load;
+mod mean;
 mod params;
 mod peers;
 mod place;
 mod promises;
 mod queue;
 mod ranks;
+mod view;
 
 use std::{collections, net};
 
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -4,14 +4,14 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{self, pool::endpoint};
+use crate::gateway::{self, pool::load};
 
 /// Sums up the latest reports of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
     peers: collections::BTreeMap<net::SocketAddr, Peer>,
     /// The sums over `peers`, by endpoint.
-    loads: collections::HashMap<id::EndpointName, endpoint::Load>,
+    loads: collections::HashMap<id::EndpointName, load::Load>,
 }
 
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
         }
     }
 
-    pub(super) fn load(&self, endpoint: &id::EndpointName) -> endpoint::Load {
+    pub(super) fn load(&self, endpoint: &id::EndpointName) -> load::Load {
         self.loads.get(endpoint).copied().unwrap_or_default()
     }
 
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -2,7 +2,10 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{Demand, Grant, Pool, Ticket, pool::endpoint};
+use crate::gateway::{
+    Demand, Grant, Pool, Ticket,
+    pool::{endpoint, load, view},
+};
 
 /// How many waiting requests are looked at for the slots that are free: twice what a burst brought to
 /// wait for fast endpoints at a service of 60 (grown sites, 50 long prompts a second, each for up to a
@@ -12,14 +15,6 @@
 /// How much of the failures is usual, as a part of the answers, before it costs anything.
 const USUAL_FAILURES: f64 = 0.1;
 
-/// By how much more of its answers than usual an endpoint must fail to be given only one request at a
-/// time, and only such as may be repeated.
-///
-/// The load that this answers: a burst on a service of which one endpoint fails at once whatever it is
-/// sent, and so is the only one with free slots. Waiting for another is better than that. Well
-/// above what eight answers vary by at the usual rate.
-const FAILING: f64 = 0.4;
-
 /// What an endpoint costs that is doubted, in milliseconds: it is chosen if nothing else is free.
 const DOUBT_MS: f64 = 5_000.0;
 
@@ -56,30 +51,11 @@
         Some((ticket, grant))
     }
 
-    /// Returns the endpoints with free slots as of now.
-    fn view(&self, now: Timestamp) -> View<'_> {
-        let usual = self.usual();
-        let mut view = View { usual, free: 0, least_prompt_ms: f64::INFINITY, open: Vec::new() };
-        for (name, endpoint) in &self.endpoints {
-            if !endpoint.is_usable(now) {
-                continue;
-            }
-            view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms(&self.params));
-            let load = self.load(name, endpoint);
-            let room = self.room(now, endpoint, load, usual);
-            view.free += room.slots;
-            if room.slots > 0 || room.is_probe {
-                view.open.push(Open { name, endpoint, load, room });
-            }
-        }
-        view
-    }
-
     /// Returns the endpoint whose free slot is the best for a request.
     fn pick<'a>(
         &self,
         now: Timestamp,
-        view: &View<'a>,
+        view: &view::View<'a>,
         class: usize,
         demand: &Demand,
     ) -> Option<&'a id::EndpointName> {
@@ -142,31 +118,6 @@
         self.start(now, name.clone(), demand)
     }
 
-    /// Returns what all daemons are believed to have at an endpoint.
-    pub(super) fn load(
-        &self,
-        name: &id::EndpointName,
-        endpoint: &endpoint::Endpoint,
-    ) -> endpoint::Load {
-        endpoint.own.plus(endpoint.promised).plus(self.peers.load(name))
-    }
-
-    /// Returns what is free at an endpoint.
-    fn room(
-        &self,
-        now: Timestamp,
-        endpoint: &endpoint::Endpoint,
-        load: endpoint::Load,
-        usual: Usual,
-    ) -> Room {
-        let is_failing = endpoint.failure_part() > usual.failures + FAILING;
-        if !is_failing && !endpoint.is_doubted(now, load, &self.params) {
-            let slots = endpoint.slots.saturating_sub(load.running) as usize;
-            return Room { slots, is_probe: false };
-        }
-        Room { slots: 0, is_probe: load.running == 0 }
-    }
-
     /// Returns how many slots a request of `rank` leaves free for more urgent ones.
     ///
     /// Only the last of several ranks does: with all slots in use by long answers, an urgent request
@@ -200,7 +151,7 @@
         now: Timestamp,
         demand: &Demand,
         endpoint: &endpoint::Endpoint,
-        load: endpoint::Load,
+        load: load::Load,
     ) -> bool {
         let prompt = f64::from(load.prefill.saturating_add(demand.prompt));
         let read = prompt * endpoint.prompt_ms(&self.params);
@@ -243,8 +194,8 @@
         now: Timestamp,
         demand: &Demand,
         endpoint: &endpoint::Endpoint,
-        load: endpoint::Load,
-        usual: Usual,
+        load: load::Load,
+        usual: view::Usual,
     ) -> f64 {
         let prompt_ms = endpoint.prompt_ms(&self.params);
         let running = f64::from(load.running);
@@ -267,54 +218,4 @@
             + failures
             + doubt
     }
-
-    /// Returns what is usual among the endpoints.
-    fn usual(&self) -> Usual {
-        let count = self.endpoints.len().max(1) as f64;
-        let mean = |of: fn(&endpoint::Endpoint) -> f64| {
-            self.endpoints.values().map(of).sum::<f64>() / count
-        };
-        Usual {
-            failures: mean(endpoint::Endpoint::failure_part),
-            pace_ms: mean(endpoint::Endpoint::pace_ms),
-        }
-    }
-}
-
-/// What is free at an endpoint.
-#[derive(Clone, Copy, Debug)]
-struct Room {
-    /// Slots for any request.
-    slots: usize,
-    /// Whether it may be tried with one request that may be repeated.
-    is_probe: bool,
-}
-
-/// An endpoint at which something is free.
-#[derive(Clone, Copy, Debug)]
-struct Open<'a> {
-    name: &'a id::EndpointName,
-    endpoint: &'a endpoint::Endpoint,
-    load: endpoint::Load,
-    room: Room,
-}
-
-/// The endpoints as they are at one moment.
-#[derive(Clone, Debug)]
-struct View<'a> {
-    usual: Usual,
-    /// Free slots for any request.
-    free: usize,
-    /// How long the fastest endpoint takes for a prompt token, in milliseconds.
-    least_prompt_ms: f64,
-    open: Vec<Open<'a>>,
-}
-
-/// Holds means over the endpoints of a pool.
-#[derive(Clone, Copy, Debug)]
-struct Usual {
-    /// The part of failed answers.
-    failures: f64,
-    /// The time between two tokens, in milliseconds.
-    pace_ms: f64,
 }
--- a/crates/decide/src/gateway/pool/promises.rs
+++ b/crates/decide/src/gateway/pool/promises.rs
@@ -23,7 +23,7 @@
 impl Pool {
     /// Gives a place to another daemon, as its `given`-th.
     ///
-    /// It counts as taken until that daemon's report names it, or for [`KEPT`].
+    /// It counts as taken until that daemon's report names it, or for a quarter of a second.
     pub fn promise(&mut self, now: Timestamp, grant: &Grant, peer: net::SocketAddr, given: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
             endpoint.own.remove(grant.prompt);
--- /dev/null
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -0,0 +1,112 @@
+//! The endpoints of a pool as they are at one moment.
+
+use trefoildyke_types::{id, time::Timestamp};
+
+use crate::gateway::{
+    Pool,
+    pool::{endpoint, load},
+};
+
+/// By how much more of its answers than usual an endpoint must fail to be given only one request at a
+/// time, and only such as may be repeated.
+///
+/// The load that this answers: a burst on a service of which one endpoint fails at once whatever it is
+/// sent, and so is the only one with free slots. Waiting for another is better than that. Well
+/// above what eight answers vary by at the usual rate.
+const FAILING: f64 = 0.4;
+
+/// What is free at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Slots for any request.
+    pub(super) slots: usize,
+    /// Whether it may be tried with one request that may be repeated.
+    pub(super) is_probe: bool,
+}
+
+/// An endpoint at which something is free.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Open<'a> {
+    pub(super) name: &'a id::EndpointName,
+    pub(super) endpoint: &'a endpoint::Endpoint,
+    pub(super) load: load::Load,
+    pub(super) room: Room,
+}
+
+/// The endpoints as they are at one moment.
+#[derive(Clone, Debug)]
+pub(super) struct View<'a> {
+    pub(super) usual: Usual,
+    /// Free slots for any request.
+    pub(super) free: usize,
+    /// How long the fastest endpoint takes for a prompt token, in milliseconds.
+    pub(super) least_prompt_ms: f64,
+    pub(super) open: Vec<Open<'a>>,
+}
+
+/// Holds means over the endpoints of a pool.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usual {
+    /// The part of failed answers.
+    pub(super) failures: f64,
+    /// The time between two tokens, in milliseconds.
+    pub(super) pace_ms: f64,
+}
+
+impl Pool {
+    /// Returns the endpoints with free slots as of now.
+    pub(super) fn view(&self, now: Timestamp) -> View<'_> {
+        let usual = self.usual();
+        let mut view = View { usual, free: 0, least_prompt_ms: f64::INFINITY, open: Vec::new() };
+        for (name, endpoint) in &self.endpoints {
+            if !endpoint.is_usable(now) {
+                continue;
+            }
+            view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms(&self.params));
+            let load = self.load(name, endpoint);
+            let room = self.room(now, endpoint, load, usual);
+            view.free += room.slots;
+            if room.slots > 0 || room.is_probe {
+                view.open.push(Open { name, endpoint, load, room });
+            }
+        }
+        view
+    }
+
+    /// Returns what all daemons are believed to have at an endpoint.
+    pub(super) fn load(
+        &self,
+        name: &id::EndpointName,
+        endpoint: &endpoint::Endpoint,
+    ) -> load::Load {
+        endpoint.own.plus(endpoint.promised).plus(self.peers.load(name))
+    }
+
+    /// Returns what is free at an endpoint.
+    fn room(
+        &self,
+        now: Timestamp,
+        endpoint: &endpoint::Endpoint,
+        load: load::Load,
+        usual: Usual,
+    ) -> Room {
+        let is_failing = endpoint.failure_part() > usual.failures + FAILING;
+        if !is_failing && !endpoint.is_doubted(now, load, &self.params) {
+            let slots = endpoint.slots.saturating_sub(load.running) as usize;
+            return Room { slots, is_probe: false };
+        }
+        Room { slots: 0, is_probe: load.running == 0 }
+    }
+
+    /// Returns what is usual among the endpoints.
+    fn usual(&self) -> Usual {
+        let count = self.endpoints.len().max(1) as f64;
+        let mean = |of: fn(&endpoint::Endpoint) -> f64| {
+            self.endpoints.values().map(of).sum::<f64>() / count
+        };
+        Usual {
+            failures: mean(endpoint::Endpoint::failure_part),
+            pace_ms: mean(endpoint::Endpoint::pace_ms),
+        }
+    }
+}
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes, and the places that it hands out.
 
 mod asking;
+mod asks;
 mod core;
 mod service;
 mod shared;
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -6,27 +6,23 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-/// After how long without a word a request of another daemon is taken out of the queue: its daemon
-/// asks again every 200 ms, and three such words may be lost.
-const ASK_KEPT: time::Duration = time::Duration::from_millis(700);
-
 /// Holds the decisions on one service and the requests that wait for them.
 pub(crate) struct Service {
-    name: id::PoolName,
+    pub(super) name: id::PoolName,
     pub(crate) pool: gateway::Pool,
     pub(crate) budget: gateway::RetryBudget,
-    waiters: collections::HashMap<gateway::Ticket, Waiter>,
+    pub(super) waiters: collections::HashMap<gateway::Ticket, Waiter>,
     /// Requests of other daemons that wait here.
-    asks: collections::HashMap<AskKey, Held>,
+    pub(super) asks: collections::HashMap<AskKey, Held>,
     /// By daemon, how many places it was given here.
-    given: collections::HashMap<net::SocketAddr, u64>,
+    pub(super) given: collections::HashMap<net::SocketAddr, u64>,
     /// By daemon, the last place that it gave to this one.
     placed: collections::HashMap<net::SocketAddr, u64>,
     /// Requests of this daemon that wait at another one, by number.
     asked: collections::HashMap<u64, Asked>,
     numbers: u64,
     /// What is to be sent.
-    mail: Vec<Letter>,
+    pub(super) mail: Vec<Letter>,
 }
 
 /// A message on its way to another daemon.
@@ -36,7 +32,7 @@
 }
 
 /// Who waits for a place.
-enum Waiter {
+pub(super) enum Waiter {
     /// A request of this daemon.
     Own(oneshot::Sender<gateway::Grant>),
     /// A request of another daemon.
@@ -45,16 +41,16 @@
 
 /// Names a request of another daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct AskKey {
-    peer: net::SocketAddr,
-    number: u64,
+pub(super) struct AskKey {
+    pub(super) peer: net::SocketAddr,
+    pub(super) number: u64,
 }
 
 /// A request of another daemon that waits.
-struct Held {
-    ticket: gateway::Ticket,
+pub(super) struct Held {
+    pub(super) ticket: gateway::Ticket,
     /// When its daemon last said that it waits.
-    seen: Timestamp,
+    pub(super) seen: Timestamp,
 }
 
 /// A request of this daemon that waits at another one.
@@ -118,88 +114,6 @@
         }
     }
 
-    /// Takes in that another daemon asks for a place, or still waits for one.
-    pub(crate) fn ask_for(&mut self, now: Timestamp, peer: net::SocketAddr, ask: &gateway::Ask) {
-        let key = AskKey { peer, number: ask.number };
-        let demand = ask.demand(now);
-        let rank = demand.rank;
-        if let Some(held) = self.asks.get_mut(&key) {
-            held.seen = now;
-            return self.reply_queued(now, key, rank);
-        }
-        if self.pool.is_empty() {
-            return self.reply(key, gateway::PlaceReply::Unable);
-        }
-        match self.pool.arrive(now, demand) {
-            gateway::Verdict::Granted(grant) => self.give(now, key, &grant),
-            gateway::Verdict::Refused(refused) => {
-                let retry_ms = ms(refused.retry_after);
-                self.reply(key, gateway::PlaceReply::Refused { retry_ms });
-            }
-            gateway::Verdict::Queued(ticket) => {
-                self.waiters.insert(ticket, Waiter::Peer(key));
-                self.asks.insert(key, Held { ticket, seen: now });
-                self.reply_queued(now, key, rank);
-                self.hand_out(now);
-            }
-        }
-    }
-
-    fn reply_queued(&mut self, now: Timestamp, key: AskKey, rank: u8) {
-        let retry_ms = ms(self.pool.retry_hint(now, rank));
-        self.reply(key, gateway::PlaceReply::Queued { retry_ms });
-    }
-
-    fn reply(&mut self, key: AskKey, reply: gateway::PlaceReply) {
-        let placed = gateway::Placed { service: self.name.clone(), number: key.number, reply };
-        self.mail.push(Letter { to: key.peer, message: gateway::Message::Placed(placed) });
-    }
-
-    /// Gives a granted place to another daemon.
-    fn give(&mut self, now: Timestamp, key: AskKey, grant: &gateway::Grant) {
-        let given = self.given.entry(key.peer).or_default();
-        *given += 1;
-        let given = *given;
-        self.pool.promise(now, grant, key.peer, given);
-        self.reply(
-            key,
-            gateway::PlaceReply::Granted {
-                endpoint: grant.endpoint.clone(),
-                given,
-                first_ms: grant.first_ms,
-                beside: grant.beside,
-                age_ms: grant.age_ms,
-            },
-        );
-    }
-
-    /// Takes in that another daemon's request needs no place any more.
-    pub(crate) fn withdraw(&mut self, peer: net::SocketAddr, number: u64) {
-        if let Some(held) = self.asks.remove(&AskKey { peer, number }) {
-            self.waiters.remove(&held.ticket);
-            self.pool.give_up(held.ticket);
-        }
-    }
-
-    /// Forgets the work and the requests of a daemon that says nothing more.
-    pub(crate) fn forget(&mut self, peer: net::SocketAddr) {
-        self.pool.forget_peer(peer);
-        let of_peer = |key: &&AskKey| key.peer == peer;
-        let numbers: Vec<_> = self.asks.keys().filter(of_peer).map(|key| key.number).collect();
-        for number in numbers {
-            self.withdraw(peer, number);
-        }
-    }
-
-    /// Takes the requests out of the queue whose daemons say nothing of them any more.
-    pub(crate) fn expire(&mut self, now: Timestamp) {
-        let is_old = |(_, held): &(&AskKey, &Held)| now.since(held.seen) > ASK_KEPT;
-        let old: Vec<_> = self.asks.iter().filter(is_old).map(|(key, _)| *key).collect();
-        for key in old {
-            self.withdraw(key.peer, key.number);
-        }
-    }
-
     /// Registers a request that is to wait at another daemon; returns its number.
     pub(crate) fn register(
         &mut self,
@@ -310,10 +224,6 @@
     }
 }
 
-fn ms(length: time::Duration) -> u32 {
-    u32::try_from(length.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn length(ms: u32) -> time::Duration {
     time::Duration::from_millis(u64::from(ms))
 }
