decide: long answers step back by 0.4 s at most

Cause: short answers went before all long ones that had come up to three seconds earlier, which under lasting overload is for ever.

Test first: a long answer that has waited for a while was passed by a short one.

--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -53,8 +53,10 @@
 /// How much later a request is due for each second that it will hold its slot, in seconds.
 const LENGTH_WEIGHT: f64 = 0.3;
 
-/// How much later it is due at most.
-const LONGEST_DELAY: time::Duration = time::Duration::from_secs(3);
+/// How much later it is due at most: about as long as a request stays in time, so that a long one goes
+/// before short ones that come that much later. With three seconds the longest tenth of the answers
+/// was served less than half as often as all (0.26 of 0.56, grown cascadia scale-1).
+const LONGEST_DELAY: time::Duration = time::Duration::from_millis(400);
 
 /// Says where a request stands in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -320,3 +320,19 @@
         grants.iter().map(|(ticket, grant)| (*ticket, grant.endpoint.as_str())).collect();
     assert_eq!(places, [(lesser, "slow")]);
 }
+
+/// Under lasting overload there is always a shorter answer that has just been asked for.
+#[test]
+fn a_long_answer_that_has_waited_for_a_while_goes_before_a_short_one_that_has_just_come() {
+    let mut pool = pool(&["one"]);
+    let first = granted(pool.arrive(at(0), demand(0, 0)));
+    granted(pool.arrive(at(0), demand(0, 0)));
+    let mut long = demand(0, 0);
+    long.expected = 2_000.0;
+    long.objective = at(800);
+    let long = queued(pool.arrive(at(0), long));
+    let mut short = demand(450, 0);
+    short.objective = at(1_250);
+    queued(pool.arrive(at(450), short));
+    assert_eq!(end(&mut pool, 500, &first), [long]);
+}
