decide: work that a daemon does not repeat is forgotten

Cause, found by reading: reports are repeated only while a daemon has work, so when the last one is lost, or the role moves away and back, the placing daemon believes in work that has ended until that daemon's next request, and an idle daemon has none. Its slots stay taken.

Reports that name work now count for 1.3 s.

--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -168,6 +168,11 @@
         self.redeem(peer, report.placed);
     }
 
+    /// Forgets the work of daemons that have not repeated their reports for too long.
+    pub fn expire_peers(&mut self, now: Timestamp) {
+        self.peers.expire(now);
+    }
+
     /// Forgets a daemon that is gone, leaves or says nothing more.
     pub fn forget_peer(&mut self, peer: net::SocketAddr) {
         self.peers.forget(peer);
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -1,11 +1,14 @@
 //! What the other daemons have at a service.
 
-use std::{collections, net};
+use std::{collections, net, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::gateway::{self, pool::load};
 
+/// How long a report counts: daemons with work repeat theirs every half second, and one may be lost.
+const REPORT_KEPT: time::Duration = time::Duration::from_millis(1_300);
+
 /// Sums up the latest reports of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
@@ -41,6 +44,20 @@
         true
     }
 
+    /// Forgets the work of daemons that have not repeated their reports.
+    ///
+    /// The report that would have told of its end may be lost, or went to the daemon that placed the
+    /// requests then; a daemon that has work repeats it.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        let is_old = |(_, peer): &(&net::SocketAddr, &Peer)| {
+            !peer.report.endpoints.is_empty() && now.since(peer.heard) > REPORT_KEPT
+        };
+        let old: Vec<_> = self.peers.iter().filter(is_old).map(|(address, _)| *address).collect();
+        for address in old {
+            self.forget(address);
+        }
+    }
+
     pub(super) fn forget(&mut self, peer: net::SocketAddr) {
         if let Some(old) = self.peers.remove(&peer) {
             self.subtract(&old.report.endpoints);
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -336,3 +336,15 @@
     queued(pool.arrive(at(450), short));
     assert_eq!(end(&mut pool, 500, &first), [long]);
 }
+
+/// The report that would have told of the end of its work was lost, and the daemon has had none since.
+#[test]
+fn work_that_a_peer_does_not_repeat_is_forgotten() {
+    let mut pool = pool(&["one"]);
+    pool.note_peer(at(0), peer(2), &report(1, &[("one", 2)], 0));
+    queued(pool.arrive(at(1), demand(1, 0)));
+    pool.expire_peers(at(1_000));
+    assert!(pool.grant_waiting(at(1_000)).is_empty(), "one report may be lost");
+    pool.expire_peers(at(1_500));
+    assert_eq!(pool.grant_waiting(at(1_500)).len(), 1);
+}
--- a/crates/gateway/src/state/asks.rs
+++ b/crates/gateway/src/state/asks.rs
@@ -88,8 +88,9 @@
         }
     }
 
-    /// Takes the requests out of the queue whose daemons say nothing of them any more.
+    /// Drops what other daemons say nothing of any more: waiting requests, and work.
     pub(crate) fn expire(&mut self, now: Timestamp) {
+        self.pool.expire_peers(now);
         let is_old = |(_, held): &(&AskKey, &Held)| now.since(held.seen) > ASK_KEPT;
         let old: Vec<_> = self.asks.iter().filter(is_old).map(|(key, _)| *key).collect();
         for key in old {
