decide: strong hosts place the requests of others before weak ones

Cause: after growth 66 of 74 (and 80 of 89) hosts have 0.12 of a core and 10 Mbit/s, the rest 0.5 and 200. The daemon that places the requests of a service was found by hashing alone, so mostly one of the weak; with processor time charged it could not keep up with 600 requests a second, and everything waited behind it.

Readers of the store are still found by hashing alone.

--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -15,6 +15,8 @@
     own: net::SocketAddr,
     /// This daemon's availability zone.
     zone: id::ZoneName,
+    /// How much work for others this daemon's host can take.
+    strength: gateway::Strength,
     /// How long a member may be silent before its digest is forgotten.
     silence: time::Duration,
     /// Whether the members were ever listed.
@@ -33,6 +35,7 @@
     counted: bool,
     /// Whether it can place the requests of others.
     placing: gateway::Placing,
+    strength: gateway::Strength,
     /// Until when it is not asked, since it left a question unanswered.
     doubted_until: Option<Timestamp>,
     /// Whether everything that this incarnation used was heard: it began after another one.
@@ -86,7 +89,20 @@
 impl Mesh {
     /// Starts with no other member; `own` is this daemon's address for digests.
     pub const fn new(own: net::SocketAddr, zone: id::ZoneName, silence: time::Duration) -> Self {
-        Self { own, zone, silence, listed: false, members: collections::BTreeMap::new() }
+        let strength = gateway::Strength::UNKNOWN;
+        Self { own, zone, strength, silence, listed: false, members: collections::BTreeMap::new() }
+    }
+
+    /// Sets how much work for others this daemon's host can take.
+    #[must_use]
+    pub const fn with_strength(mut self, strength: gateway::Strength) -> Self {
+        self.strength = strength;
+        self
+    }
+
+    /// Returns how much work for others this daemon's host can take.
+    pub const fn strength(&self) -> gateway::Strength {
+        self.strength
     }
 
     /// Returns this daemon's address for digests.
@@ -133,6 +149,7 @@
         member.last = Some((digest.incarnation, digest.number));
         member.heard = (!digest.leaving).then_some(now);
         member.counted = !digest.leaving;
+        member.strength = digest.strength;
         member.placing = if digest.leaving { gateway::Placing::Unable } else { digest.placing };
         let mut news = News { leaving: digest.leaving, ..News::default() };
         for spend in &digest.spend {
@@ -214,7 +231,8 @@
     /// takes over when it is lost, and a new one that is about to.
     ///
     /// Found by rendezvous hashing, so that all daemons with the same members find the same one, and
-    /// that the loss of one moves only its own services. Those that have just started come last.
+    /// that the loss of one moves only its own services. Those that have just started come last, and
+    /// strong hosts before weak ones, which have enough to do with their own requests.
     /// `own` says whether this daemon can. Never empty: who hears nobody places its own.
     pub fn placers(
         &self,
@@ -227,16 +245,17 @@
             is_heard && member.doubted_until.is_none_or(|until| now >= until)
         };
         let others = self.members.iter().filter(|(_, member)| is_asked(member));
-        let others = others.map(|(address, member)| (member.placing, *address));
-        let all = others.chain([(own, self.own)]);
-        let able = all.filter(|(placing, _)| *placing != gateway::Placing::Unable);
+        let others = others.map(|(address, member)| (member.placing, member.strength, *address));
+        let all = others.chain([(own, self.strength, self.own)]);
+        let able = all.filter(|(placing, ..)| *placing != gateway::Placing::Unable);
         let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
         let mut found = Vec::with_capacity(PLACERS + 1);
         let mut heaviest = None;
-        for (placing, address) in able {
-            let rank = (placing, weight(seed, address));
-            if heaviest.is_none_or(|(most, _)| rank.1 > most) {
-                heaviest = Some((rank.1, address));
+        for (placing, strength, address) in able {
+            let fitness = (strength, weight(seed, address));
+            let rank = (placing, fitness);
+            if heaviest.is_none_or(|(most, _)| fitness > most) {
+                heaviest = Some((fitness, address));
             }
             let place = found.partition_point(|(before, _)| *before > rank);
             found.insert(place, (rank, address));
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -2,6 +2,8 @@
 
 use trefoildyke_types::id;
 
+use crate::gateway;
+
 /// Holds one daemon's part of the shared state: full pictures and running totals, so a lost one does
 /// no harm.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -16,6 +18,8 @@
     pub leaving: bool,
     /// Whether the sender can place the requests of others.
     pub placing: Placing,
+    /// How much work for others the sender's host can take.
+    pub strength: gateway::Strength,
     /// What the accounts have used at the sender that were used of late, from time to time all.
     pub spend: Vec<AccountSpend>,
 }
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod quota;
 mod roster;
+mod strength;
 
 pub use attempt::{Attempt, Failure, Next, Repeat};
 pub use budget::RetryBudget;
@@ -33,3 +34,4 @@
 pub use pool::{Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Ticket, Verdict};
 pub use quota::{Audience, Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
+pub use strength::Strength;
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh, Peer, Placing};
+use trefoildyke_decide::gateway::{AccountSpend, Digest, Mesh, Peer, Placing, Strength};
 use trefoildyke_types::time::Timestamp;
 
 fn address(number: u8) -> SocketAddr {
@@ -202,6 +202,44 @@
     assert!(new.iter().all(|mesh| placers(mesh, 100, Placing::New) == usual));
 }
 
+/// Daemons on small hosts have enough to do with their own requests.
+#[test]
+fn strong_hosts_place_before_weak_ones_wherever_a_service_is_looked_for() {
+    let strength = |number: u8| Strength::of_cores(if number >= 3 { 0.5 } else { 0.12 });
+    let meet = |own: u8| {
+        let mut mesh = Mesh::new(address(own), "a".into(), Duration::from_secs(1));
+        mesh = mesh.with_strength(strength(own));
+        mesh.replace(&peers(4));
+        for from in (1..=4).filter(|from| *from != own) {
+            let digest = Digest {
+                number: 1,
+                placing: Placing::Able,
+                strength: strength(from),
+                ..Digest::default()
+            };
+            mesh.note(Timestamp::ZERO, address(from), &digest);
+        }
+        mesh
+    };
+    let strong = [address(3), address(4)];
+    for service in 0..20 {
+        let service = service.to_string().as_str().into();
+        let found = (1..=4)
+            .map(|own| meet(own).placers(Timestamp::from_millis(100), &service, Placing::Able));
+        for placers in found {
+            assert!(placers.iter().all(|placer| strong.contains(placer)), "{placers:?}");
+        }
+    }
+}
+
+#[test]
+fn hosts_of_about_the_same_size_are_equally_strong() {
+    assert_eq!(Strength::of_cores(0.35), Strength::of_cores(0.5));
+    assert!(Strength::of_cores(0.25) > Strength::of_cores(0.12));
+    assert!(Strength::of_cores(0.01) > Strength::UNKNOWN);
+    assert_eq!(Strength::of_cores(f64::NAN), Strength::UNKNOWN);
+}
+
 #[test]
 fn a_daemon_that_leaves_or_knows_no_endpoints_places_nothing() {
     let mut mesh = met(0, &[]).remove(0);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub listen: Listen,
     /// The names of the headers.
     pub names: names::HeaderNames,
+    /// How much work for others this daemon takes on; unknown.
+    pub strength: gateway::Strength,
     /// How the pools decide.
     pub pool: gateway::PoolParams,
     /// How long a key is believed after the configuration was confirmed last; 3.5 s.
@@ -67,6 +69,7 @@
             zone,
             listen,
             names: names::HeaderNames::default(),
+            strength: gateway::Strength::UNKNOWN,
             pool: gateway::PoolParams::default(),
             key_age: time::Duration::from_millis(3_500),
             ready_age: time::Duration::from_millis(2_500),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -65,7 +65,8 @@
             table: None,
             freshness: gateway::Freshness::new(settings.key_age),
             quota: gateway::Quota::new(settings.quota),
-            mesh: gateway::Mesh::new(settings.listen.peers, settings.zone.clone(), PEER_SILENCE),
+            mesh: gateway::Mesh::new(settings.listen.peers, settings.zone.clone(), PEER_SILENCE)
+                .with_strength(settings.strength),
             roster: gateway::Roster::new(settings.list_grace),
             services: collections::HashMap::new(),
             homes: collections::HashMap::new(),
@@ -239,6 +240,7 @@
             leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
             placing: self.placing(now),
+            strength: self.mesh.strength(),
             spend: self.quota.used(kind.audience, kind.full),
         }
     }
