gateway: readers of the store pass on what has changed in the list of endpoints

Change: a reply to a query of the store's state carries what leads from the asker's list to the reader's (16 steps are kept, 100 changes fit one datagram); who has no list is told all of it. Unknown marks lead to a read of one's own, as before.

--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -7,6 +7,8 @@
 
 use trefoildyke_types::id;
 
+use crate::gateway;
+
 pub use digest::{AccountSpend, Digest, Placing};
 pub use load::{EndpointLoad, Learned, LoadReport};
 pub use placing::{Ask, PlaceReply, Placed};
@@ -34,6 +36,8 @@
     Query {
         /// The sender's time; comes back in the reply, so that its age can be told.
         stamp: u64,
+        /// The mark of the sender's list of endpoints.
+        roster: u64,
     },
     /// Answers [`Message::Query`].
     Reply {
@@ -41,5 +45,7 @@
         stamp: u64,
         /// What the sender knows.
         view: StoreView,
+        /// What leads from the list of the query to the one of `view`, if the sender knows that.
+        changes: Option<Vec<gateway::RosterChange>>,
     },
 }
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -22,7 +22,7 @@
 }
 
 /// Says what a new list changes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum RosterChange {
     /// The endpoint is new, or its entry has changed.
     Listed(RosterEntry),
@@ -30,6 +30,9 @@
     Gone(id::EndpointName),
 }
 
+/// The mark of an empty list.
+const EMPTY: u64 = 0;
+
 /// Follows the list of endpoints over outages of its source.
 ///
 /// Entries vanish from the list when their endpoint ends, but also when the source itself was
@@ -45,13 +48,36 @@
     read: Option<Timestamp>,
     /// Stands for the entries.
     mark: u64,
+    /// The latest changes, oldest first.
+    steps: collections::VecDeque<Step>,
     entries: collections::BTreeMap<id::EndpointName, RosterEntry>,
 }
 
+/// Holds what led from one list to the next.
+#[derive(Clone, Debug)]
+struct Step {
+    /// The mark of the list before.
+    from: u64,
+    changes: Vec<RosterChange>,
+}
+
+/// How many changes are told another daemon at once: with some 100 bytes each they fit in one datagram.
+const TOLD: usize = 100;
+
+/// How many steps are kept for those who missed some: with a list a second more than they need.
+const STEPS: usize = 16;
+
 impl Roster {
     /// Creates an empty list.
     pub const fn new(grace: time::Duration) -> Self {
-        Self { grace, steady: None, read: None, mark: 0, entries: collections::BTreeMap::new() }
+        Self {
+            grace,
+            steady: None,
+            read: None,
+            mark: EMPTY,
+            steps: collections::VecDeque::new(),
+            entries: collections::BTreeMap::new(),
+        }
     }
 
     /// Notes that the source did not answer.
@@ -109,14 +135,74 @@
             }
         }
         self.read = Some(now);
-        if !changes.is_empty() {
-            self.mark = mark(&self.entries);
+        self.note(&changes);
+        changes
+    }
+
+    /// Returns what leads from the list with a mark to this one, or `None` if that is not known, or
+    /// too much for one datagram. Who has no list yet is told all of it.
+    pub fn changes_since(&self, mark: u64) -> Option<Vec<RosterChange>> {
+        if mark == self.mark {
+            return Some(Vec::new());
         }
+        let first = self.steps.iter().rposition(|step| step.from == mark);
+        let changes: Vec<_> = match first {
+            Some(first) => {
+                self.steps.range(first..).flat_map(|step| &step.changes).cloned().collect()
+            }
+            None if mark == EMPTY => {
+                self.entries.values().cloned().map(RosterChange::Listed).collect()
+            }
+            None => return None,
+        };
+        (changes.len() <= TOLD).then_some(changes)
+    }
+
+    /// Takes in what another daemon says has changed since the list with the mark `from`, and returns
+    /// what changes here: nothing if the list is another one by now.
+    ///
+    /// The other daemon read the list at `read`, and waited before it counted missing entries as gone.
+    pub fn follow(
+        &mut self,
+        read: Timestamp,
+        from: u64,
+        changes: Vec<RosterChange>,
+    ) -> Vec<RosterChange> {
+        if from != self.mark {
+            return Vec::new();
+        }
+        for change in &changes {
+            match change {
+                RosterChange::Listed(entry) => {
+                    self.entries.insert(entry.endpoint.clone(), entry.clone());
+                }
+                RosterChange::Gone(endpoint) => {
+                    self.entries.remove(endpoint);
+                }
+            }
+        }
+        self.read = self.read.max(Some(read));
+        self.note(&changes);
         changes
     }
+
+    /// Gives the list its new mark, and keeps what led to it.
+    fn note(&mut self, changes: &[RosterChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        self.steps.push_back(Step { from: self.mark, changes: changes.to_vec() });
+        if self.steps.len() > STEPS {
+            self.steps.pop_front();
+        }
+        self.mark = mark(&self.entries);
+    }
 }
 
 fn mark(entries: &collections::BTreeMap<id::EndpointName, RosterEntry>) -> u64 {
+    if entries.is_empty() {
+        return EMPTY;
+    }
     let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
     for entry in entries.values() {
         hasher.update(format!("{entry:?}").as_bytes());
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -68,3 +68,64 @@
     roster.assume_steady(at(1_000));
     assert_eq!(gone(&roster.replace(at(4_000), vec![entry("a")])), 1);
 }
+
+/// Reads two lists and returns their marks too.
+fn read_twice() -> (Roster, u64, u64) {
+    let mut roster = Roster::new(GRACE);
+    roster.replace(at(0), vec![entry("a"), entry("b")]);
+    let first = roster.mark();
+    roster.replace(at(3_000), vec![entry("b"), entry("c")]);
+    let second = roster.mark();
+    (roster, first, second)
+}
+
+#[test]
+fn who_knows_an_earlier_list_is_told_what_has_changed_since() {
+    let (mut reader, first, second) = read_twice();
+    reader.replace(at(4_000), vec![entry("c")]);
+    let mut other = Roster::new(GRACE);
+    other.replace(at(9), vec![entry("a"), entry("b")]);
+    assert_eq!(other.mark(), first);
+    let told = reader.changes_since(first).unwrap();
+    assert_eq!(other.follow(at(4_000), first, told).len(), 3);
+    assert_eq!(other.mark(), reader.mark());
+    assert_eq!(other.read(), Some(at(4_000)));
+    assert_eq!(reader.changes_since(second).unwrap(), [RosterChange::Gone("b".into())]);
+    assert_eq!(reader.changes_since(reader.mark()).unwrap(), []);
+}
+
+#[test]
+fn who_has_no_list_is_told_all_of_it_and_who_has_another_nothing() {
+    let (reader, ..) = read_twice();
+    let mut other = Roster::new(GRACE);
+    let told = reader.changes_since(other.mark()).unwrap();
+    other.follow(at(1), other.mark(), told);
+    assert_eq!(other.mark(), reader.mark());
+    assert_eq!(reader.changes_since(77), None);
+}
+
+#[test]
+fn what_is_told_of_another_list_changes_nothing() {
+    let (mut roster, first, second) = read_twice();
+    let changes = vec![RosterChange::Gone("c".into())];
+    assert_eq!(roster.follow(at(9_000), first, changes), []);
+    assert_eq!(roster.mark(), second);
+    assert_eq!(roster.read(), Some(at(3_000)));
+}
+
+#[test]
+fn a_list_that_changed_too_often_or_too_much_is_not_told() {
+    let mut roster = Roster::new(GRACE);
+    let list = |count: usize| (0..count).map(|i| entry(&format!("e{i}"))).collect::<Vec<_>>();
+    roster.replace(at(0), list(1));
+    let first = roster.mark();
+    for count in 2..60 {
+        roster.replace(at(count as u64 * 1_000), list(count));
+    }
+    assert_eq!(roster.changes_since(first), None);
+    assert!(roster.changes_since(0).is_some());
+    let before = roster.mark();
+    roster.replace(at(90_000), list(400));
+    assert_eq!(roster.changes_since(before), None);
+    assert_eq!(roster.changes_since(0), None);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync as tokio_sync;
 use trefoildyke_decide::gateway;
 
-use crate::{record, state};
+use crate::{query, record, state};
 
 /// How often the others are told though nothing has changed, so that they know that it is heard.
 const REST: time::Duration = time::Duration::from_millis(250);
@@ -163,13 +163,15 @@
         Ok(gateway::Message::Withdraw { service, number }) => {
             shared.decide(|core| core.service(&service).withdraw(from, number));
         }
-        Ok(gateway::Message::Query { stamp }) => {
-            let view = shared.core().store_view(shared.now(), from);
-            if let Some(view) = view {
-                shared.tell(&gateway::Message::Reply { stamp, view }, &[from]);
+        Ok(gateway::Message::Query { stamp, roster }) => {
+            let reply = shared.core().reply(shared.now(), stamp, roster);
+            if let Some(reply) = reply {
+                shared.tell(&reply, &[from]);
             }
         }
-        Ok(gateway::Message::Reply { stamp, view }) => shared.queries.replied(stamp, view),
+        Ok(gateway::Message::Reply { stamp, view, changes }) => {
+            shared.queries.replied(stamp, query::Reply { view, changes });
+        }
         Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -53,8 +53,21 @@
     /// Takes in the whole list of endpoints as it was at `as_of` or later.
     pub fn endpoints(&self, list: Vec<gateway::RosterEntry>) {
         let now = self.now();
+        self.change_endpoints(now, |roster| roster.replace(now, list));
+    }
+
+    /// Takes in what changed between the list with the mark `from` and one read at `read`.
+    pub(crate) fn follow(&self, read: Timestamp, from: u64, changes: Vec<gateway::RosterChange>) {
+        self.change_endpoints(self.now(), |roster| roster.follow(read, from, changes));
+    }
+
+    fn change_endpoints(
+        &self,
+        now: Timestamp,
+        change: impl FnOnce(&mut gateway::Roster) -> Vec<gateway::RosterChange>,
+    ) {
         let changes = self.shared.decide(|core| {
-            let changes = core.roster.replace(now, list);
+            let changes = change(&mut core.roster);
             core.list(now, &changes);
             changes
         });
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -21,7 +21,15 @@
 /// For how long an answer about the list of endpoints holds: two queries, one of them lost.
 const VALID: time::Duration = time::Duration::from_millis(1_000);
 
-/// The latest reply.
+/// What another daemon knows of the store.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    pub(crate) view: gateway::StoreView,
+    /// What leads from the own list of endpoints to the other daemon's.
+    pub(crate) changes: Option<Vec<gateway::RosterChange>>,
+}
+
+/// The latest reply's view.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Latest {
     at: Timestamp,
@@ -31,18 +39,18 @@
 /// Queries that wait for their replies.
 #[derive(Debug, Default)]
 pub(crate) struct Queries {
-    waiting: sync::Mutex<Vec<(u64, oneshot::Sender<gateway::StoreView>)>>,
+    waiting: sync::Mutex<Vec<(u64, oneshot::Sender<Reply>)>>,
     latest: sync::Mutex<Option<Latest>>,
 }
 
 impl Queries {
     /// Takes in a reply; one that nobody waits for any more is dropped.
-    pub(crate) fn replied(&self, stamp: u64, view: gateway::StoreView) {
+    pub(crate) fn replied(&self, stamp: u64, reply: Reply) {
         let mut waiting = lock(&self.waiting);
         if let Some(place) = waiting.iter().position(|(waiting, _)| *waiting == stamp) {
             let (_, sender) = waiting.swap_remove(place);
             // The querying task may have given up at the same moment.
-            let _ = sender.send(view);
+            let _ = sender.send(reply);
         }
     }
 }
@@ -65,13 +73,17 @@
         let own = self.shared.settings.listen.peers;
         for reader in readers.into_iter().filter(|reader| *reader != own) {
             let asked = self.now();
-            let Some(view) = query_one(&self.shared, reader, asked.as_micros()).await else {
+            let roster = self.shared.core().roster.mark();
+            let query = gateway::Message::Query { stamp: asked.as_micros(), roster };
+            let Some(reply) = query_one(&self.shared, reader, asked.as_micros(), &query).await
+            else {
                 continue;
             };
-            let age = time::Duration::from_millis(u64::from(view.confirmed));
+            let age = time::Duration::from_millis(u64::from(reply.view.confirmed));
             if age < STALE {
-                self.believe(asked, view, age);
-                return Some(view.version);
+                let version = reply.view.version;
+                self.believe(asked, roster, reply);
+                return Some(version);
             }
         }
         None
@@ -85,25 +97,30 @@
         is_recent && self.shared.core().roster.mark() == latest.view.roster
     }
 
-    /// Takes over what another daemon knew when it replied to a query that was sent at `asked`.
+    /// Takes over what another daemon knew when it replied to a query that was sent at `asked`, with
+    /// the mark `roster` of the own list of endpoints.
     ///
     /// It answered after that, so what it knew is at most as old as it said, counted from then.
-    fn believe(&self, asked: Timestamp, view: gateway::StoreView, age: time::Duration) {
-        let before = |age: time::Duration| {
-            Timestamp::from_micros(asked.as_micros().saturating_sub(age.as_micros() as u64))
+    fn believe(&self, asked: Timestamp, roster: u64, reply: Reply) {
+        let view = reply.view;
+        let before = |ms: u32| {
+            let age = u64::from(ms) * 1_000;
+            Timestamp::from_micros(asked.as_micros().saturating_sub(age))
         };
         let mut core = self.shared.core();
         let own = core.table.as_ref().map(|table| table.config().version);
         if own == Some(view.version) {
-            core.freshness.confirm(before(age));
+            core.freshness.confirm(before(view.confirmed));
         }
-        let steady = time::Duration::from_millis(u64::from(view.steady));
-        if steady.is_zero() {
+        if view.steady == 0 {
             core.roster.failed();
         } else {
-            core.roster.assume_steady(before(steady));
+            core.roster.assume_steady(before(view.steady));
         }
         drop(core);
+        if let Some(changes) = reply.changes {
+            self.follow(before(view.read), roster, changes);
+        }
         *lock(&self.shared.queries.latest) = Some(Latest { at: asked, view });
     }
 }
@@ -112,10 +129,11 @@
     shared: &state::Shared,
     reader: net::SocketAddr,
     stamp: u64,
-) -> Option<gateway::StoreView> {
+    query: &gateway::Message,
+) -> Option<Reply> {
     let (sender, answer) = oneshot::channel();
     lock(&shared.queries.waiting).push((stamp, sender));
-    shared.tell(&gateway::Message::Query { stamp }, &[reader]);
+    shared.tell(query, &[reader]);
     let answer = tokio::time::timeout(REPLY, answer).await;
     lock(&shared.queries.waiting).retain(|(waiting, _)| *waiting != stamp);
     answer.ok()?.ok()
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -108,24 +108,25 @@
         self.services.entry(name.clone()).or_insert_with(new)
     }
 
-    /// Returns what this daemon knows of the store, for another member that asks.
-    pub(crate) fn store_view(
+    /// Returns what this daemon knows of the store, for another member that has a list of endpoints
+    /// with the mark `roster`; `None` if that is nothing.
+    pub(crate) fn reply(
         &self,
         now: Timestamp,
-        from: net::SocketAddr,
-    ) -> Option<gateway::StoreView> {
+        stamp: u64,
+        roster: u64,
+    ) -> Option<gateway::Message> {
         let ms = |age: std::time::Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         let since = |time: Option<Timestamp>| time.map(|time| ms(now.since(time)));
-        if !self.mesh.is_member(from) {
-            return None;
-        }
-        Some(gateway::StoreView {
+        let view = gateway::StoreView {
             version: self.table.as_ref()?.config().version,
             confirmed: ms(self.freshness.age(now)?),
             roster: self.roster.mark(),
             read: since(self.roster.read())?,
             steady: since(self.roster.steady()).unwrap_or(0),
-        })
+        };
+        let changes = self.roster.changes_since(roster);
+        Some(gateway::Message::Reply { stamp, view, changes })
     }
 
     /// Takes in the changes of the list of endpoints.
