platform: fewer calls to a store that answers nobody, and at starts

A starting daemon reads the exact list once, and again only when a daemon calls it that it does not know.

Ruled out: letting strangers' digests in as members (one stray datagram would change the quotas' parts).

--- a/crates/decide/src/gateway/mesh.rs
+++ b/crates/decide/src/gateway/mesh.rs
@@ -21,6 +21,8 @@
     silence: time::Duration,
     /// Whether the members were ever listed.
     listed: bool,
+    /// Whether a daemon that is not listed was heard.
+    met_stranger: bool,
     /// Addresses of the others.
     members: collections::BTreeMap<net::SocketAddr, Member>,
 }
@@ -89,8 +91,15 @@
 impl Mesh {
     /// Starts with no other member; `own` is this daemon's address for digests.
     pub const fn new(own: net::SocketAddr, zone: id::ZoneName, silence: time::Duration) -> Self {
-        let strength = gateway::Strength::UNKNOWN;
-        Self { own, zone, strength, silence, listed: false, members: collections::BTreeMap::new() }
+        Self {
+            own,
+            zone,
+            strength: gateway::Strength::UNKNOWN,
+            silence,
+            listed: false,
+            met_stranger: false,
+            members: collections::BTreeMap::new(),
+        }
     }
 
     /// Sets how much work for others this daemon's host can take.
@@ -133,7 +142,10 @@
         from: net::SocketAddr,
         digest: &gateway::Digest,
     ) -> Option<News> {
-        let member = self.members.get_mut(&from)?;
+        let Some(member) = self.members.get_mut(&from) else {
+            self.met_stranger |= !digest.leaving;
+            return None;
+        };
         let is_same = member.last.is_some_and(|(incarnation, _)| incarnation == digest.incarnation);
         if is_same && member.last.is_some_and(|(_, number)| number >= digest.number) {
             return None;
@@ -168,6 +180,11 @@
         Some(news)
     }
 
+    /// Says whether a daemon that is not listed was heard since the last call: the list is too old.
+    pub const fn take_stranger(&mut self) -> bool {
+        std::mem::replace(&mut self.met_stranger, false)
+    }
+
     /// Returns the members whose loads are to be forgotten since they say nothing more.
     pub fn expire(&mut self, now: Timestamp) -> Vec<net::SocketAddr> {
         let mut silent = Vec::new();
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -53,6 +53,12 @@
     let mut mesh = mesh(2);
     assert!(mesh.note(Timestamp::ZERO, address(9), &digest(7, 1, 5)).is_none());
     assert!(!mesh.is_member(address(9)));
+    assert!(mesh.take_stranger());
+    assert!(!mesh.take_stranger());
+    let leaving = Digest { leaving: true, ..digest(7, 2, 5) };
+    mesh.note(Timestamp::ZERO, address(9), &leaving);
+    mesh.note(Timestamp::ZERO, address(2), &digest(7, 1, 5));
+    assert!(!mesh.take_stranger());
 }
 
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -93,6 +93,16 @@
         }
     }
 
+    /// Returns how many daemons are known, this one included.
+    pub fn member_count(&self) -> usize {
+        self.shared.core().mesh.count()
+    }
+
+    /// Says whether a daemon that is not among the members was heard since the last call.
+    pub fn take_stranger(&self) -> bool {
+        self.shared.core().mesh.take_stranger()
+    }
+
     /// Logs that something the daemon depends on does not answer.
     pub fn lost(&self, dependency: &'static str, reason: String) {
         self.shared.journal.write(&record::Event::Lost { dependency, reason });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,5 +25,6 @@
 pub use feed::Feed;
 pub use gateway::Gateway;
 pub use names::HeaderNames;
+pub use query::Readers;
 pub use record::{Dropped, Event, Journal};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -29,6 +29,17 @@
     pub(crate) changes: Option<Vec<gateway::RosterChange>>,
 }
 
+/// What the daemons that read the store for others know of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readers {
+    /// One of them knows that this version is in force.
+    Fresh(u64),
+    /// Those that reply have not been answered by the store for a while.
+    Silent,
+    /// None of them replies.
+    Unheard,
+}
+
 /// The latest reply's view.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Latest {
@@ -41,6 +52,8 @@
 pub(crate) struct Queries {
     waiting: sync::Mutex<Vec<(u64, oneshot::Sender<Reply>)>>,
     latest: sync::Mutex<Option<Latest>>,
+    /// When the readers last said that the store is silent.
+    silent: sync::Mutex<Option<Timestamp>>,
 }
 
 impl Queries {
@@ -66,9 +79,8 @@
     }
 
     /// Asks those that read the store; confirms the configuration if one of them knows it fresh.
-    ///
-    /// Returns the version that is in force there, or `None` if nobody has a fresh answer.
-    pub async fn query_readers(&self) -> Option<u64> {
+    pub async fn query_readers(&self) -> Readers {
+        let mut found = Readers::Unheard;
         let readers = self.shared.core().mesh.readers();
         let own = self.shared.settings.listen.peers;
         for reader in readers.into_iter().filter(|reader| *reader != own) {
@@ -83,10 +95,25 @@
             if age < STALE {
                 let version = reply.view.version;
                 self.believe(asked, roster, reply);
-                return Some(version);
+                return Readers::Fresh(version);
             }
+            found = Readers::Silent;
         }
-        None
+        if found == Readers::Silent {
+            // Endpoints cannot list themselves either.
+            self.shared.core().roster.failed();
+            *lock(&self.shared.queries.silent) = Some(self.now());
+        }
+        found
+    }
+
+    /// Says whether the store is known to answer neither this daemon nor those that read it for others:
+    /// there is no use in calling it until they say otherwise.
+    pub fn store_is_silent(&self) -> bool {
+        let now = self.now();
+        let is_told = lock(&self.shared.queries.silent).is_some_and(|at| now.since(at) < VALID);
+        let core = self.shared.core();
+        is_told && !core.mesh.is_reader() && !core.freshness.is_within(now, STALE)
     }
 
     /// Says whether the list of endpoints is known to be that of a daemon that reads it.
