decide: late requests without hope are refused at once, by the rate of their own class

On arrival few stand before them; once late they step back behind all that comes in time, and the predicted wait (all grants of the queue over all that stand before) did not see that.

Change: grants are counted by class (rank, and late or not) over the time in which the class waits; a request that becomes late is refused at once, with a time to come back, if the wait of its new class passes its patience.

Test failed first: loads::who_will_not_be_served_at_twice_the_capacity_is_told_soon (1,800 ms; 700 allowed).

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -31,7 +31,9 @@
     AccountSpend, Ask, Digest, EndpointLoad, Learned, LoadReport, Message, PlaceReply, Placed,
     Placing, StoreView,
 };
-pub use pool::{Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Ticket, Verdict};
+pub use pool::{
+    Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
+};
 pub use quota::{Audience, Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -79,6 +79,15 @@
     Refused(Refused),
 }
 
+/// Says what has become of a request that waited.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settled {
+    /// It may be sent now.
+    Granted(Grant),
+    /// It is late, and would wait too long.
+    Refused(Refused),
+}
+
 /// Says how a granted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::gateway;
 
-pub use demand::{Demand, Grant, Outcome, Refused, Ticket, Verdict};
+pub use demand::{Demand, Grant, Outcome, Refused, Settled, Ticket, Verdict};
 pub use endpoint::EndpointState;
 pub use params::PoolParams;
 
@@ -89,30 +89,32 @@
         let service = self.expected_service(&demand);
         let place = self.queue.place(now, ticket, &demand, service);
         let ahead = self.queue.ahead_of(&place);
-        if ahead == 0
+        if ahead.is_none()
             && let Some(grant) = self.grant(now, place.class(), &demand)
         {
             return Verdict::Granted(grant);
         }
-        let wait = self.predicted_wait(now, ahead);
-        let patience = demand.patience(now).as_secs_f64() * self.params.patience_part;
-        if wait > patience && !demand.returning {
-            return Verdict::Refused(Refused { retry_after: self.retry_after(wait) });
+        if let Some(refused) = self.hopeless(now, &demand, &place) {
+            return Verdict::Refused(refused);
         }
+        self.flow.queued(now, place.class());
         self.queue.push(place, demand, service);
         Verdict::Queued(ticket)
     }
 
     /// Takes a request out of the queue: its caller has left or its time is up.
-    pub fn give_up(&mut self, ticket: Ticket) {
-        self.queue.take(ticket);
+    pub fn give_up(&mut self, now: Timestamp, ticket: Ticket) {
+        if let Some(class) = self.queue.take(ticket) {
+            self.flow.left(now, class);
+        }
     }
 
     /// Returns after how long a request of `rank` should come back that waited in vain.
     ///
     /// By then all that waits now at its rank and above will have been served.
     pub fn retry_hint(&self, now: Timestamp, rank: u8) -> std::time::Duration {
-        self.retry_after(self.predicted_wait(now, self.queue.up_to(rank)))
+        let class = queue::class(rank, true);
+        self.retry_after(self.flow.wait(now, class, self.queue.up_to(class)))
     }
 
     /// Notes that the first event or the answer of a request has come.
@@ -137,17 +139,49 @@
         }
     }
 
-    /// Grants all places that waiting requests can have now, the most urgent first.
-    pub fn grant_waiting(&mut self, now: Timestamp) -> Vec<(Ticket, Grant)> {
-        let mut grants = Vec::new();
+    /// Grants all places that waiting requests can have now, the most urgent first, and refuses those
+    /// that have become late with no hope of a place.
+    pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Settled)> {
+        let mut settled = Vec::new();
         self.lapse(now);
-        self.queue.note_late(now);
+        let late = self.queue.note_late(now);
+        for (_, before) in &late {
+            self.flow.left(now, *before);
+            self.flow.queued(now, *before + 1);
+        }
         while let Some((ticket, grant)) = self.grant_first(now) {
-            self.queue.take(ticket);
-            self.flow.granted(now);
-            grants.push((ticket, grant));
+            if let Some(class) = self.queue.take(ticket) {
+                self.flow.granted(now, class);
+            }
+            settled.push((ticket, Settled::Granted(grant)));
         }
-        grants
+        for (ticket, _) in late {
+            if let Some(refused) = self.refuse(now, ticket) {
+                settled.push((ticket, Settled::Refused(refused)));
+            }
+        }
+        settled
+    }
+
+    /// Refuses a request that waits, if it would wait too long.
+    ///
+    /// The load that this answers: a burst in which a request that has become late steps back behind
+    /// all that come in time. Told at once, its caller comes back with most of its time left.
+    fn refuse(&mut self, now: Timestamp, ticket: Ticket) -> Option<Refused> {
+        let (demand, place) = self.queue.find(ticket)?;
+        let refused = self.hopeless(now, demand, place)?;
+        self.give_up(now, ticket);
+        Some(refused)
+    }
+
+    /// Says that a request would wait too long at `place`, and when to come back.
+    ///
+    /// Who was refused before will not come again, so it may wait for as long as it likes.
+    fn hopeless(&self, now: Timestamp, demand: &Demand, place: &queue::Place) -> Option<Refused> {
+        let wait = self.flow.wait(now, place.class(), self.queue.ahead_of(place));
+        let patience = demand.patience(now).as_secs_f64() * self.params.patience_part;
+        let is_hopeless = wait > patience && !demand.returning;
+        is_hopeless.then(|| Refused { retry_after: self.retry_after(wait) })
     }
 
     /// Takes in what another daemon has at this service.
@@ -223,11 +257,6 @@
         Ticket(self.next_ticket)
     }
 
-    /// Returns how long a request would wait behind `ahead` others, in seconds.
-    fn predicted_wait(&self, now: Timestamp, ahead: usize) -> f64 {
-        ahead as f64 * self.flow.interval(now)
-    }
-
     /// Returns how long a request is expected to take at an endpoint of mean speed.
     fn expected_service(&self, demand: &Demand) -> queue::Service {
         let count = self.endpoints.len().max(1) as f64;
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::time::Timestamp;
 
-use crate::gateway::{Demand, Ticket};
+use crate::gateway::{Demand, Ticket, pool::flow};
 
 /// Orders waiting requests by rank, then by whether their objective can still be met, then by
 /// objective and length.
@@ -68,12 +68,17 @@
 }
 
 impl Place {
-    /// Returns the class: twice the rank, and one more if it is late.
+    /// Returns the class: requests of a lower one go first.
     pub(super) const fn class(&self) -> usize {
-        self.rank as usize * 2 + self.late as usize
+        class(self.rank, self.late)
     }
 }
 
+/// Returns the class of requests of a rank: twice the rank, and one more for those that are late.
+pub(super) const fn class(rank: u8, late: bool) -> usize {
+    rank as usize * 2 + late as usize
+}
+
 impl Queue {
     /// Returns where a new request would stand.
     pub(super) fn place(
@@ -95,27 +100,38 @@
         self.waiting.insert(place.ticket, Waiting { demand, place, service });
     }
 
-    /// Moves the requests back whose objective cannot be met any more.
-    pub(super) fn note_late(&mut self, now: Timestamp) {
+    /// Moves the requests back whose objective cannot be met any more, and returns them with the classes
+    /// that they had.
+    pub(super) fn note_late(&mut self, now: Timestamp) -> Vec<(Ticket, usize)> {
+        let mut late = Vec::new();
         while let Some((latest, ticket)) = self.objectives.first().copied() {
             if latest > now {
-                return;
+                break;
             }
             self.objectives.remove(&(latest, ticket));
             if let Some(waiting) = self.waiting.get_mut(&ticket) {
+                late.push((ticket, waiting.place.class()));
                 self.order.remove(&waiting.place);
                 waiting.place.late = true;
                 waiting.place.due = due(&waiting.demand, true, waiting.service);
                 self.order.insert(waiting.place);
             }
         }
+        late
+    }
+
+    /// Returns a waiting request and where it stands.
+    pub(super) fn find(&self, ticket: Ticket) -> Option<(&Demand, &Place)> {
+        let waiting = self.waiting.get(&ticket)?;
+        Some((&waiting.demand, &waiting.place))
     }
 
-    pub(super) fn take(&mut self, ticket: Ticket) -> Option<Demand> {
+    /// Takes a request out and returns its class.
+    pub(super) fn take(&mut self, ticket: Ticket) -> Option<usize> {
         let waiting = self.waiting.remove(&ticket)?;
         self.order.remove(&waiting.place);
         self.objectives.remove(&(waiting.service.latest(&waiting.demand), ticket));
-        Some(waiting.demand)
+        Some(waiting.place.class())
     }
 
     /// Returns the requests in order, with their classes.
@@ -127,13 +143,13 @@
     }
 
     /// Returns how many requests stand before a place.
-    pub(super) fn ahead_of(&self, place: &Place) -> usize {
-        self.order.iter().take_while(|other| *other < place).count()
+    pub(super) fn ahead_of(&self, place: &Place) -> flow::Ahead {
+        count(self.order.iter().take_while(|other| *other < place), place.class())
     }
 
-    /// Returns how many requests of `rank` and more urgent ones wait.
-    pub(super) fn up_to(&self, rank: u8) -> usize {
-        self.order.iter().take_while(|place| place.rank <= rank).count()
+    /// Returns how many requests of `class` and of those that go first wait.
+    pub(super) fn up_to(&self, class: usize) -> flow::Ahead {
+        count(self.order.iter().take_while(|place| place.class() <= class), class)
     }
 
     pub(super) fn len(&self) -> usize {
@@ -141,6 +157,16 @@
     }
 }
 
+fn count<'a>(places: impl Iterator<Item = &'a Place>, class: usize) -> flow::Ahead {
+    places.fold(flow::Ahead::default(), |ahead, place| {
+        if place.class() < class {
+            flow::Ahead { first: ahead.first + 1, ..ahead }
+        } else {
+            flow::Ahead { own: ahead.own + 1, ..ahead }
+        }
+    })
+}
+
 fn due(demand: &Demand, late: bool, service: Service) -> Timestamp {
     if late && demand.returning {
         return Timestamp::ZERO;
--- a/crates/decide/tests/testsuite/gateway/loads.rs
+++ b/crates/decide/tests/testsuite/gateway/loads.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use trefoildyke_decide::gateway::{
-    Demand, Grant, Outcome, Pool, PoolParams, RosterEntry, Ticket, Verdict,
+    Demand, Grant, Outcome, Pool, PoolParams, RosterEntry, Settled, Ticket, Verdict,
 };
 use trefoildyke_types::time::Timestamp;
 
@@ -27,7 +27,8 @@
 struct Fate {
     rank: u8,
     length: f64,
-    refused: bool,
+    /// After how long it was refused.
+    refused: Option<u64>,
     first: Option<u64>,
     endpoint_speed: f64,
 }
@@ -98,7 +99,7 @@
         match self.pool.arrive(at(ms), demand) {
             Verdict::Granted(grant) => self.start(ms, number, grant),
             Verdict::Queued(ticket) => self.waiting.push((ticket, number)),
-            Verdict::Refused(_) => self.fates[number].refused = true,
+            Verdict::Refused(_) => self.fates[number].refused = Some(0),
         }
     }
 
@@ -124,16 +125,21 @@
             self.pool.end(now, &run.grant, 0, Outcome::Served);
         }
         self.heard(now);
-        for (ticket, grant) in self.pool.grant_waiting(now) {
+        for (ticket, settled) in self.pool.settle(now) {
             let place = self.waiting.iter().position(|(waiting, _)| *waiting == ticket).unwrap();
             let (_, number) = self.waiting.remove(place);
-            self.start(ms, number, grant);
+            match settled {
+                Settled::Granted(grant) => self.start(ms, number, grant),
+                Settled::Refused(_) => {
+                    self.fates[number].refused = Some(ms - self.arrivals[number]);
+                }
+            }
         }
         let arrivals = &self.arrivals;
         let left = |(_, number): &mut (Ticket, usize)| arrivals[*number] + 1_800 <= ms;
         for (ticket, number) in self.waiting.extract_if(.., left).collect::<Vec<_>>() {
-            self.pool.give_up(ticket);
-            self.fates[number].refused = true;
+            self.pool.give_up(now, ticket);
+            self.fates[number].refused = Some(1_800);
         }
     }
 
@@ -242,3 +248,14 @@
     let slow = speeds(2).filter(|fate| fate.endpoint_speed > 1.0).count();
     assert!(slow * 2 > speeds(2).count(), "{slow} short prompts left the fast endpoints alone");
 }
+
+/// What has become late steps back behind all that come in time, so most of it would wait in vain.
+#[test]
+fn who_will_not_be_served_at_twice_the_capacity_is_told_soon() {
+    let world = play(80.0);
+    let mut waits: Vec<_> = world.fates.iter().filter_map(|fate| fate.refused).collect();
+    waits.sort_unstable();
+    assert!(waits.len() > 100, "{}", waits.len());
+    let median = waits[waits.len() / 2];
+    assert!(median < 700, "half of {} refused waited for {median} ms", waits.len());
+}
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_decide::gateway::{EndpointLoad, Learned, LoadReport, Outcome, Verdict};
 
-use super::support::{at, demand, end, entry, granted, pool, queued, service};
+use super::support::{at, demand, end, entry, granted, grants, pool, queued, service};
 
 fn peer(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_600))
@@ -41,7 +41,7 @@
     pool.note_peer(at(0), peer(2), &report(1, &[("one", 2)], 0));
     let ticket = queued(pool.arrive(at(1), demand(1, 0)));
     pool.note_peer(at(50), peer(2), &report(2, &[("one", 1)], 0));
-    let grants = pool.grant_waiting(at(50));
+    let grants = grants(&mut pool, 50);
     assert_eq!(grants.len(), 1);
     assert_eq!(grants[0].0, ticket);
 }
@@ -62,7 +62,7 @@
     queued(pool.arrive(at(1), demand(1, 0)));
     let restarted = LoadReport { incarnation: 2, ..report(1, &[], 0) };
     pool.note_peer(at(2), peer(2), &restarted);
-    assert_eq!(pool.grant_waiting(at(2)).len(), 1);
+    assert_eq!(grants(&mut pool, 2).len(), 1);
 }
 
 #[test]
@@ -75,13 +75,13 @@
     let urgent = queued(pool.arrive(at(1), demand(1, 0)));
     // A report that was made before the places came.
     pool.note_peer(at(5), peer(2), &report(1, &[], 0));
-    assert!(pool.grant_waiting(at(5)).is_empty());
+    assert!(grants(&mut pool, 5).is_empty());
     // Both have come and one request has ended since: one of two slots is taken, not two or none.
     pool.note_peer(at(20), peer(2), &report(2, &[("one", 1)], 2));
-    let grants = pool.grant_waiting(at(20));
-    assert_eq!(grants.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [urgent]);
+    let given = grants(&mut pool, 20);
+    assert_eq!(given.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [urgent]);
     queued(pool.arrive(at(21), demand(21, 0)));
-    assert!(pool.grant_waiting(at(21)).is_empty());
+    assert!(grants(&mut pool, 21).is_empty());
 }
 
 #[test]
@@ -92,8 +92,8 @@
         pool.promise(at(0), &grant, peer(2), given);
     }
     queued(pool.arrive(at(1), demand(1, 2)));
-    assert!(pool.grant_waiting(at(200)).is_empty());
-    assert_eq!(pool.grant_waiting(at(300)).len(), 1);
+    assert!(grants(&mut pool, 200).is_empty());
+    assert_eq!(grants(&mut pool, 300).len(), 1);
 }
 
 #[test]
@@ -117,7 +117,7 @@
     pool.list(at(1), &draining);
     assert!(pool.take(at(1), &"one".into(), &demand(1, 0)).is_none());
     queued(pool.arrive(at(1), demand(1, 0)));
-    assert!(pool.grant_waiting(at(2)).is_empty());
+    assert!(grants(&mut pool, 2).is_empty());
 }
 
 /// A stream of one daemon shows all of them how slow an endpoint has become.
@@ -176,7 +176,7 @@
     let mut pool = pool(&["one"]);
     granted(pool.arrive(at(0), demand(0, 0)));
     queued(pool.arrive(at(5_000), demand(5_000, 0)));
-    assert!(pool.grant_waiting(at(5_000)).is_empty());
+    assert!(grants(&mut pool, 5_000).is_empty());
 }
 
 #[test]
@@ -267,7 +267,7 @@
     repeatable.repeatable = true;
     let mut alone = pool.clone();
     queued(pool.arrive(at(1), demand(1, 0)));
-    assert!(pool.grant_waiting(at(1)).is_empty());
+    assert!(grants(&mut pool, 1).is_empty());
     assert_eq!(granted(alone.arrive(at(1), repeatable.clone())).endpoint.as_str(), "one");
     queued(alone.arrive(at(1), repeatable));
 }
@@ -315,7 +315,7 @@
         queued(pool.arrive(at(100), long.clone()));
     }
     let lesser = queued(pool.arrive(at(100), demand(100, 2)));
-    let grants = pool.grant_waiting(at(100));
+    let grants = grants(&mut pool, 100);
     let places: Vec<_> =
         grants.iter().map(|(ticket, grant)| (*ticket, grant.endpoint.as_str())).collect();
     assert_eq!(places, [(lesser, "slow")]);
@@ -344,7 +344,7 @@
     pool.note_peer(at(0), peer(2), &report(1, &[("one", 2)], 0));
     queued(pool.arrive(at(1), demand(1, 0)));
     pool.expire_peers(at(1_000));
-    assert!(pool.grant_waiting(at(1_000)).is_empty(), "one report may be lost");
+    assert!(grants(&mut pool, 1_000).is_empty(), "one report may be lost");
     pool.expire_peers(at(1_500));
-    assert_eq!(pool.grant_waiting(at(1_500)).len(), 1);
+    assert_eq!(grants(&mut pool, 1_500).len(), 1);
 }
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use trefoildyke_decide::gateway::{
-    Demand, Grant, Outcome, Pool, PoolParams, RosterEntry, Ticket, Verdict,
+    Demand, Grant, Outcome, Pool, PoolParams, RosterEntry, Settled, Ticket, Verdict,
 };
 use trefoildyke_types::{id::PoolName, time::Timestamp};
 
@@ -65,9 +65,18 @@
 /// Ends a request and returns whom its slot goes to.
 pub(super) fn end(pool: &mut Pool, ms: u64, grant: &Grant) -> Vec<Ticket> {
     pool.end(at(ms), grant, grant.prompt, Outcome::Served);
-    pool.grant_waiting(at(ms)).into_iter().map(|(ticket, _)| ticket).collect()
+    grants(pool, ms).into_iter().map(|(ticket, _)| ticket).collect()
 }
 
 pub(super) fn service() -> PoolName {
     "assistant".into()
 }
+
+/// Returns the waiting requests that are granted places now.
+pub(super) fn grants(pool: &mut Pool, ms: u64) -> Vec<(Ticket, Grant)> {
+    let granted = |(ticket, settled): (Ticket, Settled)| match settled {
+        Settled::Granted(grant) => Some((ticket, grant)),
+        Settled::Refused(_) => None,
+    };
+    pool.settle(at(ms)).into_iter().filter_map(granted).collect()
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,7 +161,7 @@
             core.report(shared.now(), &service);
         }),
         Ok(gateway::Message::Withdraw { service, number }) => {
-            shared.decide(|core| core.service(&service).withdraw(from, number));
+            shared.decide(|core| core.service(&service).withdraw(shared.now(), from, number));
         }
         Ok(gateway::Message::Query { stamp, roster }) => {
             let reply = shared.core().reply(shared.now(), stamp, roster);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -83,9 +83,10 @@
 
     /// Takes in the list of all daemons.
     pub fn members(&self, list: &[gateway::Peer]) {
+        let now = self.now();
         let mut core = self.shared.core();
         let before = core.mesh.others();
-        core.members(list);
+        core.members(now, list);
         let (count, is_changed) = (core.mesh.count(), core.mesh.others() != before);
         drop(core);
         if is_changed {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -60,11 +60,14 @@
     match verdict {
         state::Verdict::Granted(grant) => Ok(grant),
         state::Verdict::Refused(after) => Err(after),
-        state::Verdict::Queued(ticket, granted) => {
+        state::Verdict::Queued(ticket, settled) => {
             let waiting =
-                state::Waiting::new(sync::Arc::clone(shared), service.clone(), ticket, granted);
-            let hint = || shared.core().service(service).pool.retry_hint(shared.now(), rank);
-            waiting.place(end).await.ok_or_else(hint)
+                state::Waiting::new(sync::Arc::clone(shared), service.clone(), ticket, settled);
+            match waiting.settled(end).await {
+                Some(gateway::Settled::Granted(grant)) => Ok(grant),
+                Some(gateway::Settled::Refused(refused)) => Err(refused.retry_after),
+                None => Err(shared.core().service(service).pool.retry_hint(shared.now(), rank)),
+            }
         }
     }
 }
--- a/crates/gateway/src/state/asks.rs
+++ b/crates/gateway/src/state/asks.rs
@@ -29,10 +29,7 @@
         }
         match self.pool.arrive(now, demand) {
             gateway::Verdict::Granted(grant) => self.give(now, key, &grant),
-            gateway::Verdict::Refused(refused) => {
-                let retry_ms = ms(refused.retry_after);
-                self.reply(key, gateway::PlaceReply::Refused { retry_ms });
-            }
+            gateway::Verdict::Refused(refused) => self.turn_away(key, refused),
             gateway::Verdict::Queued(ticket) => {
                 self.waiters.insert(ticket, Waiter::Peer(key));
                 self.asks.insert(key, Held { ticket, seen: now });
@@ -47,6 +44,12 @@
         self.reply(key, gateway::PlaceReply::Queued { retry_ms });
     }
 
+    /// Refuses another daemon's request.
+    pub(super) fn turn_away(&mut self, key: AskKey, refused: gateway::Refused) {
+        let retry_ms = ms(refused.retry_after);
+        self.reply(key, gateway::PlaceReply::Refused { retry_ms });
+    }
+
     fn reply(&mut self, key: AskKey, reply: gateway::PlaceReply) {
         let placed = gateway::Placed { service: self.name.clone(), number: key.number, reply };
         self.mail.push(Letter { to: key.peer, message: gateway::Message::Placed(placed) });
@@ -71,20 +74,20 @@
     }
 
     /// Takes in that another daemon's request needs no place any more.
-    pub(crate) fn withdraw(&mut self, peer: net::SocketAddr, number: u64) {
+    pub(crate) fn withdraw(&mut self, now: Timestamp, peer: net::SocketAddr, number: u64) {
         if let Some(held) = self.asks.remove(&AskKey { peer, number }) {
             self.waiters.remove(&held.ticket);
-            self.pool.give_up(held.ticket);
+            self.pool.give_up(now, held.ticket);
         }
     }
 
     /// Forgets the work and the requests of a daemon that says nothing more.
-    pub(crate) fn forget(&mut self, peer: net::SocketAddr) {
+    pub(crate) fn forget(&mut self, now: Timestamp, peer: net::SocketAddr) {
         self.pool.forget_peer(peer);
         let of_peer = |key: &&AskKey| key.peer == peer;
         let numbers: Vec<_> = self.asks.keys().filter(of_peer).map(|key| key.number).collect();
         for number in numbers {
-            self.withdraw(peer, number);
+            self.withdraw(now, peer, number);
         }
     }
 
@@ -94,7 +97,7 @@
         let is_old = |(_, held): &(&AskKey, &Held)| now.since(held.seen) > ASK_KEPT;
         let old: Vec<_> = self.asks.iter().filter(is_old).map(|(key, _)| *key).collect();
         for key in old {
-            self.withdraw(key.peer, key.number);
+            self.withdraw(now, key.peer, key.number);
         }
     }
 }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -150,9 +150,9 @@
     }
 
     /// Takes in the list of members.
-    pub(crate) fn members(&mut self, list: &[gateway::Peer]) {
+    pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) {
         for peer in self.mesh.replace(list) {
-            self.forget(peer);
+            self.forget(now, peer);
         }
         self.quota.set_members(self.mesh.count());
     }
@@ -174,7 +174,7 @@
             }
         }
         if news.leaving {
-            self.forget(from);
+            self.forget(now, from);
         }
     }
 
@@ -250,7 +250,7 @@
     pub(crate) fn tick(&mut self, now: Timestamp) -> PeerNews {
         let silent = self.mesh.expire(now);
         for peer in &silent {
-            self.forget(*peer);
+            self.forget(now, *peer);
         }
         for service in self.services.values_mut() {
             service.expire(now);
@@ -259,9 +259,9 @@
         PeerNews { silent: silent.len() }
     }
 
-    fn forget(&mut self, peer: net::SocketAddr) {
+    fn forget(&mut self, now: Timestamp, peer: net::SocketAddr) {
         for service in self.services.values_mut() {
-            service.forget(peer);
+            service.forget(now, peer);
         }
     }
 
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -34,7 +34,7 @@
 /// Who waits for a place.
 pub(super) enum Waiter {
     /// A request of this daemon.
-    Own(oneshot::Sender<gateway::Grant>),
+    Own(oneshot::Sender<gateway::Settled>),
     /// A request of another daemon.
     Peer(AskKey),
 }
@@ -74,7 +74,7 @@
     /// It has one.
     Granted(gateway::Grant),
     /// It is told through the channel.
-    Queued(gateway::Ticket, oneshot::Receiver<gateway::Grant>),
+    Queued(gateway::Ticket, oneshot::Receiver<gateway::Settled>),
     /// It would wait too long.
     Refused(time::Duration),
 }
@@ -194,33 +194,36 @@
     /// Hands out the places that are free now.
     pub(crate) fn hand_out(&mut self, now: Timestamp) {
         loop {
-            let grants = self.pool.grant_waiting(now);
-            if grants.is_empty() {
+            let settled = self.pool.settle(now);
+            if settled.is_empty() {
                 return;
             }
-            for (ticket, grant) in grants {
-                self.deliver(now, ticket, grant);
+            for (ticket, settled) in settled {
+                self.deliver(now, ticket, settled);
             }
         }
     }
 
-    fn deliver(&mut self, now: Timestamp, ticket: gateway::Ticket, grant: gateway::Grant) {
+    fn deliver(&mut self, now: Timestamp, ticket: gateway::Ticket, settled: gateway::Settled) {
         let unused = match self.waiters.remove(&ticket) {
-            Some(Waiter::Own(waiter)) => waiter.send(grant).err(),
+            Some(Waiter::Own(waiter)) => waiter.send(settled).err(),
             Some(Waiter::Peer(key)) => {
                 self.asks.remove(&key);
-                return self.give(now, key, &grant);
+                return match settled {
+                    gateway::Settled::Granted(grant) => self.give(now, key, &grant),
+                    gateway::Settled::Refused(refused) => self.turn_away(key, refused),
+                };
             }
-            None => Some(grant),
+            None => Some(settled),
         };
-        if let Some(grant) = unused {
+        if let Some(gateway::Settled::Granted(grant)) = unused {
             self.pool.end(now, &grant, grant.prompt, gateway::Outcome::Unused);
         }
     }
 
-    pub(crate) fn give_up(&mut self, ticket: gateway::Ticket) {
+    pub(crate) fn give_up(&mut self, now: Timestamp, ticket: gateway::Ticket) {
         self.waiters.remove(&ticket);
-        self.pool.give_up(ticket);
+        self.pool.give_up(now, ticket);
     }
 }
 
--- a/crates/gateway/src/state/waiting.rs
+++ b/crates/gateway/src/state/waiting.rs
@@ -13,8 +13,8 @@
     shared: sync::Arc<state::Shared>,
     service: id::PoolName,
     ticket: gateway::Ticket,
-    granted: oneshot::Receiver<gateway::Grant>,
-    /// Whether a grant was taken out of `granted`.
+    settled: oneshot::Receiver<gateway::Settled>,
+    /// Whether that was taken out of `settled`.
     taken: bool,
 }
 
@@ -23,16 +23,16 @@
         shared: sync::Arc<state::Shared>,
         service: id::PoolName,
         ticket: gateway::Ticket,
-        granted: oneshot::Receiver<gateway::Grant>,
+        settled: oneshot::Receiver<gateway::Settled>,
     ) -> Self {
-        Self { shared, service, ticket, granted, taken: false }
+        Self { shared, service, ticket, settled, taken: false }
     }
 
-    /// Returns the place, or `None` if there was none until `end`.
-    pub(crate) async fn place(mut self, end: tokio::time::Instant) -> Option<gateway::Grant> {
-        let granted = tokio::time::timeout_at(end, &mut self.granted).await.ok()?.ok()?;
+    /// Returns what has become of the request, or `None` if that was nothing until `end`.
+    pub(crate) async fn settled(mut self, end: tokio::time::Instant) -> Option<gateway::Settled> {
+        let settled = tokio::time::timeout_at(end, &mut self.settled).await.ok()?.ok()?;
         self.taken = true;
-        Some(granted)
+        Some(settled)
     }
 }
 
@@ -42,10 +42,14 @@
             return;
         }
         // The grant may have come at the same moment.
-        if let Ok(grant) = self.granted.try_recv() {
-            self.shared.release(&self.service, &grant, grant.prompt, gateway::Outcome::Unused);
-            return;
+        match self.settled.try_recv() {
+            Ok(gateway::Settled::Granted(grant)) => {
+                self.shared.release(&self.service, &grant, grant.prompt, gateway::Outcome::Unused);
+                return;
+            }
+            Ok(gateway::Settled::Refused(_)) => return,
+            Err(_) => {}
         }
-        self.shared.core().service(&self.service).give_up(self.ticket);
+        self.shared.core().service(&self.service).give_up(self.shared.now(), self.ticket);
     }
 }
