decide: callers that were refused before are told at once when there is no hope either

Cause: they waited to the end of their patience whatever stood before them (2.9 s for interview answers), and were refused then.

Test failed first: pool::who_was_refused_before_waits_while_there_is_hope_and_is_told_when_there_is_none.

--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -176,11 +176,11 @@
 
     /// Says that a request would wait too long at `place`, and when to come back.
     ///
-    /// Who was refused before will not come again, so it may wait for as long as it likes.
+    /// Who was refused before will not come again, so it may wait for as long as there is hope.
     fn hopeless(&self, now: Timestamp, demand: &Demand, place: &queue::Place) -> Option<Refused> {
         let wait = self.flow.wait(now, place.class(), self.queue.ahead_of(place));
-        let patience = demand.patience(now).as_secs_f64() * self.params.patience_part;
-        let is_hopeless = wait > patience && !demand.returning;
+        let part = if demand.returning { 1.0 } else { self.params.patience_part };
+        let is_hopeless = wait > demand.patience(now).as_secs_f64() * part;
         is_hopeless.then(|| Refused { retry_after: self.retry_after(wait) })
     }
 
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use trefoildyke_decide::gateway::{EndpointLoad, Learned, LoadReport, Outcome, Verdict};
+use trefoildyke_decide::gateway::{Demand, EndpointLoad, Learned, LoadReport, Outcome, Verdict};
 
 use super::support::{at, demand, end, entry, granted, grants, pool, queued, service};
 
@@ -233,6 +233,22 @@
     queued(pool.arrive(at(1), returning));
 }
 
+/// Nobody who waits gets a place, since more urgent requests take all.
+#[test]
+fn who_was_refused_before_waits_while_there_is_hope_and_is_told_when_there_is_none() {
+    let mut pool = pool(&["one"]);
+    granted(pool.arrive(at(0), demand(0, 0)));
+    granted(pool.arrive(at(0), demand(0, 0)));
+    let returning = |ms| Demand { returning: true, ..demand(ms, 2) };
+    for ms in 0..=20 {
+        queued(pool.arrive(at(ms), returning(ms)));
+    }
+    assert!(pool.settle(at(600)).is_empty(), "nothing is known of how the late are served");
+    let next = queued(pool.arrive(at(600), returning(600)));
+    let refused: Vec<_> = pool.settle(at(1_500)).into_iter().map(|(ticket, _)| ticket).collect();
+    assert_eq!(refused, [next]);
+}
+
 /// On a busy slow engine two of three steps also read a part of somebody's prompt.
 #[test]
 fn prompts_that_are_read_beside_a_stream_do_not_make_its_endpoint_seem_slower() {
