spec: keys at a daemon that asks another one

What a reader of the store tells a follower was not in the model, though the users' bound for removed keys rests on it. Without one guard it finds a counterexample each: an age that counts from the question, an age that is told at all, clocks that go on in a suspended host. Decisions are the daemon's own (Freshness).

--- a/crates/spec/src/keys.rs
+++ b/crates/spec/src/keys.rs
@@ -2,8 +2,8 @@
 //!
 //! One gateway asks one store whether its configuration still holds. Answers may take any time, the
 //! host may be suspended, the process may restart, and the store's watches may be silent for a
-//! moment before their history is dropped. Gateways do not rest on each other here, so one is
-//! enough. Time goes in steps of which the users' bound is `bound`.
+//! moment before their history is dropped. What one gateway tells another is in
+//! [`super::passed_keys`]. Time goes in steps of which the users' bound is `bound`.
 
 use std::{fmt, time};
 
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod invariant;
 pub mod keys;
 pub mod orders;
+pub mod passed_keys;
 pub mod requests;
 pub mod stops;
--- /dev/null
+++ b/crates/spec/src/passed_keys.rs
@@ -0,0 +1,204 @@
+//! Keys at a daemon that does not read the store itself, but asks one that does.
+//!
+//! A reader asks the store as in [`super::keys`]; a follower asks the reader, and takes over what the
+//! reader knows with the age that it tells. Either host may be suspended, either process may restart,
+//! and messages may take any time: a question may wait in the socket of a suspended reader, a reply in
+//! that of a suspended follower. Time goes in steps.
+
+use std::{fmt, time};
+
+use trefoildyke_decide::gateway::Freshness;
+use trefoildyke_types::time::Timestamp;
+
+use crate::{explore, invariant::Invariant};
+
+/// States the size of the model and the guards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// For how many steps the model runs.
+    pub steps: u64,
+    /// After how many steps a key that was taken away must not work.
+    pub bound: u64,
+    /// After how many steps belief ends.
+    pub horizon: u64,
+    /// For how many steps the store's watches may miss a change.
+    pub deaf: u64,
+    /// Whether a reply counts as of the follower's question, and not as of its arrival.
+    pub asked: bool,
+    /// Whether a reply tells how old the reader's knowledge is.
+    pub aged: bool,
+    /// Whether the daemons' clocks go on while their hosts are suspended.
+    pub counted: bool,
+}
+
+/// Names one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Time passes.
+    Pass,
+    /// Time passes while the reader's host is suspended.
+    SuspendReader,
+    /// Time passes while the follower's host is suspended.
+    SuspendFollower,
+    /// The key is taken away; the store has acknowledged it.
+    Revoke,
+    /// The store confirms the configuration to the reader.
+    Confirm,
+    /// The follower asks the reader.
+    Ask,
+    /// The reader replies.
+    Reply,
+    /// The reply arrives.
+    Arrive,
+    /// The reader's process restarts.
+    RestartReader,
+    /// The follower's process restarts.
+    RestartFollower,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Pass => "time passes",
+            Self::SuspendReader => "time passes while the reader's host is suspended",
+            Self::SuspendFollower => "time passes while the follower's host is suspended",
+            Self::Revoke => "the key is taken away",
+            Self::Confirm => "the store confirms the configuration to the reader",
+            Self::Ask => "the follower asks",
+            Self::Reply => "the reader replies",
+            Self::Arrive => "the reply arrives",
+            Self::RestartReader => "the reader restarts",
+            Self::RestartFollower => "the follower restarts",
+        })
+    }
+}
+
+/// What one daemon believes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Belief {
+    /// The daemon's clock.
+    clock: u64,
+    /// When the configuration was confirmed last, by the daemon's clock.
+    confirmed: Option<u64>,
+    /// Whether the daemon knows the key.
+    known: bool,
+}
+
+/// A question of the follower, or the reply to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Message {
+    Question { asked: u64 },
+    Reply { asked: u64, age: u64, known: bool },
+}
+
+/// Holds the state of everything.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct World {
+    now: u64,
+    revoked: Option<u64>,
+    reader: Belief,
+    follower: Belief,
+    message: Option<Message>,
+}
+
+/// Explores every state within the bounds.
+pub fn explore(bounds: &Bounds) -> explore::Report {
+    let check = |world: &World| check(bounds, world);
+    explore::explore(&first(), |world| next(bounds, world), check)
+}
+
+/// Returns the shortest steps to a follower that serves the key.
+pub fn reach_served(bounds: &Bounds) -> Option<Vec<String>> {
+    let is_served = |world: &World| serves(bounds, &world.follower);
+    explore::reach(&first(), |world| next(bounds, world), is_served)
+}
+
+fn first() -> World {
+    let none = Belief::default();
+    World { now: 0, revoked: None, reader: none, follower: none, message: None }
+}
+
+/// Says whether a request with the key would be served, by the gateway's own function.
+fn serves(bounds: &Bounds, belief: &Belief) -> bool {
+    let mut freshness = Freshness::new(time::Duration::from_secs(bounds.horizon));
+    if let Some(confirmed) = belief.confirmed {
+        freshness.confirm(at(confirmed));
+    }
+    belief.known && freshness.is_fresh(at(belief.clock))
+}
+
+fn check(bounds: &Bounds, world: &World) -> Option<Invariant> {
+    let is_late = world.revoked.is_some_and(|revoked| world.now > revoked + bounds.bound);
+    (is_late && serves(bounds, &world.follower)).then_some(Invariant::KeysFailClosed)
+}
+
+const fn at(step: u64) -> Timestamp {
+    Timestamp::from_millis(step * 1_000)
+}
+
+fn next(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
+    let mut found = passing(bounds, world);
+    let mut add = |step, change: &dyn Fn(&mut World)| {
+        let mut world = world.clone();
+        change(&mut world);
+        found.push((step, world));
+    };
+    if world.revoked.is_none() {
+        add(Step::Revoke, &|world| world.revoked = Some(world.now));
+    }
+    add(Step::Confirm, &|world| {
+        let heard = |revoked: u64| world.now >= revoked + bounds.deaf;
+        world.reader.known = !world.revoked.is_some_and(heard);
+        world.reader.confirmed = Some(world.reader.clock);
+    });
+    match world.message {
+        None => add(Step::Ask, &|world| {
+            world.message = Some(Message::Question { asked: world.follower.clock });
+        }),
+        Some(Message::Question { asked }) => {
+            // A reader that knows nothing says nothing; the question is lost.
+            add(Step::Reply, &|world| {
+                let age = world.reader.confirmed.map(|confirmed| world.reader.clock - confirmed);
+                let known = world.reader.known;
+                let age = age.map(|age| if bounds.aged { age } else { 0 });
+                world.message = age.map(|age| Message::Reply { asked, age, known });
+            });
+        }
+        Some(Message::Reply { asked, age, known }) => add(Step::Arrive, &|world| {
+            world.message = None;
+            let from = if bounds.asked { asked } else { world.follower.clock };
+            // An age that reaches back before the start says nothing of this process.
+            let Some(confirmed) = from.checked_sub(age) else { return };
+            world.follower.known = known;
+            world.follower.confirmed = world.follower.confirmed.max(Some(confirmed));
+        }),
+    }
+    add(Step::RestartReader, &|world| {
+        world.reader = Belief { clock: world.reader.clock, ..Belief::default() };
+    });
+    add(Step::RestartFollower, &|world| {
+        world.follower = Belief { clock: world.follower.clock, ..Belief::default() };
+        world.message = None;
+    });
+    found
+}
+
+/// Returns the steps in which time passes.
+fn passing(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
+    if world.now >= bounds.steps {
+        return vec![];
+    }
+    let suspended = u64::from(bounds.counted);
+    let pass = |step, reader: u64, follower: u64| {
+        let mut world = world.clone();
+        world.now += 1;
+        world.reader.clock += reader;
+        world.follower.clock += follower;
+        (step, world)
+    };
+    vec![
+        pass(Step::Pass, 1, 1),
+        pass(Step::SuspendReader, suspended, 1),
+        pass(Step::SuspendFollower, 1, suspended),
+    ]
+}
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod keys;
 mod orders;
+mod passed_keys;
 mod requests;
 mod stops;
 mod verdict;
--- /dev/null
+++ b/crates/spec/tests/testsuite/passed_keys.rs
@@ -0,0 +1,36 @@
+//! The model of keys at a daemon that asks another one.
+
+use trefoildyke_spec::passed_keys::{Bounds, explore, reach_served};
+
+use crate::verdict;
+
+/// The users' bound is five steps; a watch may be deaf for less than two.
+const ALL: Bounds =
+    Bounds { steps: 9, bound: 5, horizon: 4, deaf: 2, asked: true, aged: true, counted: true };
+
+fn counterexample(bounds: &Bounds) -> String {
+    verdict::counterexample(explore(bounds))
+}
+
+#[test]
+fn a_key_that_was_taken_away_stops_working_in_time_where_another_daemon_tells() {
+    let report = explore(&ALL);
+    println!("{} states {ALL:?}", report.states);
+    assert!(report.broken.is_none(), "{}", report.broken.unwrap());
+    assert!(reach_served(&ALL).is_some());
+}
+
+#[test]
+fn without_counting_a_reply_from_its_question() {
+    insta::assert_snapshot!(counterexample(&Bounds { asked: false, ..ALL }));
+}
+
+#[test]
+fn without_the_age_of_what_is_told() {
+    insta::assert_snapshot!(counterexample(&Bounds { aged: false, ..ALL }));
+}
+
+#[test]
+fn without_counting_the_time_of_suspended_hosts() {
+    insta::assert_snapshot!(counterexample(&Bounds { counted: false, ..ALL }));
+}
