--- a/crates/gateway/tests/testsuite/harness/caller.rs
+++ b/crates/gateway/tests/testsuite/harness/caller.rs
@@ -36,6 +36,17 @@
         Self { stream, read: Vec::new() }
     }
 
+    /// Waits no longer than this for a part of an answer.
+    pub(crate) fn wait_for(&self, length: time::Duration) {
+        self.stream.set_read_timeout(Some(length)).unwrap();
+    }
+
+    /// Sends bytes to a gateway that may close the connection before it has read all.
+    pub(crate) fn try_write(&mut self, bytes: &str) {
+        // What becomes of them shows in the answer.
+        let _ = self.stream.write_all(bytes.as_bytes());
+    }
+
     pub(crate) fn write(&mut self, bytes: &str) {
         self.stream.write_all(bytes.as_bytes()).unwrap();
     }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod drains;
 mod failures;
+mod fuzz;
 mod keys;
 mod malformed;
 mod peers;
