decide: what is free is given on arrival before any wait is predicted

Change: a request that can use a free slot gets it; what waits could not use it, or would have it.

Test: pool::requests_that_wait_for_a_fast_endpoint_do_not_keep_others_from_the_rest, widened; it failed first.

--- a/crates/decide/src/gateway/pool/flow.rs
+++ b/crates/decide/src/gateway/pool/flow.rs
@@ -24,12 +24,6 @@
     pub(super) own: usize,
 }
 
-impl Ahead {
-    pub(super) const fn is_none(self) -> bool {
-        self.first == 0 && self.own == 0
-    }
-}
-
 /// Counts grants in the time in which something waited.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -88,10 +88,8 @@
         self.ranks.note(now, demand.rank);
         let service = self.expected_service(demand.prompt, demand.expected);
         let place = self.queue.place(now, ticket, &demand, service);
-        let ahead = self.queue.ahead_of(&place);
-        if ahead.is_none()
-            && let Some(grant) = self.grant(now, place.class(), &demand)
-        {
+        // What waits could not use what is free, or would have it: long prompts wait for fast endpoints.
+        if let Some(grant) = self.grant(now, place.class(), &demand) {
             return Verdict::Granted(grant);
         }
         if let Some(refused) = self.hopeless(now, &demand, &place) {
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -327,14 +327,19 @@
     for _ in 0..2 {
         assert_eq!(granted(pool.arrive(at(100), long.clone())).endpoint.as_str(), "fast");
     }
-    for _ in 0..30 {
-        queued(pool.arrive(at(100), long.clone()));
+    for _ in 0..300 {
+        queued(pool.arrive(at(100), Demand { leaves: at(60_000), ..long.clone() }));
     }
-    let lesser = queued(pool.arrive(at(100), demand(100, 2)));
-    let grants = grants(&mut pool, 100);
-    let places: Vec<_> =
-        grants.iter().map(|(ticket, grant)| (*ticket, grant.endpoint.as_str())).collect();
-    assert_eq!(places, [(lesser, "slow")]);
+    // Nor is it refused for them, or put behind them.
+    let placed = granted(pool.arrive(at(100), demand(100, 2)));
+    assert_eq!(placed.endpoint.as_str(), "slow");
+    granted(pool.arrive(at(100), demand(100, 2)));
+    let returning = Demand { returning: true, ..demand(100, 2) };
+    let lesser = queued(pool.arrive(at(100), returning));
+    assert!(grants(&mut pool, 100).is_empty());
+    pool.end(at(110), &placed, 0, Outcome::Served);
+    let next: Vec<_> = grants(&mut pool, 110).into_iter().map(|(ticket, _)| ticket).collect();
+    assert_eq!(next, [lesser]);
 }
 
 /// Under lasting overload there is always a shorter answer that has just been asked for.
