--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -327,14 +327,15 @@
     for _ in 0..2 {
         assert_eq!(granted(pool.arrive(at(100), long.clone())).endpoint.as_str(), "fast");
     }
-    for _ in 0..200 {
+    for _ in 0..90 {
         queued(pool.arrive(at(100), Demand { leaves: at(60_000), ..long.clone() }));
     }
     // Nor is it refused for them, or put behind them.
-    let placed = granted(pool.arrive(at(100), demand(100, 2)));
+    let hasty = Demand { leaves: at(1_600), ..demand(100, 2) };
+    let placed = granted(pool.arrive(at(100), hasty.clone()));
     assert_eq!(placed.endpoint.as_str(), "slow");
-    granted(pool.arrive(at(100), demand(100, 2)));
-    let returning = Demand { returning: true, ..demand(100, 2) };
+    granted(pool.arrive(at(100), hasty.clone()));
+    let returning = Demand { returning: true, ..hasty };
     let lesser = queued(pool.arrive(at(100), returning));
     assert!(grants(&mut pool, 100).is_empty());
     pool.end(at(110), &placed, 0, Outcome::Served);
