read as a newcomer: one belief of a key, waits by themselves, names

No behaviour is changed, no check loosened. - spec: the two models of keys had their times, the belief of a gateway and what breaks the invariant twice; they stand in belief.rs now. Left: the derives of Strength and Placing are alike by what they are; the shapes of the models' tests are the models'.

--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -12,6 +12,7 @@
 mod queue;
 mod ranks;
 mod view;
+mod wait;
 
 use std::{collections, net};
 
@@ -107,14 +108,6 @@
         }
     }
 
-    /// Returns after how long a request of `rank` should come back that waited in vain.
-    ///
-    /// By then all that waits now at its rank and above will have been served.
-    pub fn retry_hint(&self, now: Timestamp, rank: u8) -> std::time::Duration {
-        let class = queue::class(rank, true);
-        self.retry_after(self.flow.wait(now, class, self.queue.up_to(class)))
-    }
-
     /// Notes that the first event or the answer of a request has come.
     pub fn first(&mut self, now: Timestamp, endpoint: &id::EndpointName, prompt: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
@@ -137,51 +130,6 @@
         }
     }
 
-    /// Grants all places that waiting requests can have now, the most urgent first, and refuses those
-    /// that have become late with no hope of a place.
-    pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Settled)> {
-        let mut settled = Vec::new();
-        self.lapse(now);
-        let late = self.queue.note_late(now);
-        for (_, before) in &late {
-            self.flow.left(now, *before);
-            self.flow.queued(now, *before + 1);
-        }
-        while let Some((ticket, grant)) = self.grant_first(now) {
-            if let Some(class) = self.queue.take(ticket) {
-                self.flow.granted(now, class);
-            }
-            settled.push((ticket, Settled::Granted(grant)));
-        }
-        for (ticket, _) in late {
-            if let Some(refused) = self.refuse(now, ticket) {
-                settled.push((ticket, Settled::Refused(refused)));
-            }
-        }
-        settled
-    }
-
-    /// Refuses a request that waits, if it would wait too long.
-    ///
-    /// The load that this answers: a burst in which a request that has become late steps back behind
-    /// all that come in time. Told at once, its caller comes back with most of its time left.
-    fn refuse(&mut self, now: Timestamp, ticket: Ticket) -> Option<Refused> {
-        let (demand, place) = self.queue.find(ticket)?;
-        let refused = self.hopeless(now, demand, place)?;
-        self.give_up(now, ticket);
-        Some(refused)
-    }
-
-    /// Says that a request would wait too long at `place`, and when to come back.
-    ///
-    /// Who was refused before will not come again, so it may wait for as long as there is hope.
-    fn hopeless(&self, now: Timestamp, demand: &Demand, place: &queue::Place) -> Option<Refused> {
-        let wait = self.flow.wait(now, place.class(), self.queue.ahead_of(place));
-        let part = if demand.returning { 1.0 } else { self.params.patience_part };
-        let is_hopeless = wait > demand.patience(now).as_secs_f64() * part;
-        is_hopeless.then(|| Refused { retry_after: self.retry_after(wait) })
-    }
-
     /// Takes in what another daemon has at this service.
     pub fn note_peer(
         &mut self,
@@ -271,8 +219,4 @@
             whole: ms(prompt + expected * step),
         }
     }
-
-    fn retry_after(&self, wait: f64) -> std::time::Duration {
-        std::time::Duration::from_secs_f64(wait.min(60.0)).max(self.params.least_retry_after)
-    }
 }
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -67,6 +67,16 @@
     ticket: Ticket,
 }
 
+/// A request that has become late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Moved {
+    pub(super) ticket: Ticket,
+    /// Its class before.
+    pub(super) from: usize,
+    /// Its class now.
+    pub(super) to: usize,
+}
+
 impl Place {
     /// Returns the class: requests of a lower one go first.
     pub(super) const fn class(&self) -> usize {
@@ -100,9 +110,8 @@
         self.waiting.insert(place.ticket, Waiting { demand, place, service });
     }
 
-    /// Moves the requests back whose objective cannot be met any more, and returns them with the classes
-    /// that they had.
-    pub(super) fn note_late(&mut self, now: Timestamp) -> Vec<(Ticket, usize)> {
+    /// Moves the requests back whose objective cannot be met any more, and returns them.
+    pub(super) fn note_late(&mut self, now: Timestamp) -> Vec<Moved> {
         let mut late = Vec::new();
         while let Some((latest, ticket)) = self.objectives.first().copied() {
             if latest > now {
@@ -110,11 +119,12 @@
             }
             self.objectives.remove(&(latest, ticket));
             if let Some(waiting) = self.waiting.get_mut(&ticket) {
-                late.push((ticket, waiting.place.class()));
+                let from = waiting.place.class();
                 self.order.remove(&waiting.place);
                 waiting.place.late = true;
                 waiting.place.due = due(&waiting.demand, true, waiting.service);
                 self.order.insert(waiting.place);
+                late.push(Moved { ticket, from, to: waiting.place.class() });
             }
         }
         late
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -135,7 +135,7 @@
             }
         }
         self.read = Some(now);
-        self.note(&changes);
+        self.remember(&changes);
         changes
     }
 
@@ -182,12 +182,12 @@
             }
         }
         self.read = self.read.max(Some(read));
-        self.note(&changes);
+        self.remember(&changes);
         changes
     }
 
     /// Gives the list its new mark, and keeps what led to it.
-    fn note(&mut self, changes: &[RosterChange]) {
+    fn remember(&mut self, changes: &[RosterChange]) {
         if changes.is_empty() {
             return;
         }
--- a/crates/spec/src/keys.rs
+++ b/crates/spec/src/keys.rs
@@ -5,24 +5,18 @@
 //! moment before their history is dropped. What one gateway tells another is in
 //! [`super::passed_keys`]. Time goes in steps of which the users' bound is `bound`.
 
-use std::{fmt, time};
+use std::fmt;
 
-use trefoildyke_decide::gateway::Freshness;
-use trefoildyke_types::time::Timestamp;
+use crate::{
+    belief::{Belief, Times},
+    explore,
+};
 
-use crate::{explore, invariant::Invariant};
-
-/// States the size of the model and the guards.
+/// States the times of the model and the guards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// For how many steps the model runs.
-    pub steps: u64,
-    /// After how many steps a key that was taken away must not work.
-    pub bound: u64,
-    /// After how many steps belief ends.
-    pub horizon: u64,
-    /// For how many steps the store's watches may miss a change.
-    pub deaf: u64,
+    /// The times.
+    pub times: Times,
     /// Whether an answer confirms as of its question, and not as of its arrival.
     pub asked: bool,
     /// Whether the gateway's clock goes on while the host is suspended.
@@ -74,49 +68,27 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct World {
     now: u64,
-    /// The gateway's clock.
-    clock: u64,
     revoked: Option<u64>,
     answer: Option<OnWay>,
-    /// When the configuration was confirmed last, by the gateway's clock.
-    confirmed: Option<u64>,
-    /// Whether the gateway knows the key.
-    known: bool,
+    gateway: Belief,
 }
 
 /// Explores every state within the bounds.
 pub fn explore(bounds: &Bounds) -> explore::Report {
-    let check = |world: &World| check(bounds, world);
+    let check = |world: &World| bounds.times.check(world.now, world.revoked, &world.gateway);
     explore::explore(&first(), |world| next(bounds, world), check)
 }
 
 /// Returns the shortest steps to a gateway that refuses the key in time after it was taken away.
 pub fn reach_refused(bounds: &Bounds) -> Option<Vec<String>> {
-    let is_refused =
-        |world: &World| world.revoked.is_some() && world.known && !serves(bounds, world);
+    let is_refused = |world: &World| {
+        world.revoked.is_some() && world.gateway.known && !world.gateway.serves(&bounds.times)
+    };
     explore::reach(&first(), |world| next(bounds, world), is_refused)
 }
 
-const fn first() -> World {
-    World { now: 0, clock: 0, revoked: None, answer: None, confirmed: None, known: false }
-}
-
-/// Says whether a request with the key would be served, by the gateway's own function.
-fn serves(bounds: &Bounds, world: &World) -> bool {
-    let mut freshness = Freshness::new(time::Duration::from_secs(bounds.horizon));
-    if let Some(confirmed) = world.confirmed {
-        freshness.confirm(at(confirmed));
-    }
-    world.known && freshness.is_fresh(at(world.clock))
-}
-
-fn check(bounds: &Bounds, world: &World) -> Option<Invariant> {
-    let is_late = world.revoked.is_some_and(|revoked| world.now > revoked + bounds.bound);
-    (is_late && serves(bounds, world)).then_some(Invariant::KeysFailClosed)
-}
-
-const fn at(step: u64) -> Timestamp {
-    Timestamp::from_millis(step * 1_000)
+fn first() -> World {
+    World { now: 0, revoked: None, answer: None, gateway: Belief::default() }
 }
 
 fn next(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
@@ -126,14 +98,14 @@
         change(&mut world);
         found.push((step, world));
     };
-    if world.now < bounds.steps {
+    if world.now < bounds.times.steps {
         add(Step::Pass, &|world| {
             world.now += 1;
-            world.clock += 1;
+            world.gateway.clock += 1;
         });
         add(Step::Suspend, &|world| {
             world.now += 1;
-            world.clock += u64::from(bounds.counted);
+            world.gateway.clock += u64::from(bounds.counted);
         });
     }
     if world.revoked.is_none() {
@@ -141,25 +113,24 @@
     }
     match world.answer {
         None => {
-            let heard = |revoked: u64| world.now >= revoked + bounds.deaf;
-            let valid = !world.revoked.is_some_and(heard);
-            let answer = OnWay { asked: world.clock, valid };
+            let valid = !bounds.times.heard(world.now, world.revoked);
+            let answer = OnWay { asked: world.gateway.clock, valid };
             add(Step::Ask, &|world| world.answer = Some(answer));
         }
         Some(answer) => add(Step::Answer, &|world| {
             world.answer = None;
-            world.known = answer.valid;
-            world.confirmed = Some(if bounds.asked { answer.asked } else { world.clock });
+            let clock = world.gateway.clock;
+            world.gateway.known = answer.valid;
+            world.gateway.confirmed = Some(if bounds.asked { answer.asked } else { clock });
         }),
     }
     add(Step::Restart, &|world| {
         world.answer = None;
         if bounds.forgets {
-            world.known = false;
-            world.confirmed = None;
+            world.gateway = Belief { clock: world.gateway.clock, ..Belief::default() };
         } else {
             // A belief that was kept without its age.
-            world.confirmed = world.confirmed.map(|_| world.clock);
+            world.gateway.confirmed = world.gateway.confirmed.map(|_| world.gateway.clock);
         }
     });
     found
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answers;
 pub mod attempts;
+pub mod belief;
 pub mod commits;
 pub mod configuration;
 pub mod explore;
--- a/crates/spec/src/passed_keys.rs
+++ b/crates/spec/src/passed_keys.rs
@@ -5,24 +5,18 @@
 //! and messages may take any time: a question may wait in the socket of a suspended reader, a reply in
 //! that of a suspended follower. Time goes in steps.
 
-use std::{fmt, time};
+use std::fmt;
 
-use trefoildyke_decide::gateway::Freshness;
-use trefoildyke_types::time::Timestamp;
+use crate::{
+    belief::{Belief, Times},
+    explore,
+};
 
-use crate::{explore, invariant::Invariant};
-
-/// States the size of the model and the guards.
+/// States the times of the model and the guards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// For how many steps the model runs.
-    pub steps: u64,
-    /// After how many steps a key that was taken away must not work.
-    pub bound: u64,
-    /// After how many steps belief ends.
-    pub horizon: u64,
-    /// For how many steps the store's watches may miss a change.
-    pub deaf: u64,
+    /// The times.
+    pub times: Times,
     /// Whether a reply counts as of the follower's question, and not as of its arrival.
     pub asked: bool,
     /// Whether a reply tells how old the reader's knowledge is.
@@ -73,17 +67,6 @@
     }
 }
 
-/// What one daemon believes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Belief {
-    /// The daemon's clock.
-    clock: u64,
-    /// When the configuration was confirmed last, by the daemon's clock.
-    confirmed: Option<u64>,
-    /// Whether the daemon knows the key.
-    known: bool,
-}
-
 /// A question of the follower, or the reply to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Message {
@@ -103,13 +86,13 @@
 
 /// Explores every state within the bounds.
 pub fn explore(bounds: &Bounds) -> explore::Report {
-    let check = |world: &World| check(bounds, world);
+    let check = |world: &World| bounds.times.check(world.now, world.revoked, &world.follower);
     explore::explore(&first(), |world| next(bounds, world), check)
 }
 
 /// Returns the shortest steps to a follower that serves the key.
 pub fn reach_served(bounds: &Bounds) -> Option<Vec<String>> {
-    let is_served = |world: &World| serves(bounds, &world.follower);
+    let is_served = |world: &World| world.follower.serves(&bounds.times);
     explore::reach(&first(), |world| next(bounds, world), is_served)
 }
 
@@ -118,24 +101,6 @@
     World { now: 0, revoked: None, reader: none, follower: none, message: None }
 }
 
-/// Says whether a request with the key would be served, by the gateway's own function.
-fn serves(bounds: &Bounds, belief: &Belief) -> bool {
-    let mut freshness = Freshness::new(time::Duration::from_secs(bounds.horizon));
-    if let Some(confirmed) = belief.confirmed {
-        freshness.confirm(at(confirmed));
-    }
-    belief.known && freshness.is_fresh(at(belief.clock))
-}
-
-fn check(bounds: &Bounds, world: &World) -> Option<Invariant> {
-    let is_late = world.revoked.is_some_and(|revoked| world.now > revoked + bounds.bound);
-    (is_late && serves(bounds, &world.follower)).then_some(Invariant::KeysFailClosed)
-}
-
-const fn at(step: u64) -> Timestamp {
-    Timestamp::from_millis(step * 1_000)
-}
-
 fn next(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
     let mut found = passing(bounds, world);
     let mut add = |step, change: &dyn Fn(&mut World)| {
@@ -147,8 +112,7 @@
         add(Step::Revoke, &|world| world.revoked = Some(world.now));
     }
     add(Step::Confirm, &|world| {
-        let heard = |revoked: u64| world.now >= revoked + bounds.deaf;
-        world.reader.known = !world.revoked.is_some_and(heard);
+        world.reader.known = !bounds.times.heard(world.now, world.revoked);
         world.reader.confirmed = Some(world.reader.clock);
     });
     match world.message {
@@ -185,7 +149,7 @@
 
 /// Returns the steps in which time passes.
 fn passing(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
-    if world.now >= bounds.steps {
+    if world.now >= bounds.times.steps {
         return vec![];
     }
     let suspended = u64::from(bounds.counted);
--- a/crates/spec/tests/testsuite/keys.rs
+++ b/crates/spec/tests/testsuite/keys.rs
@@ -1,12 +1,14 @@
 //! The model of keys that are taken away.
 
+use trefoildyke_spec::belief::Times;
 use trefoildyke_spec::keys::{Bounds, explore, reach_refused};
 
 use crate::verdict;
 
 /// The users' bound is five steps; a watch may be deaf for less than two.
-const ALL: Bounds =
-    Bounds { steps: 12, bound: 5, horizon: 4, deaf: 2, asked: true, counted: true, forgets: true };
+const TIMES: Times = Times { steps: 12, bound: 5, horizon: 4, deaf: 2 };
+
+const ALL: Bounds = Bounds { times: TIMES, asked: true, counted: true, forgets: true };
 
 fn counterexample(bounds: &Bounds) -> String {
     verdict::counterexample(explore(bounds))
@@ -37,7 +39,9 @@
 
 #[test]
 fn without_room_for_a_deaf_watch() {
-    let longer = Bounds { horizon: 6, ..ALL };
-    assert!(explore(&Bounds { deaf: 0, ..longer }).broken.is_none());
+    let times = Times { horizon: 6, ..TIMES };
+    let longer = Bounds { times, ..ALL };
+    let hearing = Times { deaf: 0, ..times };
+    assert!(explore(&Bounds { times: hearing, ..ALL }).broken.is_none());
     insta::assert_snapshot!(counterexample(&longer));
 }
--- a/crates/spec/tests/testsuite/passed_keys.rs
+++ b/crates/spec/tests/testsuite/passed_keys.rs
@@ -1,12 +1,14 @@
 //! The model of keys at a daemon that asks another one.
 
+use trefoildyke_spec::belief::Times;
 use trefoildyke_spec::passed_keys::{Bounds, explore, reach_served};
 
 use crate::verdict;
 
 /// The users' bound is five steps; a watch may be deaf for less than two.
-const ALL: Bounds =
-    Bounds { steps: 9, bound: 5, horizon: 4, deaf: 2, asked: true, aged: true, counted: true };
+const TIMES: Times = Times { steps: 9, bound: 5, horizon: 4, deaf: 2 };
+
+const ALL: Bounds = Bounds { times: TIMES, asked: true, aged: true, counted: true };
 
 fn counterexample(bounds: &Bounds) -> String {
     verdict::counterexample(explore(bounds))
