gateway: the end of a request logs what it asked for, also if its quota refused it

The line of a request that its account's quota refused told neither its rank nor its cost, so nobody could say from the logs which tier a quota refuses. Its end now tells rank, sizes, cost, objective and whether its caller was refused before.

--- a/crates/gateway/src/face/access.rs
+++ b/crates/gateway/src/face/access.rs
@@ -6,7 +6,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{face, names, record, state};
+use crate::{names, record, state};
 
 /// Follows one request; logs its end when dropped.
 pub(crate) struct AccessEntry {
@@ -16,12 +16,8 @@
     route: String,
     account: Option<id::AccountName>,
     version: u64,
-    /// Its rank, once it was admitted.
-    rank: Option<u8>,
-    /// The length of the prompt in tokens.
-    prompt: u32,
-    /// The expected length of the answer in tokens.
-    expected: f64,
+    /// What it asks for, once that was read.
+    asked: record::Asked,
     /// The other daemon that gave or refused the last place.
     placer: Option<std::net::SocketAddr>,
     /// How it has ended; a request that is dropped without an outcome was left by its caller.
@@ -44,9 +40,7 @@
             route: String::new(),
             account: None,
             version: 0,
-            rank: None,
-            prompt: 0,
-            expected: 0.0,
+            asked: record::Asked::default(),
             placer: None,
             outcome: "caller_left",
             status: 0,
@@ -76,11 +70,9 @@
         self.account = account.map(|account| account.name.clone());
     }
 
-    /// Notes what the request's order and place are decided by.
-    pub(crate) fn admitted(&mut self, call: &face::Call) {
-        self.rank = Some(call.rank);
-        self.prompt = call.prompt;
-        self.expected = call.expected;
+    /// Notes what the request's quota, order and place are decided by.
+    pub(crate) const fn asks(&mut self, asked: record::Asked) {
+        self.asked = asked;
     }
 
     /// Notes which other daemon gave or refused the place; `None` for this one.
@@ -140,9 +132,7 @@
             route: std::mem::take(&mut self.route),
             account: self.account.take(),
             version: self.version,
-            rank: self.rank,
-            prompt: self.prompt,
-            expected: self.expected as u32,
+            asked: self.asked,
             placer: self.placer,
             outcome: self.outcome,
             status: self.status,
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -8,7 +8,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{face, names, state};
+use crate::{face, names, record, state};
 
 /// How long a caller is asked to stay away that came before the configuration was known.
 const STARTING: time::Duration = time::Duration::from_millis(500);
@@ -74,12 +74,23 @@
         let waits = waits.map_or(DEFAULT_DEADLINE, time::Duration::from_millis);
         let body = read_body(&admission, body).await?;
         let tokens = tokens(names::text(&head.headers, &names.tokens));
-        let cost = charge(shared, &admission, tokens)?;
         let arrived = access.arrived();
         let route = &admission.route;
         let limit = waits.min(time::Duration::from_millis(route.timeout_ms));
         let (prompt, most) = tokens.unwrap_or((0, 0));
+        let expected = expected(most, names::number(&head.headers, &names.length_hint));
         let spent = shared.core().deadlines.spent(&route.name, waits);
+        let cost = admission.cost(tokens);
+        let rank = rank(route, admission.account.as_ref());
+        access.asks(record::Asked {
+            rank: Some(rank),
+            prompt,
+            expected: expected as u32,
+            cost: cost as u32,
+            returning: !spent.is_zero(),
+            objective_ms: route.objective_ms,
+        });
+        charge(shared, &admission, cost)?;
         let mut request = face::endpoint_request(names, &head, body);
         if let Some(account) = &admission.account
             && let Ok(value) = header::HeaderValue::from_str(account.name.as_str())
@@ -93,7 +104,7 @@
             kind: route.kind,
             attempts: route.attempts,
             gap: time::Duration::from_millis(route.gap_ms),
-            rank: rank(route, admission.account.as_ref()),
+            rank,
             objective: arrived
                 + time::Duration::from_millis(route.objective_ms).saturating_sub(spent),
             leaves: arrived
@@ -102,7 +113,7 @@
             deadline: arrived + waits,
             give_up: arrived + limit,
             prompt,
-            expected: expected(most, names::number(&head.headers, &names.length_hint)),
+            expected,
             cost,
             account: admission.account.map(|account| account.name),
         })
@@ -181,13 +192,16 @@
     }
 }
 
-fn charge(
-    shared: &state::Shared,
-    admission: &Admission,
-    tokens: Option<(u32, u32)>,
-) -> Result<f64, face::Reply> {
-    let Some(account) = &admission.account else { return Ok(0.0) };
-    let cost = account.cost(tokens.map(|(prompt, most)| prompt.saturating_add(most)));
+impl Admission {
+    /// Returns what the request counts against its account's quota.
+    fn cost(&self, tokens: Option<(u32, u32)>) -> f64 {
+        let declared = tokens.map(|(prompt, most)| prompt.saturating_add(most));
+        self.account.as_ref().map_or(0.0, |account| account.cost(declared))
+    }
+}
+
+fn charge(shared: &state::Shared, admission: &Admission, cost: f64) -> Result<(), face::Reply> {
+    let Some(account) = &admission.account else { return Ok(()) };
     let now = shared.now();
     let mut core = shared.core();
     let part = core.mesh.part(now);
@@ -200,7 +214,7 @@
     if account.rate > 0.0 {
         shared.set_changed();
     }
-    Ok(cost)
+    Ok(())
 }
 
 /// Callers' estimates are right at the median and often far off; their mean lies this much higher.
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -74,7 +74,6 @@
     };
     match face::Call::read(&shared, &mut access, request).await {
         Ok(call) => {
-            access.admitted(&call);
             Driver::new(shared, call, access, pass).run().await
         }
         Err(reply) => refuse(&mut access, reply),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,5 +26,5 @@
 pub use gateway::Gateway;
 pub use names::HeaderNames;
 pub use query::Readers;
-pub use record::{Dropped, Event, Journal};
+pub use record::{Asked, Dropped, Event, Journal};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -3,6 +3,23 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::id;
 
+/// Describes what a request asked for: the inputs of the decisions on its quota, order and place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Asked {
+    /// Its rank; `None` if it was refused before it had one.
+    pub rank: Option<u8>,
+    /// The length of its prompt in tokens.
+    pub prompt: u32,
+    /// The expected length of its answer in tokens.
+    pub expected: u32,
+    /// What it counts against its account's quota, in the quota's unit.
+    pub cost: u32,
+    /// Whether its caller was refused before.
+    pub returning: bool,
+    /// Within how many milliseconds its first event is of full use.
+    pub objective_ms: u64,
+}
+
 /// Describes a decision that touches a request, or a change of what the daemon believes.
 #[derive(Clone, Debug, serde::Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -143,12 +160,9 @@
         account: Option<id::AccountName>,
         /// The version of the configuration that was applied.
         version: u64,
-        /// Its rank; `None` if it was refused before it had one.
-        rank: Option<u8>,
-        /// The length of its prompt in tokens.
-        prompt: u32,
-        /// The expected length of its answer in tokens.
-        expected: u32,
+        /// What it asked for; nothing if it was refused before that was read.
+        #[serde(flatten)]
+        asked: Asked,
         /// The other daemon that gave or refused its last place, by its address for messages.
         placer: Option<std::net::SocketAddr>,
         /// How it ended.
