decide, platform: readers that the store turns away are replaced, lists of fresh readers are not followed

Change: digests tell whether the store answers their sender; who is turned away reads last. A list is followed only from a daemon that has known the store to be steady for long enough, if the follower has.

Ruled out: that beliefs which are passed on are taken for younger than they are; both traces show right ages.

--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -19,6 +19,8 @@
     zone: id::ZoneName,
     /// How much work for others this daemon's host can take.
     strength: gateway::Strength,
+    /// Whether the store left this daemon's last call without an answer.
+    unanswered: bool,
     /// How long a member may be silent before its digest is forgotten.
     silence: time::Duration,
     /// Whether the members were ever listed.
@@ -40,6 +42,8 @@
     /// Whether it can place the requests of others.
     placing: gateway::Placing,
     strength: gateway::Strength,
+    /// Whether the store left its last call without an answer.
+    unanswered: bool,
     /// Until when it is not asked, since it left a question unanswered.
     doubted_until: Option<Timestamp>,
     /// Whether everything that this incarnation used was heard: it began after another one.
@@ -112,6 +116,7 @@
             own,
             zone,
             strength: gateway::Strength::UNKNOWN,
+            unanswered: false,
             silence,
             listed: false,
             met_stranger: false,
@@ -131,6 +136,16 @@
         self.strength
     }
 
+    /// Notes whether the store has answered this daemon's last call; says whether that has changed.
+    pub const fn note_answer(&mut self, is_answered: bool) -> bool {
+        std::mem::replace(&mut self.unanswered, !is_answered) == is_answered
+    }
+
+    /// Says whether the store left this daemon's last call without an answer.
+    pub const fn is_unanswered(&self) -> bool {
+        self.unanswered
+    }
+
     /// Returns this daemon's address for digests.
     pub const fn own(&self) -> net::SocketAddr {
         self.own
@@ -179,6 +194,7 @@
         member.heard = (!digest.leaving).then_some(now);
         member.counted = !digest.leaving;
         member.strength = digest.strength;
+        member.unanswered = digest.unanswered;
         member.placing = if digest.leaving { gateway::Placing::Unable } else { digest.placing };
         let mut news = News { leaving: digest.leaving, ..News::default() };
         for spend in &digest.spend {
--- a/crates/decide/src/gateway/mesh/roles.rs
+++ b/crates/decide/src/gateway/mesh/roles.rs
@@ -29,13 +29,17 @@
     ///
     /// Every daemon works them out from its own list. Where lists differ, there are some more
     /// readers for a while, or somebody is asked who has to ask himself; ages are told either way.
+    ///
+    /// Those that the store turns away come last: where it turns away a third of the hosts, and by chance all
+    /// three readers among them, everybody else would go on with what was removed for seconds.
     pub fn readers(&self) -> Vec<net::SocketAddr> {
-        let mut all: Vec<_> = self.members.keys().copied().chain([self.own]).collect();
-        all.sort_by_cached_key(|address| {
-            xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+        let others = self.members.iter().map(|(address, member)| (member.unanswered, *address));
+        let mut all: Vec<_> = others.chain([(self.unanswered, self.own)]).collect();
+        all.sort_by_cached_key(|(unanswered, address)| {
+            (*unanswered, xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes()))
         });
         all.truncate(LEAST_READERS.max(self.count() / DAEMONS_EACH));
-        all
+        all.into_iter().map(|(_, address)| address).collect()
     }
 
     /// Says whether this daemon reads the store for all.
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -16,6 +16,8 @@
     pub is_young: bool,
     /// Whether the sender leaves and says nothing more.
     pub leaving: bool,
+    /// Whether the store left the sender's last call without an answer.
+    pub unanswered: bool,
     /// Whether the sender can place the requests of others.
     pub placing: Placing,
     /// How much work for others the sender's host can take.
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -90,6 +90,21 @@
         self.steady = Some(self.steady.map_or(since, |steady| steady.min(since)));
     }
 
+    /// Says whether missing entries count as gone, if the source has been steady since `since`.
+    fn is_settled(&self, now: Timestamp, since: Timestamp) -> bool {
+        now.since(since) >= self.grace
+    }
+
+    /// Says whether the list of a daemon may be followed for which the source has been steady since `since`.
+    ///
+    /// A daemon that has just started keeps entries that vanish, since an outage may have ended just before.
+    /// Whoever knows better must not follow it: endpoints that have left would get work for another
+    /// two seconds.
+    pub fn may_follow(&self, now: Timestamp, since: Timestamp) -> bool {
+        let knows_better = self.steady.is_some_and(|own| self.is_settled(now, own));
+        !knows_better || self.is_settled(now, since)
+    }
+
     /// Returns since when the source has answered without a break.
     pub const fn steady(&self) -> Option<Timestamp> {
         self.steady
@@ -118,7 +133,7 @@
     /// Takes in the whole list, as it was at `now` or later, and returns what changes.
     pub fn replace(&mut self, now: Timestamp, list: Vec<RosterEntry>) -> Vec<RosterChange> {
         let steady = *self.steady.get_or_insert(now);
-        let is_settled = now.since(steady) >= self.grace;
+        let is_settled = self.is_settled(now, steady);
         let mut missing = std::mem::take(&mut self.entries);
         let mut changes = Vec::new();
         for entry in list {
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -82,6 +82,41 @@
     assert_eq!(mesh.count(), 2);
 }
 
+/// Notes of each of `daemons` whether the store answers it.
+fn note_answers(mesh: &mut Mesh, number: u64, daemons: &[SocketAddr], is_answered: bool) {
+    let own = mesh.own();
+    for address in daemons.iter().filter(|address| **address != own) {
+        let digest =
+            Digest { incarnation: 7, number, unanswered: !is_answered, ..Digest::default() };
+        mesh.note(Timestamp::from_millis(number), *address, &digest);
+    }
+}
+
+/// The store turns away a third of the hosts, all that read it among them.
+#[test]
+fn others_read_the_store_in_place_of_those_that_it_turns_away() {
+    let mut mesh = mesh(30);
+    let before = mesh.readers();
+    note_answers(&mut mesh, 1, &before, false);
+    let after = mesh.readers();
+    assert_eq!(after.len(), 3);
+    assert!(after.iter().all(|reader| !before.contains(reader)), "{before:?} {after:?}");
+    note_answers(&mut mesh, 2, &before, true);
+    assert_eq!(mesh.readers(), before);
+}
+
+#[test]
+fn a_store_that_answers_nobody_moves_no_role() {
+    let mut mesh = mesh(30);
+    let before = mesh.readers();
+    let all: Vec<_> = peers(30).into_iter().map(|peer| peer.address).collect();
+    note_answers(&mut mesh, 1, &all, false);
+    assert!(mesh.note_answer(false));
+    assert_eq!(mesh.readers(), before);
+    assert!(mesh.note_answer(true));
+    assert_eq!(mesh.readers()[0], mesh.own());
+}
+
 #[test]
 fn few_daemons_read_for_all_and_all_agree_on_them() {
     let members = peers(100);
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -69,6 +69,28 @@
     assert_eq!(gone(&roster.replace(at(4_000), vec![entry("a")])), 1);
 }
 
+/// A reader starts anew while an endpoint leaves: it keeps the entry, since an outage may have ended just
+/// before. Followers that have known the source to be steady for longer must learn that it is gone.
+#[test]
+fn the_list_of_a_daemon_that_has_just_started_is_not_followed_by_one_that_knows_better() {
+    let mut follower = Roster::new(GRACE);
+    follower.replace(at(0), vec![entry("a"), entry("b")]);
+    let mut reader = Roster::new(GRACE);
+    reader.replace(at(27_900), vec![entry("a"), entry("b")]);
+    assert_eq!(gone(&reader.replace(at(28_700), vec![entry("a")])), 0);
+    assert!(!follower.may_follow(at(28_800), reader.steady().unwrap()));
+    assert_eq!(gone(&follower.replace(at(28_800), vec![entry("a")])), 1);
+    assert!(follower.may_follow(at(30_200), reader.steady().unwrap()));
+}
+
+#[test]
+fn after_an_outage_of_the_source_all_follow_those_that_read_it() {
+    let mut follower = Roster::new(GRACE);
+    follower.replace(at(0), vec![entry("a")]);
+    follower.failed();
+    assert!(follower.may_follow(at(9_500), at(9_300)));
+}
+
 /// Reads two lists and returns their marks too.
 fn read_twice() -> (Roster, u64, u64) {
     let mut roster = Roster::new(GRACE);
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -73,9 +73,7 @@
         return refuse(&mut access, face::Reply::not_run("stopping", STOPPING).closing());
     };
     match face::Call::read(&shared, &mut access, request).await {
-        Ok(call) => {
-            Driver::new(shared, call, access, pass).run().await
-        }
+        Ok(call) => Driver::new(shared, call, access, pass).run().await,
         Err(reply) => refuse(&mut access, reply),
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -104,6 +104,13 @@
         self.shared.core().mesh.take_stranger()
     }
 
+    /// Notes whether the source has answered this daemon's last call, which decides who reads it for others.
+    pub fn answered(&self, is_answered: bool) {
+        if self.shared.core().mesh.note_answer(is_answered) {
+            self.shared.set_changed();
+        }
+    }
+
     /// Logs that something the daemon depends on does not answer.
     pub fn lost(&self, dependency: &'static str, reason: String) {
         self.shared.journal.write(&record::Event::Lost { dependency, reason });
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -15,10 +15,7 @@
 /// old while its store answers.
 const STALE: time::Duration = time::Duration::from_millis(1_500);
 
-/// How old a list of endpoints may be that is passed on: a reader's period, and a slow answer.
-const OLD_LIST: time::Duration = time::Duration::from_millis(1_300);
-
-/// For how long an answer about the list of endpoints holds: two queries, one of them lost.
+/// For how long it holds that the store answers none of those that read it: two queries, one of them lost.
 const VALID: time::Duration = time::Duration::from_millis(1_000);
 
 /// What another daemon knows of the store.
@@ -40,18 +37,10 @@
     Unheard,
 }
 
-/// The latest reply's view.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Latest {
-    at: Timestamp,
-    view: gateway::StoreView,
-}
-
 /// Queries that wait for their replies.
 #[derive(Debug, Default)]
 pub(crate) struct Queries {
     waiting: sync::Mutex<Vec<(u64, oneshot::Sender<Reply>)>>,
-    latest: sync::Mutex<Option<Latest>>,
     /// When the readers last said that the store is silent.
     silent: sync::Mutex<Option<Timestamp>>,
 }
@@ -92,12 +81,19 @@
                 continue;
             };
             let age = time::Duration::from_millis(u64::from(reply.view.confirmed));
-            if age < STALE {
-                let version = reply.view.version;
-                self.believe(asked, roster, reply);
-                return Readers::Fresh(version);
+            if age >= STALE {
+                if found == Readers::Unheard {
+                    found = Readers::Silent;
+                }
+                continue;
+            }
+            found = match found {
+                Readers::Fresh(version) => Readers::Fresh(version.max(reply.view.version)),
+                Readers::Silent | Readers::Unheard => Readers::Fresh(reply.view.version),
+            };
+            if self.believe(asked, roster, reply) {
+                return found;
             }
-            found = Readers::Silent;
         }
         if found == Readers::Silent {
             // Endpoints cannot list themselves either.
@@ -116,12 +112,10 @@
         is_told && !core.mesh.is_reader() && !core.freshness.is_within(now, STALE)
     }
 
-    /// Says whether the list of endpoints is known to be that of a daemon that reads it.
+    /// Says whether the list of endpoints was read recently enough, here or by the daemon that told of it.
     pub fn endpoints_are_current(&self) -> bool {
-        let Some(latest) = *lock(&self.shared.queries.latest) else { return false };
-        let read = time::Duration::from_millis(u64::from(latest.view.read));
-        let is_recent = self.now().since(latest.at) < VALID && read < OLD_LIST;
-        is_recent && self.shared.core().roster.mark() == latest.view.roster
+        let read = self.shared.core().roster.read();
+        read.is_some_and(|read| self.now().since(read) < self.shared.settings.list_age)
     }
 
     /// Takes over what another daemon knew when it replied to a query that was sent at `asked`, with
@@ -130,7 +124,9 @@
     /// It answered after that, so what it knew is at most as old as it said, counted from then. An age
     /// that reaches back before the start of this daemon is cut off there: the version in force here
     /// was read since. The model is `passed_keys` in `trefoildyke_spec`.
-    fn believe(&self, asked: Timestamp, roster: u64, reply: Reply) {
+    ///
+    /// Says whether its list of endpoints may be followed as well; if not, another one is to be asked.
+    fn believe(&self, asked: Timestamp, roster: u64, reply: Reply) -> bool {
         let view = reply.view;
         let before = |ms: u32| {
             let age = u64::from(ms) * 1_000;
@@ -143,14 +139,16 @@
         }
         if view.steady == 0 {
             core.roster.failed();
-        } else {
+        } else if core.roster.may_follow(self.now(), before(view.steady)) {
             core.roster.assume_steady(before(view.steady));
+        } else {
+            return false;
         }
         drop(core);
         if let Some(changes) = reply.changes {
             self.follow(before(view.read), roster, changes);
         }
-        *lock(&self.shared.queries.latest) = Some(Latest { at: asked, view });
+        true
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub key_age: time::Duration,
     /// From which age of that confirmation on the gateway asks for no new connections; 2.5 s.
     pub ready_age: time::Duration,
+    /// How old the list of endpoints may be, whoever read it, before the daemon reads it itself; 1.6 s.
+    pub list_age: time::Duration,
     /// How long a missing endpoint is kept after the list's source was away; 2.2 s.
     pub list_grace: time::Duration,
     /// The ratio of repeated sends to requests that all daemons together keep to; 0.2.
@@ -73,6 +75,7 @@
             pool: gateway::PoolParams::default(),
             key_age: time::Duration::from_millis(3_500),
             ready_age: time::Duration::from_millis(2_500),
+            list_age: time::Duration::from_millis(1_600),
             list_grace: time::Duration::from_millis(2_200),
             retry_ratio: 0.2,
             retry_fixed: 50.0,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -240,6 +240,7 @@
             number: self.digests,
             leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
+            unanswered: self.mesh.is_unanswered(),
             placing: self.placing(now),
             strength: self.mesh.strength(),
             spend: self.quota.used(kind.audience, kind.full),
