decide, platform: an endpoint that starts again under its name, entries of other writers

An endpoint that comes back under its name has none of the work of its earlier start: its load, speed, failures, pauses and reports are those of the start that a grant or report names. Entries that an earlier start wrote late are ignored.

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -22,6 +22,8 @@
 pub struct EndpointLoad {
     /// The endpoint.
     pub endpoint: id::EndpointName,
+    /// Which start of the endpoint the sender means.
+    pub start: u64,
     /// Requests sent and not ended.
     pub running: u16,
     /// Prompt tokens sent whose first event has not come.
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -47,6 +47,8 @@
 pub struct Grant {
     /// The endpoint.
     pub endpoint: id::EndpointName,
+    /// Which start of the endpoint; what becomes of the request says nothing of later ones.
+    pub start: u64,
     /// Where it listens.
     pub address: std::net::SocketAddr,
     /// The prompt's tokens.
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -13,6 +13,8 @@
 pub(super) struct Endpoint {
     pub(super) address: net::SocketAddr,
     pub(super) zone: id::ZoneName,
+    /// Which start of the endpoint this is.
+    pub(super) start: u64,
     /// At least 1.
     pub(super) slots: u32,
     pub(super) draining: bool,
@@ -77,6 +79,7 @@
         Self {
             address: entry.address,
             zone: entry.zone.clone(),
+            start: entry.start,
             slots: entry.slots.max(1),
             draining: entry.draining,
             own: Load::default(),
@@ -100,7 +103,7 @@
     }
 
     /// Notes a request that is sent there, where `load` is believed to be already.
-    pub(super) fn start(&mut self, now: Timestamp, prompt: u32, load: Load) {
+    pub(super) fn begin(&mut self, now: Timestamp, prompt: u32, load: Load) {
         if load.running == 0 {
             self.heard = now;
         }
@@ -243,6 +246,7 @@
     pub(super) fn report(&self, now: Timestamp, name: &id::EndpointName) -> gateway::EndpointLoad {
         gateway::EndpointLoad {
             endpoint: name.clone(),
+            start: self.start,
             running: u16::try_from(self.own.running).unwrap_or(u16::MAX),
             prefill: self.own.prefill,
             silent_ms: self.silence(now, self.own).as_millis() as u32,
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -70,14 +70,22 @@
     /// Takes in a listed endpoint.
     pub fn list(&mut self, now: Timestamp, entry: &gateway::RosterEntry) {
         match self.endpoints.get_mut(&entry.endpoint) {
-            Some(endpoint) => endpoint.update(entry),
-            None => {
+            Some(endpoint) if endpoint.start == entry.start => endpoint.update(entry),
+            _ => {
+                self.peers.forget_endpoint(&entry.endpoint);
                 let endpoint = endpoint::Endpoint::new(now, entry, &self.params);
                 self.endpoints.insert(entry.endpoint.clone(), endpoint);
             }
         }
     }
 
+    /// Returns the endpoint of a grant, unless it has started again since: what became of the grant says
+    /// nothing of the new start, which has none of its work.
+    fn granted(&mut self, grant: &Grant) -> Option<&mut endpoint::Endpoint> {
+        let endpoint = self.endpoints.get_mut(&grant.endpoint)?;
+        (endpoint.start == grant.start).then_some(endpoint)
+    }
+
     /// Forgets an endpoint; work that it still has ends by itself.
     pub fn remove(&mut self, endpoint: &id::EndpointName) {
         self.endpoints.remove(endpoint);
@@ -109,24 +117,25 @@
     }
 
     /// Notes that the first event or the answer of a request has come.
-    pub fn first(&mut self, now: Timestamp, endpoint: &id::EndpointName, prompt: u32) {
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+    pub fn first(&mut self, now: Timestamp, grant: &Grant, prompt: u32) {
+        if let Some(endpoint) = self.granted(grant) {
             endpoint.first(now, prompt);
         }
     }
 
     /// Notes an event of a stream that came `gap` seconds after the one before.
-    pub fn event(&mut self, now: Timestamp, endpoint: &id::EndpointName, gap: f64) {
+    pub fn event(&mut self, now: Timestamp, grant: &Grant, gap: f64) {
         let tokens = f64::from(self.event_tokens.max(1));
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+        if let Some(endpoint) = self.granted(grant) {
             endpoint.event(now, gap * 1_000.0 / tokens);
         }
     }
 
     /// Notes how a granted request ended; `prompt` is 0 if its first event had come.
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
-        if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
-            endpoint.end(now, prompt, outcome, &self.params);
+        let params = self.params.clone();
+        if let Some(endpoint) = self.granted(grant) {
+            endpoint.end(now, prompt, outcome, &params);
         }
     }
 
@@ -137,7 +146,12 @@
         peer: net::SocketAddr,
         report: &gateway::LoadReport,
     ) {
-        if !self.peers.note(now, peer, report) {
+        let mut report = report.clone();
+        // A start that is not known here, or over, is none of the endpoints that are.
+        report.endpoints.retain(|load| {
+            self.endpoints.get(&load.endpoint).is_some_and(|known| known.start == load.start)
+        });
+        if !self.peers.note(now, peer, &report) {
             return;
         }
         for load in &report.endpoints {
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Forgets what all daemons have at an endpoint, which has started again.
+    pub(super) fn forget_endpoint(&mut self, endpoint: &id::EndpointName) {
+        self.loads.remove(endpoint);
+        for peer in self.peers.values_mut() {
+            peer.report.endpoints.retain(|load| load.endpoint != *endpoint);
+        }
+    }
+
     pub(super) fn load(&self, endpoint: &id::EndpointName) -> load::Load {
         self.loads.get(endpoint).copied().unwrap_or_default()
     }
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -93,9 +93,10 @@
         let endpoint = self.endpoints.get_mut(&name)?;
         let first = endpoint.prompt_ms(&self.params)
             * f64::from(load.prefill.saturating_add(demand.prompt));
-        endpoint.start(now, demand.prompt, load);
+        endpoint.begin(now, demand.prompt, load);
         Some(Grant {
             endpoint: name,
+            start: endpoint.start,
             address: endpoint.address,
             prompt: demand.prompt,
             at: now,
--- a/crates/decide/src/gateway/pool/promises.rs
+++ b/crates/decide/src/gateway/pool/promises.rs
@@ -17,6 +17,8 @@
     peer: net::SocketAddr,
     given: u64,
     endpoint: id::EndpointName,
+    /// Which start of the endpoint.
+    start: u64,
     prompt: u32,
 }
 
@@ -25,7 +27,7 @@
     ///
     /// It counts as taken until that daemon's report names it, or for a quarter of a second.
     pub fn promise(&mut self, now: Timestamp, grant: &Grant, peer: net::SocketAddr, given: u64) {
-        if let Some(endpoint) = self.endpoints.get_mut(&grant.endpoint) {
+        if let Some(endpoint) = self.granted(grant) {
             endpoint.own.remove(grant.prompt);
             endpoint.promised.add(grant.prompt);
         }
@@ -34,6 +36,7 @@
             peer,
             given,
             endpoint: grant.endpoint.clone(),
+            start: grant.start,
             prompt: grant.prompt,
         });
     }
@@ -54,7 +57,10 @@
         let endpoints = &mut self.endpoints;
         self.promises.retain(|promise| {
             let is_over = is_over(promise);
-            if is_over && let Some(endpoint) = endpoints.get_mut(&promise.endpoint) {
+            if is_over
+                && let Some(endpoint) = endpoints.get_mut(&promise.endpoint)
+                && endpoint.start == promise.start
+            {
                 endpoint.promised.remove(promise.prompt);
             }
             !is_over
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -7,8 +7,11 @@
 /// Describes one listed endpoint.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct RosterEntry {
-    /// The endpoint's incarnation; a restart has a new one.
+    /// The endpoint; most have a new name after a restart.
     pub endpoint: id::EndpointName,
+    /// Which start of the endpoint this is, the later the higher; 0 if it does not say.
+    #[serde(default)]
+    pub start: u64,
     /// The service that it belongs to.
     pub service: id::PoolName,
     /// Where it listens; used again by others after its end.
@@ -137,7 +140,13 @@
         let mut missing = std::mem::take(&mut self.entries);
         let mut changes = Vec::new();
         for entry in list {
-            if missing.remove(&entry.endpoint).as_ref() != Some(&entry) {
+            let known = missing.remove(&entry.endpoint);
+            // What an earlier start wrote late says nothing of the one that is known.
+            if let Some(known) = known.as_ref().filter(|known| known.start > entry.start) {
+                self.entries.insert(known.endpoint.clone(), known.clone());
+                continue;
+            }
+            if known.as_ref() != Some(&entry) {
                 changes.push(RosterChange::Listed(entry.clone()));
             }
             self.entries.insert(entry.endpoint.clone(), entry);
--- a/crates/decide/tests/testsuite/gateway/loads.rs
+++ b/crates/decide/tests/testsuite/gateway/loads.rs
@@ -10,7 +10,7 @@
 };
 use trefoildyke_types::time::Timestamp;
 
-use super::support::at;
+use super::support::{at, told_of};
 
 /// How much slower than the usual step of 4.7 ms an endpoint is.
 const SPEEDS: [f64; 6] = [0.6, 1.7, 1.7, 0.6, 1.7, 1.7];
@@ -55,6 +55,7 @@
         for (index, speed) in SPEEDS.iter().enumerate() {
             let entry = RosterEntry {
                 endpoint: index.to_string().as_str().into(),
+                start: 0,
                 service: "assistant".into(),
                 address: ([127, 0, 0, 1], 7_420).into(),
                 zone: "a".into(),
@@ -64,7 +65,7 @@
             pool.list(at(0), &entry);
             // What a few streams would have taught.
             for _ in 0..60 {
-                pool.event(at(0), &entry.endpoint, 4.7 * speed * 4.0 / 1_000.0);
+                pool.event(at(0), &told_of(entry.endpoint.as_str()), 4.7 * speed * 4.0 / 1_000.0);
             }
         }
         Self {
@@ -117,7 +118,7 @@
     fn step(&mut self, ms: u64) {
         let now = at(ms);
         for run in self.running.iter().filter(|run| run.first == ms) {
-            self.pool.first(now, &run.grant.endpoint, run.grant.prompt);
+            self.pool.first(now, &run.grant, run.grant.prompt);
             self.fates[run.number].first = Some(ms - self.arrivals[run.number]);
         }
         let ended: Vec<Running> = self.running.extract_if(.., |run| run.end == ms).collect();
@@ -148,7 +149,7 @@
         if now.as_millis().is_multiple_of(100) {
             for run in &self.running {
                 let (_, speed) = speed(&run.grant);
-                self.pool.event(now, &run.grant.endpoint, 4.7 * speed * 4.0 / 1_000.0);
+                self.pool.event(now, &run.grant, 4.7 * speed * 4.0 / 1_000.0);
             }
         }
     }
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
-use trefoildyke_decide::gateway::{Demand, EndpointLoad, Learned, LoadReport, Outcome, Verdict};
+use trefoildyke_decide::gateway::{
+    Demand, EndpointLoad, Learned, LoadReport, Outcome, RosterEntry, Verdict,
+};
 
-use super::support::{at, demand, end, entry, granted, grants, pool, queued, service};
+use super::support::{at, demand, end, entry, granted, grants, pool, queued, service, told_of};
 
 fn peer(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_600))
@@ -14,6 +16,7 @@
 fn report(number: u64, running: &[(&str, u16)], placed: u64) -> LoadReport {
     let load = |(name, running): &(&str, u16)| EndpointLoad {
         endpoint: (*name).into(),
+        start: 0,
         running: *running,
         prefill: 0,
         silent_ms: 0,
@@ -141,7 +144,7 @@
     told.endpoints[0].learned = refused;
     let mut alive = pool(&["one"]);
     let grant = granted(alive.arrive(at(0), demand(0, 0)));
-    alive.first(at(10), &grant.endpoint, grant.prompt);
+    alive.first(at(10), &grant, grant.prompt);
     alive.note_peer(at(20), peer(2), &told);
     granted(alive.arrive(at(21), demand(21, 0)));
     let mut unheard = pool(&["one"]);
@@ -257,9 +260,9 @@
     // Events of 4 tokens, at 8 ms a token; with a prompt beside, at 60.
     for number in 0..120 {
         let step_ms = if number % 3 == 0 { 8.0 } else { 60.0 };
-        pool.event(at(10 + number), &running.endpoint, step_ms * 4.0 / 1_000.0);
+        pool.event(at(10 + number), &running, step_ms * 4.0 / 1_000.0);
     }
-    pool.first(at(150), &running.endpoint, running.prompt);
+    pool.first(at(150), &running, running.prompt);
     let mut long = demand(150, 0);
     long.prompt = 4_000;
     let grant = granted(pool.arrive(at(150), long));
@@ -319,7 +322,7 @@
     let mut pool = pool(&["fast", "slow"]);
     for (name, step_ms) in [("fast", 2.8), ("slow", 16.0)] {
         for ms in 0..100 {
-            pool.event(at(ms), &name.into(), step_ms * 4.0 / 1_000.0);
+            pool.event(at(ms), &told_of(name), step_ms * 4.0 / 1_000.0);
         }
     }
     let mut long = demand(100, 0);
@@ -370,3 +373,27 @@
     pool.expire_peers(at(1_500));
     assert_eq!(grants(&mut pool, 1_500).len(), 1);
 }
+
+/// An endpoint crashes and starts again under its name while it has work.
+#[test]
+fn what_belonged_to_an_earlier_start_of_an_endpoint_is_forgotten() {
+    let mut pool = pool(&["one"]);
+    let before =
+        [granted(pool.arrive(at(0), demand(0, 0))), granted(pool.arrive(at(0), demand(0, 0)))];
+    let waiting = queued(pool.arrive(at(10), demand(10, 0)));
+    pool.note_peer(at(20), peer(2), &report(1, &[("one", 2)], 0));
+    pool.list(at(30), &RosterEntry { start: 1, ..entry("one") });
+    let after = grants(&mut pool, 30);
+    assert_eq!(after.len(), 1, "two free slots for one request");
+    assert_eq!(after[0].0, waiting);
+    // What becomes of the work of the earlier start neither frees a slot nor speaks against the new one.
+    for grant in &before {
+        pool.end(at(40), grant, grant.prompt, Outcome::Unreachable);
+    }
+    assert_eq!(pool.states(at(50))[0].own, 1);
+    granted(pool.arrive(at(50), demand(50, 0)));
+    queued(pool.arrive(at(50), demand(50, 0)));
+    // A late report of another daemon's work at the earlier start.
+    pool.note_peer(at(60), peer(2), &report(2, &[("one", 2)], 0));
+    assert_eq!(pool.states(at(60))[0].others, 0);
+}
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use trefoildyke_decide::gateway::{Roster, RosterChange};
+use trefoildyke_decide::gateway::{Roster, RosterChange, RosterEntry};
 use trefoildyke_types::time::Timestamp;
 
 use super::support::entry;
@@ -151,3 +151,14 @@
     assert_eq!(roster.changes_since(before), None);
     assert_eq!(roster.changes_since(0), None);
 }
+
+#[test]
+fn what_an_earlier_start_wrote_late_changes_nothing() {
+    let mut roster = Roster::new(GRACE);
+    let again = RosterEntry { start: 7, ..entry("a") };
+    roster.replace(at(0), vec![RosterEntry { start: 5, ..entry("a") }]);
+    assert_eq!(roster.replace(at(100), vec![again.clone()]), [RosterChange::Listed(again)]);
+    let late = RosterEntry { start: 5, draining: true, ..entry("a") };
+    assert_eq!(roster.replace(at(200), vec![late]), []);
+    assert_eq!(gone(&roster.replace(at(4_000), vec![])), 1);
+}
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -10,6 +10,7 @@
 pub(super) fn entry(name: &str) -> RosterEntry {
     RosterEntry {
         endpoint: name.into(),
+        start: 0,
         service: "assistant".into(),
         address: ([127, 0, 0, 1], 7_420).into(),
         zone: "a".into(),
@@ -48,6 +49,20 @@
     }
 }
 
+/// A grant at an endpoint, for what is only told of it.
+pub(super) fn told_of(name: &str) -> Grant {
+    Grant {
+        endpoint: name.into(),
+        start: 0,
+        address: ([127, 0, 0, 1], 7_420).into(),
+        prompt: 0,
+        at: Timestamp::ZERO,
+        first_ms: 0,
+        beside: 0,
+        age_ms: 0,
+    }
+}
+
 pub(super) fn granted(verdict: Verdict) -> Grant {
     match verdict {
         Verdict::Granted(grant) => grant,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -99,6 +99,11 @@
         self.shared.core().mesh.count()
     }
 
+    /// Returns how many endpoints are listed.
+    pub fn endpoint_count(&self) -> usize {
+        self.shared.core().roster.len()
+    }
+
     /// Says whether a daemon that is not among the members was heard since the last call.
     pub fn take_stranger(&self) -> bool {
         self.shared.core().mesh.take_stranger()
--- a/crates/gateway/src/state/slot.rs
+++ b/crates/gateway/src/state/slot.rs
@@ -45,7 +45,7 @@
         let Some(last) = self.last_event.replace(now) else {
             self.shared.decide(|core| {
                 let service = core.service(&self.service);
-                service.pool.first(now, &self.grant.endpoint, prompt);
+                service.pool.first(now, &self.grant, prompt);
                 service.hand_out(now);
                 core.report(now, &self.service);
             });
@@ -54,7 +54,7 @@
         let pause = now.since(last);
         let mut core = self.shared.core();
         let pool = &mut core.service(&self.service).pool;
-        pool.event(now, &self.grant.endpoint, pause.as_secs_f64());
+        pool.event(now, &self.grant, pause.as_secs_f64());
         Some(pause)
     }
 }
--- a/crates/gateway/tests/testsuite/harness/stack.rs
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -93,6 +93,7 @@
 pub(crate) fn entries(endpoints: &[&Endpoint]) -> Vec<RosterEntry> {
     let entry = |(number, endpoint): (usize, &&Endpoint)| RosterEntry {
         endpoint: format!("e{number}").as_str().into(),
+        start: 0,
         service: "svc".into(),
         address: endpoint.address,
         zone: "a".into(),
