decide: engines are learned, long answers keep off slow engines, nothing is late before the fastest is

Hypothesis: the constants of one engine misplace at others. Change: the time of a prompt token and of a first event follow from a straight line through first events by endpoint, in its times between two tokens; reports carry its sums. Hypothesis: the mean over unlike engines makes requests late that a fast engine could serve in time. Change: the time to a first event that decides lateness is that of the fastest.

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -49,12 +49,46 @@
     pub failed: u16,
     /// Rejections, and connections that could not be opened.
     pub refused: u16,
+    /// How long first events took.
+    pub firsts: Firsts,
+}
+
+/// Sums up how long first events took (`y`, in times between two tokens) after how many prompt tokens (`x`,
+/// in thousands): what a straight line through them follows from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Firsts {
+    /// How many first events.
+    pub count: u16,
+    /// The sum of all `x`.
+    pub x: f32,
+    /// The sum of all `y`.
+    pub y: f32,
+    /// The sum of all `x * x`.
+    pub xx: f32,
+    /// The sum of all `x * y`.
+    pub xy: f32,
+}
+
+impl Firsts {
+    /// Returns one observation.
+    pub(crate) fn one(x: f64, y: f64) -> Self {
+        Self { count: 1, x: x as f32, y: y as f32, xx: (x * x) as f32, xy: (x * y) as f32 }
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.count = self.count.saturating_add(other.count);
+        self.x += other.x;
+        self.y += other.y;
+        self.xx += other.xx;
+        self.xy += other.xy;
+    }
 }
 
 impl Learned {
     /// Says whether nothing was seen.
     pub const fn is_empty(&self) -> bool {
-        self.steps == 0 && self.served == 0 && self.failed == 0 && self.refused == 0
+        let is_silent = self.steps == 0 && self.firsts.count == 0;
+        is_silent && self.served == 0 && self.failed == 0 && self.refused == 0
     }
 
     pub(crate) fn note_step(&mut self, step_ms: f64) {
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -10,7 +10,7 @@
 use crate::gateway;
 
 pub use digest::{AccountSpend, Digest, Placing};
-pub use load::{EndpointLoad, Learned, LoadReport};
+pub use load::{EndpointLoad, Firsts, Learned, LoadReport};
 pub use placing::{Ask, PlaceReply, Placed};
 pub use store_view::StoreView;
 
--- a/crates/decide/src/gateway/message/placing.rs
+++ b/crates/decide/src/gateway/message/placing.rs
@@ -51,6 +51,8 @@
         first_ms: u32,
         /// How many requests are believed to run there already.
         beside: u32,
+        /// How many prompt tokens are believed to be read there before.
+        ahead: u32,
         /// How old the oldest report behind that number is, in milliseconds.
         age_ms: u32,
     },
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -28,8 +28,8 @@
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News, Peer};
 pub use message::{
-    AccountSpend, Ask, Digest, EndpointLoad, Learned, LoadReport, Message, PlaceReply, Placed,
-    Placing, StoreView,
+    AccountSpend, Ask, Digest, EndpointLoad, Firsts, Learned, LoadReport, Message, PlaceReply,
+    Placed, Placing, StoreView,
 };
 pub use pool::{
     Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -59,6 +59,8 @@
     pub first_ms: u32,
     /// How many requests are believed to run there already, over all daemons.
     pub beside: u32,
+    /// How many prompt tokens are believed to be read there before, over all daemons.
+    pub ahead: u32,
     /// How old the oldest digest behind that number is, in milliseconds.
     pub age_ms: u32,
 }
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{
     self,
-    pool::{load::Load, mean},
+    pool::{line, load::Load, mean},
 };
 
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     step: mean::Mean,
     /// The time between two tokens where no prompt is read in between, in milliseconds.
     pace: mean::Low,
+    /// The time to a first event by thousands of prompt tokens, in times between two tokens.
+    first: line::Line,
     /// The part of the answers that were failures or broken.
     failures: mean::Mean,
     /// What was seen here and the others have not been told.
@@ -70,12 +72,33 @@
 /// Over how many answers failures are followed.
 const FAILURE_WINDOW: f64 = 8.0;
 
+/// Prompts are followed in thousands of tokens.
+const KILO: f64 = 1_000.0;
+
+/// What is assumed of an endpoint before anything was observed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Assumed {
+    /// The time between two tokens, in milliseconds.
+    pub(super) step_ms: f64,
+    /// The time to a first event beside the prompt's own, in times between two tokens.
+    pub(super) begin: f64,
+    /// The time that a prompt token takes, in times between two tokens.
+    pub(super) prompt: f64,
+}
+
+impl Assumed {
+    /// Returns what the settings say.
+    pub(super) const fn new(params: &gateway::PoolParams) -> Self {
+        Self {
+            step_ms: params.step_ms,
+            begin: params.first_ms / params.step_ms,
+            prompt: params.prompt_ms / params.step_ms,
+        }
+    }
+}
+
 impl Endpoint {
-    pub(super) fn new(
-        now: Timestamp,
-        entry: &gateway::RosterEntry,
-        params: &gateway::PoolParams,
-    ) -> Self {
+    pub(super) fn new(now: Timestamp, entry: &gateway::RosterEntry, assumed: Assumed) -> Self {
         Self {
             address: entry.address,
             zone: entry.zone.clone(),
@@ -84,8 +107,9 @@
             draining: entry.draining,
             own: Load::default(),
             promised: Load::default(),
-            step: mean::Mean::new(params.step_ms, STEP_WINDOW),
-            pace: mean::Low(params.step_ms),
+            step: mean::Mean::new(assumed.step_ms, STEP_WINDOW),
+            pace: mean::Low(assumed.step_ms),
+            first: line::Line::new(assumed.begin, assumed.prompt * KILO),
             failures: mean::Mean::new(0.0, FAILURE_WINDOW),
             learned: gateway::Learned::default(),
             heard: now,
@@ -137,6 +161,9 @@
         if learned.steps > 0 {
             self.pace.observe(f64::from(learned.least_ms));
         }
+        if learned.firsts.count > 0 {
+            self.first.observe(&learned.firsts);
+        }
         self.failures.observe_many(0.0, learned.served);
         self.failures.observe_many(1.0, learned.failed);
         // One daemon may be cut off alone; what speaks to others is not to be left alone for it.
@@ -151,8 +178,15 @@
         std::mem::take(&mut self.learned)
     }
 
-    pub(super) fn first(&mut self, now: Timestamp, prompt: u32) {
+    pub(super) fn first(&mut self, now: Timestamp, grant: &gateway::Grant, prompt: u32) {
         self.hear(now);
+        // What others' prompts took is not known, so only first events are taken that had none ahead.
+        if grant.prompt > 0 && grant.ahead == 0 {
+            let took = now.since(grant.at).as_secs_f64() * 1_000.0;
+            let seen = gateway::Firsts::one(f64::from(grant.prompt) / KILO, took / self.pace.0);
+            self.first.observe(&seen);
+            self.learned.firsts.add(&seen);
+        }
         self.strikes = 0;
         self.own.prefill = self.own.prefill.saturating_sub(prompt);
     }
@@ -220,7 +254,7 @@
         load: Load,
         params: &gateway::PoolParams,
     ) -> bool {
-        let prompt = f64::from(load.prefill) * self.prompt_ms(params) * 3.0;
+        let prompt = f64::from(load.prefill) * self.prompt_ms() * 3.0;
         let patience = params.silence + time::Duration::from_secs_f64(prompt / 1_000.0);
         self.strikes > 0 || self.silence(now, load) > patience
     }
@@ -234,8 +268,13 @@
     }
 
     /// Returns how long a prompt token takes, in milliseconds.
-    pub(super) fn prompt_ms(&self, params: &gateway::PoolParams) -> f64 {
-        params.prompt_ms * self.pace.0 / params.step_ms
+    pub(super) fn prompt_ms(&self) -> f64 {
+        self.first.slope() / KILO * self.pace.0
+    }
+
+    /// Returns how long a first event takes beside the prompts, in milliseconds.
+    pub(super) fn begin_ms(&self) -> f64 {
+        self.first.base() * self.pace.0
     }
 
     pub(super) const fn failure_part(&self) -> f64 {
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod endpoint;
 mod flow;
+mod line;
 mod load;
 mod mean;
 mod params;
@@ -73,12 +74,25 @@
             Some(endpoint) if endpoint.start == entry.start => endpoint.update(entry),
             _ => {
                 self.peers.forget_endpoint(&entry.endpoint);
-                let endpoint = endpoint::Endpoint::new(now, entry, &self.params);
+                let endpoint = endpoint::Endpoint::new(now, entry, self.assumed());
                 self.endpoints.insert(entry.endpoint.clone(), endpoint);
             }
         }
     }
 
+    /// Returns what is assumed of an endpoint that is new: the mean of those that are known.
+    fn assumed(&self) -> endpoint::Assumed {
+        if self.endpoints.is_empty() {
+            return endpoint::Assumed::new(&self.params);
+        }
+        let usual = self.usual();
+        endpoint::Assumed {
+            step_ms: usual.step_ms,
+            begin: usual.begin_ms / usual.pace_ms,
+            prompt: usual.prompt_ms / usual.pace_ms,
+        }
+    }
+
     /// Returns the endpoint of a grant, unless it has started again since: what became of the grant says
     /// nothing of the new start, which has none of its work.
     fn granted(&mut self, grant: &Grant) -> Option<&mut endpoint::Endpoint> {
@@ -119,7 +133,7 @@
     /// Notes that the first event or the answer of a request has come.
     pub fn first(&mut self, now: Timestamp, grant: &Grant, prompt: u32) {
         if let Some(endpoint) = self.granted(grant) {
-            endpoint.first(now, prompt);
+            endpoint.first(now, grant, prompt);
         }
     }
 
@@ -222,15 +236,19 @@
         Ticket(self.next_ticket)
     }
 
-    /// Returns how long a request is expected to take at an endpoint of mean speed.
+    /// Returns how long a request is expected to take: to its first event where that is shortest, as nothing is
+    /// late before no endpoint can be in time; to its end at an endpoint of mean speed.
     fn expected_service(&self, prompt: u32, expected: f64) -> queue::Service {
-        let count = self.endpoints.len().max(1) as f64;
-        let step = self.endpoints.values().map(endpoint::Endpoint::step_ms).sum::<f64>() / count;
-        let prompt = f64::from(prompt) * self.params.prompt_ms * step / self.params.step_ms;
+        let usual = self.usual();
+        let prompt = f64::from(prompt);
+        let read = prompt * usual.prompt_ms;
+        let first =
+            |endpoint: &endpoint::Endpoint| endpoint.begin_ms() + prompt * endpoint.prompt_ms();
+        let least = self.endpoints.values().map(first).fold(f64::INFINITY, f64::min);
         let ms = |ms: f64| std::time::Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 60.0));
         queue::Service {
-            first: ms(prompt + self.params.first_ms),
-            whole: ms(prompt + expected * step),
+            first: ms(if least.is_finite() { least } else { 0.0 }),
+            whole: ms(read + expected * usual.step_ms),
         }
     }
 }
--- a/crates/decide/src/gateway/pool/params.rs
+++ b/crates/decide/src/gateway/pool/params.rs
@@ -8,7 +8,7 @@
 pub struct PoolParams {
     /// The time between two tokens that is assumed of an endpoint before it was measured; 4 ms.
     pub step_ms: f64,
-    /// How long a prompt token takes at the assumed step time, in milliseconds; 1/38.
+    /// How long a prompt token takes at the assumed step time before it was measured, in milliseconds; 1/38.
     pub prompt_ms: f64,
     /// How much longer the time to the first event weighs than the rest of a stream; 2.
     pub first_weight: f64,
@@ -37,7 +37,7 @@
     ///
     /// Callers' estimates are far off either way, so a lower value would keep out too many.
     pub feasible_part: f64,
-    /// The time to a first event beside the prompt's own, in milliseconds; 60.
+    /// The time to a first event beside the prompt's own before it was measured, in milliseconds; 60.
     pub first_ms: f64,
     /// The shortest time after which a refused caller is asked to come back; 300 ms.
     pub least_retry_after: time::Duration,
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -21,6 +21,10 @@
 /// How much of its time a full endpoint's next slot is away, in milliseconds a running request.
 const CROWD_MS: f64 = 2.0;
 
+/// How fast it becomes unlikely that an answer is much longer than expected: one in 1 + x^1.8 is longer than x times
+/// that. It is the tail of estimates that are right at the median and off by a factor of e (log-logistic).
+const LENGTH_TAIL: f64 = 1.8;
+
 impl Pool {
     /// Gives a request of a class the best free slot.
     pub(super) fn grant(&mut self, now: Timestamp, class: usize, demand: &Demand) -> Option<Grant> {
@@ -91,8 +95,8 @@
         let load = self.load(&name, self.endpoints.get(&name)?);
         let age = self.peers.oldest().map_or(0, |heard| now.since(heard).as_millis());
         let endpoint = self.endpoints.get_mut(&name)?;
-        let first = endpoint.prompt_ms(&self.params)
-            * f64::from(load.prefill.saturating_add(demand.prompt));
+        let read = endpoint.prompt_ms() * f64::from(load.prefill.saturating_add(demand.prompt));
+        let first = if demand.gap.is_zero() { read } else { read + endpoint.begin_ms() };
         endpoint.begin(now, demand.prompt, load);
         Some(Grant {
             endpoint: name,
@@ -102,6 +106,7 @@
             at: now,
             first_ms: first as u32,
             beside: load.running,
+            ahead: load.prefill,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         })
     }
@@ -155,9 +160,9 @@
         load: load::Load,
     ) -> bool {
         let prompt = f64::from(load.prefill.saturating_add(demand.prompt));
-        let read = prompt * endpoint.prompt_ms(&self.params);
-        let begin = self.params.first_ms * endpoint.pace_ms() / self.params.step_ms;
-        demand.gap.is_zero() || read + begin <= demand.patience(now).as_secs_f64() * 1_000.0
+        let read = prompt * endpoint.prompt_ms();
+        demand.gap.is_zero()
+            || read + endpoint.begin_ms() <= demand.patience(now).as_secs_f64() * 1_000.0
     }
 
     /// Says whether a request may go to an endpoint at all, if there is a slot.
@@ -178,7 +183,7 @@
         if !self.is_feasible(now, demand, endpoint) {
             return false;
         }
-        is_late || !stalls(endpoint.prompt_ms(&self.params)) || stalls(least_prompt_ms)
+        is_late || !stalls(endpoint.prompt_ms()) || stalls(least_prompt_ms)
     }
 
     /// Returns how long prompts may take at an endpoint before its streams pause, in milliseconds.
@@ -189,6 +194,16 @@
         demand.gap.as_secs_f64() * 1_000.0 * self.params.pause_part
     }
 
+    /// Returns how likely the answer is not to be complete in time at an endpoint.
+    ///
+    /// The load that this answers: answers a few times as long as expected, at an endpoint a few times as slow as
+    /// the others, end after their callers have left; they are the largest of their kind.
+    fn overrun(&self, now: Timestamp, demand: &Demand, endpoint: &endpoint::Endpoint) -> f64 {
+        let left = demand.deadline.since(now).as_secs_f64() * 1_000.0;
+        let whole = demand.expected * endpoint.step_ms();
+        if whole <= 0.0 { 0.0 } else { 1.0 / (1.0 + (left / whole).powf(LENGTH_TAIL)) }
+    }
+
     /// Returns what a placement costs, in milliseconds of delay.
     fn cost(
         &self,
@@ -198,7 +213,7 @@
         load: load::Load,
         usual: view::Usual,
     ) -> f64 {
-        let prompt_ms = endpoint.prompt_ms(&self.params);
+        let prompt_ms = endpoint.prompt_ms();
         let running = f64::from(load.running);
         let ahead = f64::from(load.prefill);
         let own = f64::from(demand.prompt) * prompt_ms;
@@ -218,5 +233,6 @@
             + zone
             + failures
             + doubt
+            + self.overrun(now, demand, endpoint) * self.params.failure_ms
     }
 }
--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -49,8 +49,14 @@
 pub(super) struct Usual {
     /// The part of failed answers.
     pub(super) failures: f64,
-    /// The time between two tokens, in milliseconds.
+    /// The time between two tokens where no prompt is read in between, in milliseconds.
     pub(super) pace_ms: f64,
+    /// The time between two tokens, in milliseconds.
+    pub(super) step_ms: f64,
+    /// The time to a first event beside the prompts', in milliseconds.
+    pub(super) begin_ms: f64,
+    /// The time that a prompt token takes, in milliseconds.
+    pub(super) prompt_ms: f64,
 }
 
 impl Pool {
@@ -62,7 +68,7 @@
             if !endpoint.is_usable(now) {
                 continue;
             }
-            view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms(&self.params));
+            view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms());
             let load = self.load(name, endpoint);
             let room = self.room(now, endpoint, load, usual);
             view.free += room.slots;
@@ -99,7 +105,7 @@
     }
 
     /// Returns what is usual among the endpoints.
-    fn usual(&self) -> Usual {
+    pub(super) fn usual(&self) -> Usual {
         let count = self.endpoints.len().max(1) as f64;
         let mean = |of: fn(&endpoint::Endpoint) -> f64| {
             self.endpoints.values().map(of).sum::<f64>() / count
@@ -107,6 +113,9 @@
         Usual {
             failures: mean(endpoint::Endpoint::failure_part),
             pace_ms: mean(endpoint::Endpoint::pace_ms),
+            step_ms: mean(endpoint::Endpoint::step_ms),
+            begin_ms: mean(endpoint::Endpoint::begin_ms),
+            prompt_ms: mean(endpoint::Endpoint::prompt_ms),
         }
     }
 }
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -59,6 +59,7 @@
         at: Timestamp::ZERO,
         first_ms: 0,
         beside: 0,
+        ahead: 0,
         age_ms: 0,
     }
 }
--- a/crates/gateway/src/state/asks.rs
+++ b/crates/gateway/src/state/asks.rs
@@ -68,6 +68,7 @@
                 given,
                 first_ms: grant.first_ms,
                 beside: grant.beside,
+                ahead: grant.ahead,
                 age_ms: grant.age_ms,
             },
         );
