cli: report tells from log files where goodput is lost

By second, rank, fifth of the expected size and third of the endpoints by speed: offered, in time, late, refused, refused again, broken, failed, with reasons; how far first events and lengths are from what was expected; for how long callers were told to stay away against when a place of their rank was free. Table, JSON, YAML, and a picture by second. The line of a request's end tells how many parts of a stream were passed on.

--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod get;
 mod key;
 mod reference;
+mod report;
 mod status;
 mod stop;
 mod timeline;
@@ -26,6 +27,7 @@
     match command {
         options::Command::Key(key) => key::execute(&key, options.output, out),
         options::Command::Explain(explain) => explain::execute(&explain, options.output, out),
+        options::Command::Report(report) => report::execute(&report, options.output, out),
         options::Command::Apply(apply) if apply.check => apply::check(&apply),
         command => ask(command, &mut Context::new(&options, out)?).await,
     }
@@ -45,5 +47,6 @@
         options::Command::Explain(explain) => {
             explain::execute(&explain, context.format, context.out)
         }
+        options::Command::Report(report) => report::execute(&report, context.format, context.out),
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 mod failure;
 mod options;
 mod output;
+pub mod report;
 pub mod timeline;
 
 use std::io::Write as _;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -54,6 +54,8 @@
     Key(Key),
     #[options(help = "show from gateways' log files how a request came to its end")]
     Explain(Explain),
+    #[options(help = "show from gateways' log files where goodput is lost")]
+    Report(Report),
 }
 
 #[derive(Debug, gumdrop::Options)]
@@ -153,6 +155,20 @@
     pub(crate) arguments: Vec<String>,
 }
 
+#[derive(Debug, gumdrop::Options)]
+pub(crate) struct Report {
+    #[options(help = "show this help")]
+    help: bool,
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "where to write a picture of what became of requests by second"
+    )]
+    pub(crate) svg: Option<String>,
+    #[options(free, help = "the log files of all hosts")]
+    pub(crate) files: Vec<String>,
+}
+
 impl Options {
     /// Returns the help that was asked for.
     pub(crate) fn help_text(&self) -> String {
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod change;
 mod explain;
+mod report;
 mod show;
 mod timeline;
 mod usage;
--- a/crates/gateway/src/face/access.rs
+++ b/crates/gateway/src/face/access.rs
@@ -29,6 +29,8 @@
     retry_after: Option<time::Duration>,
     /// The longest pause between two parts of a stream.
     pause: Option<time::Duration>,
+    /// How many parts of a stream were passed on.
+    events: u32,
 }
 
 impl AccessEntry {
@@ -49,6 +51,7 @@
             first: None,
             retry_after: None,
             pause: None,
+            events: 0,
             shared,
         }
     }
@@ -100,9 +103,10 @@
         }
     }
 
-    /// Notes a pause of a stream.
-    pub(crate) fn paused(&mut self, pause: time::Duration) {
-        self.pause = self.pause.max(Some(pause));
+    /// Notes a part of a stream that came `pause` after the one before; `None` for the first.
+    pub(crate) fn part(&mut self, pause: Option<time::Duration>) {
+        self.events = self.events.saturating_add(1);
+        self.pause = self.pause.max(pause);
     }
 
     /// Notes how the request has ended.
@@ -142,6 +146,7 @@
             first_ms: self.first.map(ms),
             retry_ms: self.retry_after.map(ms),
             pause_ms: self.pause.map(ms),
+            events: self.events,
         });
     }
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -181,5 +181,7 @@
         retry_ms: Option<u64>,
         /// The longest pause between two parts of a stream, in milliseconds.
         pause_ms: Option<u64>,
+        /// How many parts of a stream were passed on.
+        events: u32,
     },
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -120,9 +120,8 @@
                 Some(Err(error)) => return Step::Lost(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    if let Some(pause) = source.slot.heard() {
-                        self.driver.access.paused(pause);
-                    }
+                    let pause = source.slot.heard();
+                    self.driver.access.part(pause);
                     match self.events.push(bytes) {
                         Ok(Some(whole)) => return Step::Part(whole),
                         Ok(None) => {}
