decide, gateway: reports of work tell what has changed, all of it four times a second

Change: reports name only the endpoints at which something has changed, with their work as it is; full ones come every 250 ms (500 before), and when others place. What was not learned is not told.

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -2,7 +2,10 @@
 
 use trefoildyke_types::id;
 
-/// Holds one daemon's work at one service: a full picture, so a lost one does no harm.
+/// Holds one daemon's work at one service.
+///
+/// Most tell only what has changed at an endpoint, as it is now; what a lost one told is made up for by the next
+/// that is full, a quarter of a second later at most.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// The sender's incarnation; a new one starts all counters anew.
@@ -11,6 +14,8 @@
     pub number: u64,
     /// The service.
     pub service: id::PoolName,
+    /// Whether the sender has no work at endpoints that are not named; else nothing has changed there.
+    pub is_full: bool,
     /// The last place that the receiver gave to the sender and that is counted here.
     pub placed: u64,
     /// The endpoints at which the sender has work or of which it has learned something.
@@ -30,8 +35,8 @@
     pub prefill: u32,
     /// For how long the sender has heard nothing from there though it has work, in milliseconds.
     pub silent_ms: u32,
-    /// What the sender has learned since its last report.
-    pub learned: Learned,
+    /// What the sender has learned since its last report, if anything.
+    pub learned: Option<Learned>,
 }
 
 /// Holds what was seen of an endpoint.
@@ -49,8 +54,8 @@
     pub failed: u16,
     /// Rejections, and connections that could not be opened.
     pub refused: u16,
-    /// How long first events took.
-    pub firsts: Firsts,
+    /// How long first events took, if there were any.
+    pub firsts: Option<Firsts>,
 }
 
 /// Sums up how long first events took (`y`, in times between two tokens) after how many prompt tokens (`x`,
@@ -87,7 +92,7 @@
 impl Learned {
     /// Says whether nothing was seen.
     pub const fn is_empty(&self) -> bool {
-        let is_silent = self.steps == 0 && self.firsts.count == 0;
+        let is_silent = self.steps == 0 && self.firsts.is_none();
         is_silent && self.served == 0 && self.failed == 0 && self.refused == 0
     }
 
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -20,6 +20,8 @@
     pub(super) draining: bool,
     /// What this daemon has sent.
     pub(super) own: Load,
+    /// The part of it that the others were told last.
+    told: Load,
     /// What other daemons were given and have not reported yet.
     pub(super) promised: Load,
     /// The time between two tokens, in milliseconds.
@@ -106,6 +108,7 @@
             slots: entry.slots.max(1),
             draining: entry.draining,
             own: Load::default(),
+            told: Load::default(),
             promised: Load::default(),
             step: mean::Mean::new(assumed.step_ms, STEP_WINDOW),
             pace: mean::Low(assumed.step_ms),
@@ -146,7 +149,7 @@
         load: &gateway::EndpointLoad,
         params: &gateway::PoolParams,
     ) {
-        let learned = &load.learned;
+        let learned = &load.learned.unwrap_or_default();
         let silent = time::Duration::from_millis(u64::from(load.silent_ms));
         let heard =
             Timestamp::from_micros(now.as_micros().saturating_sub(silent.as_micros() as u64));
@@ -161,8 +164,8 @@
         if learned.steps > 0 {
             self.pace.observe(f64::from(learned.least_ms));
         }
-        if learned.firsts.count > 0 {
-            self.first.observe(&learned.firsts);
+        if let Some(firsts) = &learned.firsts {
+            self.first.observe(firsts);
         }
         self.failures.observe_many(0.0, learned.served);
         self.failures.observe_many(1.0, learned.failed);
@@ -173,9 +176,20 @@
         }
     }
 
-    /// Returns what the others have not been told yet, as told.
-    pub(super) fn take_learned(&mut self) -> gateway::Learned {
-        std::mem::take(&mut self.learned)
+    /// Describes what this daemon has at the endpoint, and takes it as told; `None` if there is nothing to tell.
+    ///
+    /// Only what has changed is told if `all` is not set.
+    pub(super) fn tell(
+        &mut self,
+        now: Timestamp,
+        name: &id::EndpointName,
+        all: bool,
+    ) -> Option<gateway::EndpointLoad> {
+        let has_changed = std::mem::replace(&mut self.told, self.own) != self.own;
+        let learned = std::mem::take(&mut self.learned);
+        let learned = (!learned.is_empty()).then_some(learned);
+        let is_told = has_changed || learned.is_some() || (all && self.own.running > 0);
+        is_told.then(|| gateway::EndpointLoad { learned, ..self.report(now, name) })
     }
 
     pub(super) fn first(&mut self, now: Timestamp, grant: &gateway::Grant, prompt: u32) {
@@ -185,7 +199,7 @@
             let took = now.since(grant.at).as_secs_f64() * 1_000.0;
             let seen = gateway::Firsts::one(f64::from(grant.prompt) / KILO, took / self.pace.0);
             self.first.observe(&seen);
-            self.learned.firsts.add(&seen);
+            self.learned.firsts.get_or_insert_default().add(&seen);
         }
         self.strikes = 0;
         self.own.prefill = self.own.prefill.saturating_sub(prompt);
@@ -282,14 +296,14 @@
     }
 
     /// Describes what this daemon has at the endpoint.
-    pub(super) fn report(&self, now: Timestamp, name: &id::EndpointName) -> gateway::EndpointLoad {
+    fn report(&self, now: Timestamp, name: &id::EndpointName) -> gateway::EndpointLoad {
         gateway::EndpointLoad {
             endpoint: name.clone(),
             start: self.start,
             running: u16::try_from(self.own.running).unwrap_or(u16::MAX),
             prefill: self.own.prefill,
             silent_ms: self.silence(now, self.own).as_millis() as u32,
-            learned: gateway::Learned::default(),
+            learned: None,
         }
     }
 
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -186,16 +186,11 @@
         self.peers.forget(peer);
     }
 
-    /// Returns what this daemon has at the endpoints, and what it has learned since the last call.
-    pub fn report(&mut self, now: Timestamp) -> Vec<gateway::EndpointLoad> {
-        let mut loads = Vec::new();
-        for (name, endpoint) in &mut self.endpoints {
-            let learned = endpoint.take_learned();
-            if endpoint.own.running > 0 || !learned.is_empty() {
-                loads.push(gateway::EndpointLoad { learned, ..endpoint.report(now, name) });
-            }
-        }
-        loads
+    /// Returns what this daemon has at the endpoints and has learned since the last call: all, or only where
+    /// something has changed.
+    pub fn report(&mut self, now: Timestamp, all: bool) -> Vec<gateway::EndpointLoad> {
+        let endpoints = self.endpoints.iter_mut();
+        endpoints.filter_map(|(name, endpoint)| endpoint.tell(now, name, all)).collect()
     }
 
     /// Says whether this daemon has work at an endpoint.
--- a/crates/decide/src/gateway/pool/peers.rs
+++ b/crates/decide/src/gateway/pool/peers.rs
@@ -6,21 +6,26 @@
 
 use crate::gateway::{self, pool::load};
 
-/// How long a report counts: daemons with work repeat theirs every half second, and one may be lost.
+/// How long a report counts: daemons with work tell all of it every quarter second, and some may be lost.
 const REPORT_KEPT: time::Duration = time::Duration::from_millis(1_300);
 
+/// Work by endpoint, where there is some.
+type Loads = collections::HashMap<id::EndpointName, load::Load>;
+
 /// Sums up the latest reports of the other daemons.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
     peers: collections::BTreeMap<net::SocketAddr, Peer>,
     /// The sums over `peers`, by endpoint.
-    loads: collections::HashMap<id::EndpointName, load::Load>,
+    loads: Loads,
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Timestamp,
-    report: gateway::LoadReport,
+    /// The latest report's incarnation and number.
+    last: (u64, u64),
+    loads: Loads,
 }
 
 impl Peers {
@@ -31,16 +36,29 @@
         peer: net::SocketAddr,
         report: &gateway::LoadReport,
     ) -> bool {
-        if let Some(old) = self.peers.get(&peer) {
-            let is_same = old.report.incarnation == report.incarnation;
-            if is_same && old.report.number >= report.number {
-                return false;
-            }
-            let old = old.report.endpoints.clone();
-            self.subtract(&old);
+        let last = (report.incarnation, report.number);
+        let known = self.peers.get(&peer).map(|known| known.last);
+        if known.is_some_and(|known| known.0 == last.0 && known.1 >= last.1) {
+            return false;
+        }
+        // A new incarnation has none of the work of the one before.
+        if report.is_full || known.is_none_or(|known| known.0 != last.0) {
+            self.forget(peer);
+        }
+        let new = || Peer { heard: now, last, loads: Loads::new() };
+        let known = self.peers.entry(peer).or_insert_with(new);
+        known.heard = now;
+        known.last = last;
+        for told in &report.endpoints {
+            let load = load::Load { running: u32::from(told.running), prefill: told.prefill };
+            let before = if load.running == 0 {
+                known.loads.remove(&told.endpoint)
+            } else {
+                known.loads.insert(told.endpoint.clone(), load)
+            };
+            subtract(&mut self.loads, &told.endpoint, before.unwrap_or_default());
+            add(&mut self.loads, &told.endpoint, load);
         }
-        self.add(&report.endpoints);
-        self.peers.insert(peer, Peer { heard: now, report: report.clone() });
         true
     }
 
@@ -50,7 +68,7 @@
     /// requests then; a daemon that has work repeats it.
     pub(super) fn expire(&mut self, now: Timestamp) {
         let is_old = |(_, peer): &(&net::SocketAddr, &Peer)| {
-            !peer.report.endpoints.is_empty() && now.since(peer.heard) > REPORT_KEPT
+            !peer.loads.is_empty() && now.since(peer.heard) > REPORT_KEPT
         };
         let old: Vec<_> = self.peers.iter().filter(is_old).map(|(address, _)| *address).collect();
         for address in old {
@@ -59,8 +77,9 @@
     }
 
     pub(super) fn forget(&mut self, peer: net::SocketAddr) {
-        if let Some(old) = self.peers.remove(&peer) {
-            self.subtract(&old.report.endpoints);
+        let Some(old) = self.peers.remove(&peer) else { return };
+        for (endpoint, load) in &old.loads {
+            subtract(&mut self.loads, endpoint, *load);
         }
     }
 
@@ -68,7 +87,7 @@
     pub(super) fn forget_endpoint(&mut self, endpoint: &id::EndpointName) {
         self.loads.remove(endpoint);
         for peer in self.peers.values_mut() {
-            peer.report.endpoints.retain(|load| load.endpoint != *endpoint);
+            peer.loads.remove(endpoint);
         }
     }
 
@@ -80,24 +99,20 @@
     pub(super) fn oldest(&self) -> Option<Timestamp> {
         self.peers.values().map(|peer| peer.heard).min()
     }
+}
 
-    fn add(&mut self, loads: &[gateway::EndpointLoad]) {
-        for load in loads {
-            let sum = self.loads.entry(load.endpoint.clone()).or_default();
-            sum.running += u32::from(load.running);
-            sum.prefill = sum.prefill.saturating_add(load.prefill);
-        }
+fn add(loads: &mut Loads, endpoint: &id::EndpointName, load: load::Load) {
+    if load.running > 0 {
+        let sum = loads.entry(endpoint.clone()).or_default();
+        *sum = sum.plus(load);
     }
+}
 
-    fn subtract(&mut self, loads: &[gateway::EndpointLoad]) {
-        for load in loads {
-            if let Some(sum) = self.loads.get_mut(&load.endpoint) {
-                sum.running = sum.running.saturating_sub(u32::from(load.running));
-                sum.prefill = sum.prefill.saturating_sub(load.prefill);
-                if sum.running == 0 {
-                    self.loads.remove(&load.endpoint);
-                }
-            }
-        }
+fn subtract(loads: &mut Loads, endpoint: &id::EndpointName, load: load::Load) {
+    let Some(sum) = loads.get_mut(endpoint) else { return };
+    sum.running = sum.running.saturating_sub(load.running);
+    sum.prefill = sum.prefill.saturating_sub(load.prefill);
+    if sum.running == 0 {
+        loads.remove(endpoint);
     }
 }
--- a/crates/decide/tests/testsuite/gateway/pool.rs
+++ b/crates/decide/tests/testsuite/gateway/pool.rs
@@ -20,10 +20,10 @@
         running: *running,
         prefill: 0,
         silent_ms: 0,
-        learned: Learned::default(),
+        learned: None,
     };
     let endpoints = running.iter().map(load).collect();
-    LoadReport { incarnation: 1, number, service: service(), placed, endpoints }
+    LoadReport { incarnation: 1, number, service: service(), is_full: true, placed, endpoints }
 }
 
 #[test]
@@ -129,7 +129,7 @@
     let mut pool = pool(&["one", "two"]);
     let slow = Learned { steps: 60, step_ms: 60.0, ..Learned::default() };
     let mut told = report(1, &[("one", 1)], 0);
-    told.endpoints[0].learned = slow;
+    told.endpoints[0].learned = Some(slow);
     pool.note_peer(at(0), peer(2), &told);
     let states = pool.states(at(1));
     assert!(states[0].step_ms > 55.0, "{states:?}");
@@ -141,7 +141,7 @@
 fn an_endpoint_that_speaks_is_not_left_alone_since_one_peer_was_refused() {
     let refused = Learned { refused: 1, ..Learned::default() };
     let mut told = report(1, &[("one", 0)], 0);
-    told.endpoints[0].learned = refused;
+    told.endpoints[0].learned = Some(refused);
     let mut alive = pool(&["one"]);
     let grant = granted(alive.arrive(at(0), demand(0, 0)));
     alive.first(at(10), &grant, grant.prompt);
@@ -188,7 +188,7 @@
     let kept = granted(pool.arrive(at(0), demand(0, 0)));
     let unused = granted(pool.arrive(at(0), demand(0, 0)));
     pool.end(at(1), &unused, unused.prompt, Outcome::Unused);
-    let load = pool.report(at(2)).remove(0);
+    let load = pool.report(at(2), true).remove(0);
     assert_eq!((load.running, load.prefill), (1, kept.prompt));
 }
 
@@ -276,7 +276,7 @@
     let mut pool = pool(&["one", "two", "three"]);
     let failed = Learned { failed: 12, ..Learned::default() };
     let mut told = report(1, &[("one", 0)], 0);
-    told.endpoints[0].learned = failed;
+    told.endpoints[0].learned = Some(failed);
     pool.note_peer(at(0), peer(2), &told);
     for _ in 0..4 {
         assert_ne!(granted(pool.arrive(at(1), demand(1, 0))).endpoint.as_str(), "one");
@@ -297,8 +297,8 @@
     let mut pool = pool(&["one", "two"]);
     let failed = Learned { failed: 12, ..Learned::default() };
     let mut told = report(1, &[("one", 0), ("two", 0)], 0);
-    told.endpoints[0].learned = failed;
-    told.endpoints[1].learned = failed;
+    told.endpoints[0].learned = Some(failed);
+    told.endpoints[1].learned = Some(failed);
     pool.note_peer(at(0), peer(2), &told);
     for _ in 0..4 {
         granted(pool.arrive(at(1), demand(1, 0)));
@@ -459,3 +459,36 @@
     pool.end(at(2_150), &grant, 0, Outcome::Served);
     assert_eq!(grants(&mut pool, 2_150)[0].0, earlier);
 }
+
+/// Most reports tell only what has changed; the next full one makes up for what was lost.
+#[test]
+fn a_report_of_what_has_changed_leaves_the_rest_as_it_was() {
+    let others =
+        |pool: &Pool| pool.states(at(0)).iter().map(|state| state.others).collect::<Vec<_>>();
+    let mut pool = pool(&["one", "two"]);
+    pool.note_peer(at(0), peer(2), &report(1, &[("one", 2), ("two", 1)], 0));
+    let part = LoadReport { is_full: false, ..report(2, &[("one", 1)], 0) };
+    pool.note_peer(at(10), peer(2), &part);
+    assert_eq!(others(&pool), [1, 1]);
+    let ended = LoadReport { is_full: false, ..report(3, &[("one", 0)], 0) };
+    pool.note_peer(at(20), peer(2), &ended);
+    pool.note_peer(at(20), peer(3), &LoadReport { is_full: false, ..report(1, &[("two", 1)], 0) });
+    assert_eq!(others(&pool), [0, 2]);
+    pool.note_peer(at(30), peer(2), &report(4, &[], 0));
+    assert_eq!(others(&pool), [0, 1]);
+    pool.forget_peer(peer(3));
+    assert_eq!(others(&pool), [0, 0]);
+}
+
+#[test]
+fn only_what_has_changed_at_an_endpoint_is_told() {
+    let mut pool = pool(&["one", "two"]);
+    let first = granted(pool.arrive(at(0), demand(0, 0)));
+    assert_eq!(pool.report(at(1), false).len(), 1);
+    assert!(pool.report(at(2), false).is_empty());
+    assert_eq!(pool.report(at(3), true).len(), 1);
+    pool.end(at(4), &first, first.prompt, Outcome::Served);
+    let told = pool.report(at(5), false);
+    assert_eq!((told[0].running, told[0].learned.unwrap().served), (0, 1));
+    assert!(pool.report(at(6), true).is_empty());
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
 const FAR_FULL: time::Duration = time::Duration::from_millis(2_000);
 
 /// How often the daemons that place requests are told everything, as a report may have been lost.
-const REPORTS: time::Duration = time::Duration::from_millis(500);
+const REPORTS: time::Duration = time::Duration::from_millis(250);
 
 /// The largest datagram that is read, in bytes.
 const LARGEST: usize = 16 << 10;
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -206,11 +206,15 @@
 
     /// Tells those who place the requests of a service what this daemon has there.
     pub(crate) fn report(&mut self, now: Timestamp, service: &id::PoolName) {
+        self.tell_placers(now, service, false);
+    }
+
+    fn tell_placers(&mut self, now: Timestamp, service: &id::PoolName, all: bool) {
         let mut placers = self.mesh.placers(now, service, self.placing(now));
         placers.retain(|placer| *placer != self.mesh.own());
         self.reports += 1;
-        let (incarnation, number) = (self.incarnation, self.reports);
-        self.service(service).report(now, incarnation, number, &placers);
+        let number = (self.incarnation, self.reports);
+        self.service(service).report(now, number, &placers, all);
     }
 
     /// Tells all that this daemon has anywhere, since a report may have been lost and others may
@@ -219,7 +223,7 @@
         let with_work = self.services.iter().filter(|(_, service)| service.pool.has_work());
         let names: Vec<_> = with_work.map(|(name, _)| name.clone()).collect();
         for name in names {
-            self.report(now, &name);
+            self.tell_placers(now, &name, true);
         }
     }
 
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -21,6 +21,8 @@
     /// Requests of this daemon that wait at another one, by number.
     asked: collections::HashMap<u64, Asked>,
     numbers: u64,
+    /// Who was told of the work here last.
+    told: Vec<net::SocketAddr>,
     /// What is to be sent.
     pub(super) mail: Vec<Letter>,
 }
@@ -95,6 +97,7 @@
             placed: collections::HashMap::new(),
             asked: collections::HashMap::new(),
             numbers: 0,
+            told: Vec::new(),
             mail: Vec::new(),
         }
     }
@@ -162,23 +165,29 @@
         }
     }
 
-    /// Tells the daemons that place this service's requests what this one has there.
+    /// Tells the daemons that place this service's requests what this one has there: what has changed, or all
+    /// if that is asked for or others place them now.
     pub(crate) fn report(
         &mut self,
         now: Timestamp,
-        incarnation: u64,
-        number: u64,
+        number: (u64, u64),
         placers: &[net::SocketAddr],
+        all: bool,
     ) {
         if placers.is_empty() {
+            self.told.clear();
             return;
         }
+        let (incarnation, number) = number;
+        let is_full = all || self.told != placers;
+        self.told = placers.to_vec();
         let report = gateway::LoadReport {
             incarnation,
             number,
             service: self.name.clone(),
+            is_full,
             placed: 0,
-            endpoints: self.pool.report(now),
+            endpoints: self.pool.report(now, is_full),
         };
         for placer in placers {
             let placed = self.placed.get(placer).copied().unwrap_or_default();
