--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{
     self,
-    pool::{line, load::Load, mean},
+    pool::{assumed, line, load::Load, mean, state},
 };
 
 #[derive(Clone, Debug)]
@@ -44,23 +44,6 @@
     strikes: u32,
 }
 
-/// Describes what a daemon believes of an endpoint.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
-pub struct EndpointState {
-    /// The endpoint.
-    pub endpoint: id::EndpointName,
-    /// Requests of this daemon.
-    pub own: u32,
-    /// Requests of the other daemons, as they told last.
-    pub others: u32,
-    /// The time between two tokens, in milliseconds.
-    pub step_ms: f64,
-    /// The part of the answers that were failures.
-    pub failures: f64,
-    /// For how long it has said nothing though it has work, in milliseconds.
-    pub silent_ms: u64,
-}
-
 /// Longer gaps count as this, so that one pause is soon forgotten; milliseconds a token.
 const LONGEST_STEP_MS: f64 = 100.0;
 
@@ -77,30 +60,12 @@
 /// Prompts are followed in thousands of tokens.
 const KILO: f64 = 1_000.0;
 
-/// What is assumed of an endpoint before anything was observed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Assumed {
-    /// The time between two tokens, in milliseconds.
-    pub(super) step_ms: f64,
-    /// The time to a first event beside the prompt's own, in times between two tokens.
-    pub(super) begin: f64,
-    /// The time that a prompt token takes, in times between two tokens.
-    pub(super) prompt: f64,
-}
-
-impl Assumed {
-    /// Returns what the settings say.
-    pub(super) const fn new(params: &gateway::PoolParams) -> Self {
-        Self {
-            step_ms: params.step_ms,
-            begin: params.first_ms / params.step_ms,
-            prompt: params.prompt_ms / params.step_ms,
-        }
-    }
-}
-
 impl Endpoint {
-    pub(super) fn new(now: Timestamp, entry: &gateway::RosterEntry, assumed: Assumed) -> Self {
+    pub(super) fn new(
+        now: Timestamp,
+        entry: &gateway::RosterEntry,
+        assumed: assumed::Assumed,
+    ) -> Self {
         Self {
             address: entry.address,
             zone: entry.zone.clone(),
@@ -312,8 +277,8 @@
         now: Timestamp,
         name: &id::EndpointName,
         others: Load,
-    ) -> EndpointState {
-        EndpointState {
+    ) -> state::EndpointState {
+        state::EndpointState {
             endpoint: name.clone(),
             own: self.own.running,
             others: others.running,
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Order and place of the requests of one service, as one daemon decides them.
 
+mod assumed;
 mod demand;
 mod endpoint;
 mod flow;
@@ -12,6 +13,7 @@
 mod promises;
 mod queue;
 mod ranks;
+mod state;
 mod view;
 mod wait;
 
@@ -22,8 +24,8 @@
 use crate::gateway;
 
 pub use demand::{Demand, Grant, Outcome, Refused, Settled, Ticket, Verdict};
-pub use endpoint::EndpointState;
 pub use params::PoolParams;
+pub use state::EndpointState;
 
 /// Decides which requests go to which endpoint of a service, and when.
 ///
@@ -81,12 +83,12 @@
     }
 
     /// Returns what is assumed of an endpoint that is new: the mean of those that are known.
-    fn assumed(&self) -> endpoint::Assumed {
+    fn assumed(&self) -> assumed::Assumed {
         if self.endpoints.is_empty() {
-            return endpoint::Assumed::new(&self.params);
+            return assumed::Assumed::new(&self.params);
         }
         let usual = self.usual();
-        endpoint::Assumed {
+        assumed::Assumed {
             step_ms: usual.step_ms,
             begin: usual.begin_ms / usual.pace_ms,
             prompt: usual.prompt_ms / usual.pace_ms,
