decide, gateway, platform: who was cut off learns at once which entries are gone

Since the age of a list became one rule for all sources, nobody looked whether the readers' list was another one. Change: a list that is older than a reader's and not the same counts as never read and is read at once; who reads for all looks for that as well while it waits. What the reader tells of its source's steadiness then lets missing entries go. Test that failed first: roster::who_was_cut_off_learns_at_once_which_entries_are_gone.

--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -108,6 +108,17 @@
         !knows_better || self.is_settled(now, since)
     }
 
+    /// Takes in that another daemon has a list with `mark`, read at `read`. A list that is older than another one,
+    /// and not the same, counts as never read: it has to be read again at once.
+    ///
+    /// A daemon that was cut off keeps entries that vanished meanwhile. Once it hears for how long the source
+    /// has been steady, the next list that it reads tells which of them are gone.
+    pub fn compare(&mut self, mark: u64, read: Timestamp) {
+        if mark != self.mark && self.read < Some(read) {
+            self.read = None;
+        }
+    }
+
     /// Returns since when the source has answered without a break.
     pub const fn steady(&self) -> Option<Timestamp> {
         self.steady
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -162,3 +162,29 @@
     assert_eq!(roster.replace(at(200), vec![late]), []);
     assert_eq!(gone(&roster.replace(at(4_000), vec![])), 1);
 }
+
+/// A daemon is cut off for eight seconds, and an endpoint leaves right before the cut heals. The bound for endpoints that
+/// leave holds for it three seconds after that.
+#[test]
+fn who_was_cut_off_learns_at_once_which_entries_are_gone() {
+    let mut roster = Roster::new(GRACE);
+    roster.replace(at(0), vec![entry("a"), entry("b")]);
+    roster.failed();
+    // Its own first list after the cut: by what it knows, an outage may have ended just now.
+    assert_eq!(gone(&roster.replace(at(25_000), vec![entry("a")])), 0);
+    // Another daemon has read the source all the while, and its list is another one.
+    let mut other = Roster::new(GRACE);
+    other.replace(at(0), vec![entry("a"), entry("b")]);
+    other.replace(at(25_400), vec![entry("a")]);
+    assert!(roster.may_follow(at(25_500), other.steady().unwrap()));
+    roster.assume_steady(other.steady().unwrap());
+    roster.compare(other.mark(), at(25_400));
+    assert_eq!(roster.read(), None, "to be read at once");
+    assert_eq!(gone(&roster.replace(at(25_600), vec![entry("a")])), 1);
+    roster.compare(other.mark(), at(26_000));
+    assert!(roster.read().is_some(), "the same list");
+    // An older list of another daemon says nothing.
+    roster.replace(at(27_000), vec![entry("a"), entry("c")]);
+    roster.compare(other.mark(), at(26_400));
+    assert!(roster.read().is_some());
+}
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -148,6 +148,7 @@
         if let Some(changes) = reply.changes {
             self.follow(before(view.read), roster, changes);
         }
+        self.shared.core().roster.compare(view.roster, before(view.read));
         true
     }
 }
