--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -98,14 +98,19 @@
         now.since(since) >= self.grace
     }
 
-    /// Says whether the list of a daemon may be followed for which the source has been steady since `since`.
+    /// Says whether this daemon has known the source to be steady for long enough to tell who is gone.
+    pub fn has_settled(&self, now: Timestamp) -> bool {
+        self.steady.is_some_and(|own| self.is_settled(now, own))
+    }
+
+    /// Says whether a list may be followed that a daemon read at `read` which had known the source to be steady since
+    /// `since`.
     ///
     /// A daemon that has just started keeps entries that vanish, since an outage may have ended just before.
     /// Whoever knows better must not follow it: endpoints that have left would get work for another
     /// two seconds.
-    pub fn may_follow(&self, now: Timestamp, since: Timestamp) -> bool {
-        let knows_better = self.steady.is_some_and(|own| self.is_settled(now, own));
-        !knows_better || self.is_settled(now, since)
+    pub fn may_follow(&self, now: Timestamp, read: Timestamp, since: Timestamp) -> bool {
+        !self.has_settled(now) || self.is_settled(read, since)
     }
 
     /// Takes in that another daemon has a list with `mark`, read at `read`. A list that is older than another one,
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -78,9 +78,11 @@
     let mut reader = Roster::new(GRACE);
     reader.replace(at(27_900), vec![entry("a"), entry("b")]);
     assert_eq!(gone(&reader.replace(at(28_700), vec![entry("a")])), 0);
-    assert!(!follower.may_follow(at(28_800), reader.steady().unwrap()));
+    assert!(!follower.may_follow(at(28_800), at(28_700), reader.steady().unwrap()));
     assert_eq!(gone(&follower.replace(at(28_800), vec![entry("a")])), 1);
-    assert!(follower.may_follow(at(30_200), reader.steady().unwrap()));
+    // Nor once the reader has settled, until it has read its list again.
+    assert!(!follower.may_follow(at(30_200), at(29_700), reader.steady().unwrap()));
+    assert!(follower.may_follow(at(30_800), at(30_700), reader.steady().unwrap()));
 }
 
 #[test]
@@ -88,7 +90,7 @@
     let mut follower = Roster::new(GRACE);
     follower.replace(at(0), vec![entry("a")]);
     follower.failed();
-    assert!(follower.may_follow(at(9_500), at(9_300)));
+    assert!(follower.may_follow(at(9_500), at(9_400), at(9_300)));
 }
 
 /// Reads two lists and returns their marks too.
@@ -176,7 +178,7 @@
     let mut other = Roster::new(GRACE);
     other.replace(at(0), vec![entry("a"), entry("b")]);
     other.replace(at(25_400), vec![entry("a")]);
-    assert!(roster.may_follow(at(25_500), other.steady().unwrap()));
+    assert!(roster.may_follow(at(25_500), at(25_400), other.steady().unwrap()));
     roster.assume_steady(other.steady().unwrap());
     roster.compare(other.mark(), at(25_400));
     assert_eq!(roster.read(), None, "to be read at once");
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -67,6 +67,11 @@
         self.shared.core().mesh.is_reader()
     }
 
+    /// Says whether this daemon has known the source of the endpoints to be steady for long enough to tell who is gone.
+    pub fn has_settled(&self) -> bool {
+        self.shared.core().roster.has_settled(self.now())
+    }
+
     /// Asks those that read the store; confirms the configuration if one of them knows it fresh.
     pub async fn query_readers(&self) -> Readers {
         let mut found = Readers::Unheard;
@@ -139,7 +144,7 @@
         }
         if view.steady == 0 {
             core.roster.failed();
-        } else if core.roster.may_follow(self.now(), before(view.steady)) {
+        } else if core.roster.may_follow(self.now(), before(view.read), before(view.steady)) {
             core.roster.assume_steady(before(view.steady));
         } else {
             return false;
