--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -111,8 +111,8 @@
     ///
     /// The load that this answers: short requests of a plain service at more than nine tenths of what it can do. A slot
     /// that becomes free stays so until its end was told, a place was given and a request has come, some 10 ms of
-    /// 60. With one that waits at the endpoint itself the slot is taken at once: of some 10,000 orders in a burst 1,391
-    /// were refused instead of 1,684. Not at engines: what waits there cannot be
+    /// 60. With one that waits at the endpoint itself the slot is taken at once.
+    /// Not at engines: what waits there cannot be
     /// passed by what is more urgent, for as long as an answer takes.
     fn may_queue(&self, endpoint: &endpoint::Endpoint, load: load::Load) -> bool {
         let is_engine = self.event_tokens > 0;
