--- a/crates/decide/src/gateway/config/table.rs
+++ b/crates/decide/src/gateway/config/table.rs
@@ -14,6 +14,8 @@
     hosts: collections::HashMap<String, Vec<usize>>,
     /// By key, the index of its account.
     keys: collections::HashMap<String, usize>,
+    /// By name, the index of the account.
+    accounts: collections::HashMap<id::AccountName, usize>,
     services: collections::HashMap<id::PoolName, usize>,
 }
 
@@ -49,9 +51,16 @@
         for (index, account) in config.accounts.iter().enumerate() {
             keys.extend(account.keys.iter().map(|key| (key.clone(), index)));
         }
+        let names = config.accounts.iter().enumerate();
+        let accounts = names.map(|(index, account)| (account.name.clone(), index)).collect();
         let named = |(index, service): (usize, &gateway::Service)| (service.name.clone(), index);
         let services = config.services.iter().enumerate().map(named).collect();
-        Self { config, hosts, keys, services }
+        Self { config, hosts, keys, accounts, services }
+    }
+
+    /// Returns the account with a name.
+    pub fn account(&self, name: &id::AccountName) -> Option<&gateway::Account> {
+        self.accounts.get(name).map(|index| &self.config.accounts[*index])
     }
 
     /// Returns the configuration that is indexed.
--- /dev/null
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -0,0 +1,150 @@
+//! The few daemons that hear from each other all the time.
+//!
+//! They read the store for all, and between them they keep the buckets of all quotas. Found by the strength of their
+//! hosts and by hashing, so that all daemons with the same members find the same ones without a word.
+
+use std::net;
+
+use trefoildyke_types::{id, time::Timestamp};
+
+use crate::gateway::{Mesh, mesh};
+
+/// How many hubs there are at least: two may be lost or cut off.
+const LEAST: usize = 3;
+
+/// For how many daemons there is one. At two questions about the store a second each, answering takes a hub
+/// about 64 datagrams a second.
+const DAEMONS_EACH: usize = 32;
+
+/// How many hubs keep the bucket of an account: one that is asked, and one that takes over when it is lost.
+const KEEPERS: usize = 2;
+
+impl Mesh {
+    /// Works out the order in which daemons become hubs: those on strong hosts first, which have work to spare.
+    pub(super) fn rank(&mut self) {
+        let others = self.members.iter().map(|(address, member)| (member.strength, *address));
+        let mut all: Vec<_> = others.chain([(self.strength, self.own)]).collect();
+        all.sort_by_cached_key(|(strength, address)| {
+            (std::cmp::Reverse(*strength), mesh::roles::weight(0, *address))
+        });
+        self.ranked = all.into_iter().map(|(_, address)| address).collect();
+    }
+
+    fn hub_count(&self) -> usize {
+        LEAST.max(self.count() / DAEMONS_EACH).min(self.ranked.len())
+    }
+
+    /// Returns the hubs, this daemon included if it is one.
+    pub fn hubs(&self) -> &[net::SocketAddr] {
+        &self.ranked[..self.hub_count()]
+    }
+
+    /// Returns the daemons that read the store for all.
+    ///
+    /// They are the hubs, but those that the store turns away come last: where it turns away a third of the hosts, and by
+    /// chance all hubs among them, everybody else would go on with what was removed for seconds.
+    ///
+    /// Every daemon works them out from what it knows. Where that differs, there are some more
+    /// readers for a while, or somebody is asked who has to ask himself; ages are told either way.
+    pub fn readers(&self, now: Timestamp) -> Vec<net::SocketAddr> {
+        let (answered, unanswered): (Vec<_>, Vec<_>) =
+            self.ranked.iter().partition(|address| !self.is_turned_away(now, **address));
+        answered.into_iter().chain(unanswered).take(self.hub_count()).collect()
+    }
+
+    fn is_turned_away(&self, now: Timestamp, address: net::SocketAddr) -> bool {
+        if address == self.own {
+            return self.unanswered;
+        }
+        let until = self.members.get(&address).and_then(|member| member.turned_away_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Says whether this daemon reads the store for all.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        self.members.is_empty() || self.readers(now).contains(&self.own)
+    }
+
+    /// Returns the readers but this daemon in the order in which it asks them.
+    ///
+    /// Each daemon begins with another one, so that each reader answers its part of them. Those that left a question
+    /// unanswered come last.
+    pub fn readers_to_ask(&self, now: Timestamp) -> Vec<net::SocketAddr> {
+        let mut readers = self.readers(now);
+        readers.retain(|reader| *reader != self.own);
+        let seed = mesh::roles::weight(0, self.own);
+        readers.sort_by_cached_key(|reader| {
+            let may_answer = self.members.get(reader).is_some_and(|member| member.may_answer(now));
+            (!may_answer, mesh::roles::weight(seed, *reader))
+        });
+        readers
+    }
+
+    /// Returns whom this daemon tells again and again of itself: the other hubs and readers, if it is one of them.
+    pub fn circle(&self, now: Timestamp) -> Vec<net::SocketAddr> {
+        let mut circle = self.readers(now);
+        let hubs = self.hubs().iter().filter(|hub| !circle.contains(hub)).copied();
+        circle.extend(hubs.collect::<Vec<_>>());
+        if !circle.contains(&self.own) {
+            return Vec::new();
+        }
+        circle.retain(|address| *address != self.own);
+        circle
+    }
+
+    /// Returns the hubs that keep the bucket of an account, in the order in which they are asked, this daemon
+    /// included if it is one.
+    ///
+    /// They do not depend on who answers: the bucket of an account must not be found at ever more daemons.
+    pub fn keepers(&self, account: &id::AccountName) -> Vec<net::SocketAddr> {
+        let seed = xxhash_rust::xxh3::xxh3_64(account.as_str().as_bytes());
+        let mut hubs = self.hubs().to_vec();
+        hubs.sort_by_cached_key(|hub| std::cmp::Reverse(mesh::roles::weight(seed, *hub)));
+        hubs.truncate(KEEPERS);
+        hubs
+    }
+
+    /// Says whether a daemon may be asked something: it has not just left a question unanswered.
+    pub fn may_answer(&self, now: Timestamp, address: net::SocketAddr) -> bool {
+        self.members.get(&address).is_some_and(|member| member.may_answer(now))
+    }
+
+    /// Notes that a member asks this daemon about the store.
+    pub fn note_client(&mut self, now: Timestamp, from: net::SocketAddr) {
+        if let Some(member) = self.members.get_mut(&from) {
+            member.asked = Some(now);
+        }
+    }
+
+    /// Returns how many members ask this daemon about the store that are not hubs themselves.
+    pub fn clients(&self, now: Timestamp) -> u16 {
+        let hubs = self.hubs();
+        let is_client = |(address, member): &(&net::SocketAddr, &mesh::Member)| {
+            member.asked.is_some_and(|asked| now.since(asked) <= self.silence)
+                && !hubs.contains(address)
+        };
+        u16::try_from(self.members.iter().filter(is_client).count()).unwrap_or(u16::MAX)
+    }
+
+    /// Returns the part of the members that this daemon hears, or that the hubs hear which it hears; itself
+    /// included.
+    ///
+    /// A keeper refills only that part of a quota: whoever is cut off goes on with its own part.
+    pub fn part(&self, now: Timestamp) -> f64 {
+        if !self.listed {
+            return mesh::UNLISTED_PART;
+        }
+        let is_heard = |member: &mesh::Member| {
+            member.heard.is_some_and(|heard| now.since(heard) <= self.silence)
+        };
+        let told = self.circle(now).into_iter().filter_map(|address| self.members.get(&address));
+        let told: usize = told.filter(|m| is_heard(m)).map(|m| 1 + usize::from(m.clients)).sum();
+        let heard = 1 + told + usize::from(self.clients(now));
+        (heard as f64 / self.count() as f64).min(1.0)
+    }
+
+    /// Returns the part of each quota that a daemon takes which reaches none of its keepers: its equal part.
+    pub fn equal_part(&self) -> f64 {
+        if self.listed { 1.0 / self.count() as f64 } else { mesh::UNLISTED_PART }
+    }
+}
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -1,5 +1,7 @@
-//! Which other daemons are heard.
+//! Which other daemons there are, and what is known of them.
 
+mod hubs;
+mod placing;
 mod roles;
 
 use std::{collections, net, time};
@@ -8,44 +10,56 @@
 
 use crate::gateway;
 
+pub use placing::Placing;
+
 /// Follows the members and what they say.
 ///
-/// Members come from a list that may lag; whoever is listed and silent counts as a member that is
-/// not heard. Only digests from listed addresses are taken in.
+/// Members come from a list that may lag. A daemon announces itself to all once when it starts and once when it
+/// leaves; between that only a few, the hubs, hear from each other again and again, so that what a daemon sends and
+/// takes in does not grow with the members. Whoever is listed and was not heard counts as alive until it
+/// leaves a question unanswered. Only what listed addresses say is taken in.
 #[derive(Clone, Debug)]
 pub struct Mesh {
     own: net::SocketAddr,
-    /// This daemon's availability zone.
-    zone: id::ZoneName,
     /// How much work for others this daemon's host can take.
     strength: gateway::Strength,
     /// Whether the store left this daemon's last call without an answer.
     unanswered: bool,
-    /// How long a member may be silent before its digest is forgotten.
+    /// How long a member may be silent before it counts as not heard.
     silence: time::Duration,
     /// Whether the members were ever listed.
     listed: bool,
     /// Whether a daemon that is not listed was heard.
     met_stranger: bool,
+    /// Daemons that announced their start before they were listed, and when.
+    announced: collections::BTreeMap<net::SocketAddr, Timestamp>,
     /// Addresses of the others.
     members: collections::BTreeMap<net::SocketAddr, Member>,
+    /// All addresses in the order in which they become hubs; follows from `members`, `own` and `strength`.
+    ranked: Vec<net::SocketAddr>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Member {
-    zone: Option<id::ZoneName>,
     /// The last digest's incarnation and number.
     last: Option<(u64, u64)>,
+    /// When its last digest came.
     heard: Option<Timestamp>,
-    /// Whether the member's loads are counted.
-    counted: bool,
-    /// Whether it can place the requests of others.
-    placing: gateway::Placing,
+    /// When it last asked this daemon about the store.
+    asked: Option<Timestamp>,
+    /// How many daemons ask it about the store, as it said last.
+    clients: u16,
+    /// Until when it counts as just started.
+    new_until: Option<Timestamp>,
+    /// Whether it has said that it leaves.
+    leaving: bool,
     strength: gateway::Strength,
-    /// Whether the store left its last call without an answer.
-    unanswered: bool,
+    /// Until when the store is believed to turn it away.
+    turned_away_until: Option<Timestamp>,
     /// Until when it is not asked, since it left a question unanswered.
     doubted_until: Option<Timestamp>,
+    /// How many questions in a row it left unanswered.
+    doubts: u32,
     /// Whether everything that this incarnation used was heard: it began after another one.
     whole: bool,
     spends: collections::HashMap<id::AccountName, Spend>,
@@ -82,22 +96,27 @@
 }
 
 /// Names another daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peer {
     /// Where it is told and heard.
     pub address: net::SocketAddr,
-    /// Its availability zone.
-    pub zone: id::ZoneName,
+    /// How much work for others its host can take.
+    pub strength: gateway::Strength,
 }
 
-/// Up to how many members each is told everything at once, wherever it is.
-///
-/// Messages grow with the square of the members, and bytes between availability zones are paid for.
+/// Up to how many members what each does for itself costs little.
 const SMALL: usize = 16;
 
 /// The part of each quota that a daemon takes that never got a list of the members.
 const UNLISTED_PART: f64 = 1.0 / 32.0;
 
+/// For how long it holds that the store turns a daemon away: it is not asked meanwhile, so that it cannot say that
+/// this is over.
+const TURNED_AWAY: time::Duration = time::Duration::from_millis(2_000);
+
+/// How many daemons are remembered that announced themselves before they were listed.
+const ANNOUNCED: usize = 4_096;
+
 /// Holds what a digest adds to what was known.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
@@ -105,37 +124,33 @@
     pub spent: Vec<gateway::AccountSpend>,
     /// What the sender's buckets hold of accounts that it names for the first time.
     pub levels: Vec<gateway::AccountSpend>,
-    /// Whether the sender's loads are to be forgotten.
-    pub leaving: bool,
+    /// Whether the sender's loads are to be forgotten: it leaves, or has started again.
+    pub is_over: bool,
 }
 
 impl Mesh {
     /// Starts with no other member; `own` is this daemon's address for digests.
-    pub const fn new(own: net::SocketAddr, zone: id::ZoneName, silence: time::Duration) -> Self {
+    pub fn new(own: net::SocketAddr, silence: time::Duration) -> Self {
         Self {
             own,
-            zone,
             strength: gateway::Strength::UNKNOWN,
             unanswered: false,
             silence,
             listed: false,
             met_stranger: false,
+            announced: collections::BTreeMap::new(),
             members: collections::BTreeMap::new(),
+            ranked: vec![own],
         }
     }
 
     /// Sets how much work for others this daemon's host can take.
     #[must_use]
-    pub const fn with_strength(mut self, strength: gateway::Strength) -> Self {
+    pub fn with_strength(mut self, strength: gateway::Strength) -> Self {
         self.strength = strength;
         self
     }
 
-    /// Returns how much work for others this daemon's host can take.
-    pub const fn strength(&self) -> gateway::Strength {
-        self.strength
-    }
-
     /// Notes whether the store has answered this daemon's last call; says whether that has changed.
     pub const fn note_answer(&mut self, is_answered: bool) -> bool {
         std::mem::replace(&mut self.unanswered, !is_answered) == is_answered
@@ -146,6 +161,13 @@
         self.unanswered
     }
 
+    /// Notes whether the store has answered a member's last call, as it said in reply to a question.
+    pub fn note_member_answer(&mut self, now: Timestamp, from: net::SocketAddr, is_answered: bool) {
+        if let Some(member) = self.members.get_mut(&from) {
+            member.turned_away_until = (!is_answered).then(|| now + TURNED_AWAY);
+        }
+    }
+
     /// Returns this daemon's address for digests.
     pub const fn own(&self) -> net::SocketAddr {
         self.own
@@ -154,16 +176,21 @@
     /// Takes in the list of members and returns those that are gone from it.
     pub fn replace(&mut self, list: &[Peer]) -> Vec<net::SocketAddr> {
         self.listed = true;
-        let is_listed =
-            |address: &net::SocketAddr| list.iter().any(|peer| peer.address == *address);
-        let gone = |(address, _): &(&net::SocketAddr, &Member)| !is_listed(address);
-        let gone: Vec<_> = self.members.iter().filter(gone).map(|(address, _)| *address).collect();
+        let listed: collections::BTreeSet<_> = list.iter().map(|peer| peer.address).collect();
+        let others = self.members.keys().copied();
+        let gone: Vec<_> = others.filter(|address| !listed.contains(address)).collect();
         for address in &gone {
             self.members.remove(address);
         }
         for peer in list.iter().filter(|peer| peer.address != self.own) {
-            self.members.entry(peer.address).or_default().zone = Some(peer.zone.clone());
+            let announced = self.announced.remove(&peer.address);
+            let member = self.members.entry(peer.address).or_default();
+            member.strength = peer.strength;
+            if let Some(at) = announced {
+                member.new_until = Some(at + placing::NEW);
+            }
         }
+        self.rank();
         gone
     }
 
@@ -175,7 +202,7 @@
         digest: &gateway::Digest,
     ) -> Option<News> {
         let Some(member) = self.members.get_mut(&from) else {
-            self.met_stranger |= !digest.leaving;
+            self.note_stranger(now, from, digest);
             return None;
         };
         let is_same = member.last.is_some_and(|(incarnation, _)| incarnation == digest.incarnation);
@@ -190,13 +217,17 @@
             member.spends.clear();
             member.whole = !is_first;
         }
+        if digest.starting {
+            member.new_until = Some(now + placing::NEW);
+            member.settle_doubt();
+        }
         member.last = Some((digest.incarnation, digest.number));
         member.heard = (!digest.leaving).then_some(now);
-        member.counted = !digest.leaving;
-        member.strength = digest.strength;
-        member.unanswered = digest.unanswered;
-        member.placing = if digest.leaving { gateway::Placing::Unable } else { digest.placing };
-        let mut news = News { leaving: digest.leaving, ..News::default() };
+        member.leaving = digest.leaving;
+        member.turned_away_until = digest.unanswered.then(|| now + TURNED_AWAY);
+        member.clients = digest.clients;
+        let is_over = digest.leaving || (digest.starting && !is_same);
+        let mut news = News { is_over, ..News::default() };
         for spend in &digest.spend {
             let is_named = member.spends.contains_key(&spend.account);
             let known = member.spends.entry(spend.account.clone());
@@ -212,33 +243,26 @@
         Some(news)
     }
 
-    /// Says whether a daemon that is not listed was heard since the last call: the list is too old.
-    pub const fn take_stranger(&mut self) -> bool {
-        std::mem::replace(&mut self.met_stranger, false)
+    fn note_stranger(&mut self, now: Timestamp, from: net::SocketAddr, digest: &gateway::Digest) {
+        self.met_stranger |= !digest.leaving;
+        if digest.starting && self.announced.len() < ANNOUNCED {
+            self.announced.insert(from, now);
+        }
     }
 
-    /// Returns the members whose loads are to be forgotten since they say nothing more.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<net::SocketAddr> {
-        let mut silent = Vec::new();
-        for (address, member) in &mut self.members {
-            let is_silent = member.heard.is_none_or(|heard| now.since(heard) > self.silence);
-            if member.counted && is_silent {
-                member.counted = false;
-                silent.push(*address);
-            }
+    /// Notes that a daemon has replied to something, or that one which is not listed says something.
+    ///
+    /// What a daemon says unasked does not show that it replies: it may be too busy for that.
+    pub fn hear(&mut self, from: net::SocketAddr) {
+        match self.members.get_mut(&from) {
+            Some(member) => member.settle_doubt(),
+            None => self.met_stranger = true,
         }
-        silent
     }
 
-    /// Returns the part of the members that is heard, this daemon included.
-    pub fn part(&self, now: Timestamp) -> f64 {
-        if !self.listed {
-            return UNLISTED_PART;
-        }
-        let is_heard =
-            |member: &&Member| member.heard.is_some_and(|heard| now.since(heard) <= self.silence);
-        let heard = self.members.values().filter(is_heard).count();
-        (heard + 1) as f64 / self.count() as f64
+    /// Says whether a daemon that is not listed was heard since the last call: the list is too old.
+    pub const fn take_stranger(&mut self) -> bool {
+        std::mem::replace(&mut self.met_stranger, false)
     }
 
     /// Returns how many members there are, this daemon included.
@@ -246,36 +270,31 @@
         self.members.len() + 1
     }
 
-    /// Says whether digests and offers from `address` are taken in.
+    /// Says whether messages from `address` are taken in.
     pub fn is_member(&self, address: net::SocketAddr) -> bool {
         self.members.contains_key(&address)
     }
 
-    /// Returns the addresses of those who are told at once: all of a small system, else those of
-    /// this availability zone.
-    pub fn near(&self) -> Vec<net::SocketAddr> {
-        self.select(true)
-    }
-
-    /// Returns the addresses of those who are told less often.
-    pub fn far(&self) -> Vec<net::SocketAddr> {
-        self.select(false)
-    }
-
-    /// Says whether the system is so large that other availability zones are told less often.
+    /// Says whether the system is so large that what each does for itself is to be done less often.
     pub fn is_large(&self) -> bool {
         self.count() > SMALL
     }
 
-    fn select(&self, near: bool) -> Vec<net::SocketAddr> {
-        let is_small = !self.is_large();
-        let is_near = |member: &Member| is_small || member.zone.as_ref() == Some(&self.zone);
-        let chosen = self.members.iter().filter(|(_, member)| is_near(member) == near);
-        chosen.map(|(address, _)| *address).collect()
-    }
-
     /// Returns the addresses of the others.
     pub fn others(&self) -> Vec<net::SocketAddr> {
         self.members.keys().copied().collect()
     }
 }
+
+impl Member {
+    /// Forgets the doubts: the member has replied, or has started again.
+    const fn settle_doubt(&mut self) {
+        self.doubted_until = None;
+        self.doubts = 0;
+    }
+
+    /// Says whether the member may be asked something.
+    fn may_answer(&self, now: Timestamp) -> bool {
+        !self.leaving && self.doubted_until.is_none_or(|until| now >= until)
+    }
+}
--- a/crates/decide/src/gateway/mesh/roles.rs
+++ b/crates/decide/src/gateway/mesh/roles.rs
@@ -1,4 +1,4 @@
-//! Which daemons do something for all: those that read the store, and those that place requests.
+//! Which daemons place the requests of a service for all.
 //!
 //! Found by rendezvous hashing, so that all daemons with the same members find the same ones without a
 //! word, and the loss of one moves only what it did.
@@ -7,50 +7,27 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{self, Mesh, mesh::Member};
-
-/// How many daemons read the store at least: two may be lost or cut off.
-const LEAST_READERS: usize = 3;
-
-/// For how many daemons one reads it. At two queries a second each, answering takes a reader
-/// about 64 datagrams a second.
-const DAEMONS_EACH: usize = 32;
+use crate::gateway::{self, Mesh};
 
 /// How many daemons are told of the work at a service: the one that places its requests, and the one
 /// that takes over when that one is lost.
 const PLACERS: usize = 2;
 
-/// For how long a daemon is not asked that left a question unanswered: until its silence would be
-/// noticed by everyone, or it has come back.
+/// For how long a daemon is not asked that left a question unanswered; twice as long each further time, since each
+/// time costs the requests that ask it a fifth of a second.
 const DOUBT: time::Duration = time::Duration::from_millis(1_000);
 
-impl Mesh {
-    /// Returns the daemons that read the store for all, in the order in which to ask them.
-    ///
-    /// Every daemon works them out from its own list. Where lists differ, there are some more
-    /// readers for a while, or somebody is asked who has to ask himself; ages are told either way.
-    ///
-    /// Those that the store turns away come last: where it turns away a third of the hosts, and by chance all
-    /// three readers among them, everybody else would go on with what was removed for seconds.
-    pub fn readers(&self) -> Vec<net::SocketAddr> {
-        let others = self.members.iter().map(|(address, member)| (member.unanswered, *address));
-        let mut all: Vec<_> = others.chain([(self.unanswered, self.own)]).collect();
-        all.sort_by_cached_key(|(unanswered, address)| {
-            (*unanswered, xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes()))
-        });
-        all.truncate(LEAST_READERS.max(self.count() / DAEMONS_EACH));
-        all.into_iter().map(|(_, address)| address).collect()
-    }
-
-    /// Says whether this daemon reads the store for all.
-    pub fn is_reader(&self) -> bool {
-        self.members.is_empty() || self.readers().contains(&self.own)
-    }
+/// How often that time doubles at most: by then the list of members names the daemon no more.
+const DOUBLINGS: u32 = 2;
 
+impl Mesh {
     /// Notes that a member did not answer, or cannot place requests.
     pub fn doubt(&mut self, now: Timestamp, address: net::SocketAddr) {
         if let Some(member) = self.members.get_mut(&address) {
-            member.doubted_until = Some(now + DOUBT);
+            if member.may_answer(now) {
+                member.doubted_until = Some(now + DOUBT * (1 << member.doubts.min(DOUBLINGS)));
+                member.doubts += 1;
+            }
         }
     }
 
@@ -67,12 +44,12 @@
         service: &id::PoolName,
         own: gateway::Placing,
     ) -> Vec<net::SocketAddr> {
-        let is_asked = |member: &Member| {
-            let is_heard = member.heard.is_some_and(|heard| now.since(heard) <= self.silence);
-            is_heard && member.doubted_until.is_none_or(|until| now >= until)
-        };
-        let others = self.members.iter().filter(|(_, member)| is_asked(member));
-        let others = others.map(|(address, member)| (member.placing, member.strength, *address));
+        let others = self.members.iter().filter(|(_, member)| member.may_answer(now));
+        let others = others.map(|(address, member)| {
+            let is_new = member.new_until.is_some_and(|until| now < until);
+            let placing = if is_new { gateway::Placing::New } else { gateway::Placing::Able };
+            (placing, member.strength, *address)
+        });
         let all = others.chain([(own, self.strength, self.own)]);
         let able = all.filter(|(placing, ..)| *placing != gateway::Placing::Unable);
         let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
@@ -99,7 +76,7 @@
 
 /// Returns how high a daemon stands among those that may place the requests of a service, whose name
 /// is hashed to `seed`.
-fn weight(seed: u64, address: net::SocketAddr) -> u64 {
+pub(super) fn weight(seed: u64, address: net::SocketAddr) -> u64 {
     let mut bytes = [0_u8; 18];
     match address.ip() {
         net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -96,6 +96,23 @@
         is_silent && self.served == 0 && self.failed == 0 && self.refused == 0
     }
 
+    /// Adds what was seen besides.
+    pub fn add(&mut self, other: &Self) {
+        let steps = f32::from(self.steps) + f32::from(other.steps);
+        if other.steps > 0 {
+            self.least_ms =
+                if self.steps == 0 { other.least_ms } else { self.least_ms.min(other.least_ms) };
+            self.step_ms += (other.step_ms - self.step_ms) * f32::from(other.steps) / steps;
+        }
+        self.steps = self.steps.saturating_add(other.steps);
+        self.served = self.served.saturating_add(other.served);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.refused = self.refused.saturating_add(other.refused);
+        if let Some(firsts) = &other.firsts {
+            self.firsts.get_or_insert_default().add(firsts);
+        }
+    }
+
     pub(crate) fn note_step(&mut self, step_ms: f64) {
         self.least_ms =
             if self.steps == 0 { step_ms as f32 } else { self.least_ms.min(step_ms as f32) };
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -1,5 +1,6 @@
 //! What daemons tell each other.
 
+mod charge;
 mod digest;
 mod load;
 mod placing;
@@ -9,7 +10,8 @@
 
 use crate::gateway;
 
-pub use digest::{AccountSpend, Digest, Placing};
+pub use charge::{Charge, ChargeReply};
+pub use digest::{AccountSpend, Digest};
 pub use load::{EndpointLoad, Firsts, Learned, LoadReport};
 pub use placing::{Ask, PlaceReply, Placed};
 pub use store_view::StoreView;
@@ -32,6 +34,22 @@
         /// The request's number.
         number: u64,
     },
+    /// Asks for a part of an account's quota.
+    Charge(Charge),
+    /// Replies to [`Message::Charge`].
+    Charged {
+        /// The request's number.
+        number: u64,
+        /// What becomes of it.
+        reply: ChargeReply,
+    },
+    /// Gives back what was taken of an account's quota for a request that was sent nowhere.
+    Refund {
+        /// The account.
+        account: id::AccountName,
+        /// How much.
+        cost: f64,
+    },
     /// Asks what the receiver knows of the store.
     Query {
         /// The sender's time; comes back in the reply, so that its age can be told.
@@ -45,6 +63,8 @@
         stamp: u64,
         /// What the sender knows.
         view: StoreView,
+        /// Whether the store has answered the sender's last call.
+        answered: bool,
         /// What leads from the list of the query to the one of `view`, if the sender knows that.
         changes: Option<Vec<gateway::RosterChange>>,
     },
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -26,14 +26,14 @@
 pub use deadlines::Deadlines;
 pub use events::{EventTooLong, Events};
 pub use freshness::Freshness;
-pub use mesh::{Mesh, News, Peer};
+pub use mesh::{Mesh, News, Peer, Placing};
 pub use message::{
-    AccountSpend, Ask, Digest, EndpointLoad, Firsts, Learned, LoadReport, Message, PlaceReply,
-    Placed, Placing, StoreView,
+    AccountSpend, Ask, Charge, ChargeReply, Digest, EndpointLoad, Firsts, Learned, LoadReport,
+    Message, PlaceReply, Placed, StoreView,
 };
 pub use pool::{
     Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
 };
-pub use quota::{Audience, Quota, QuotaParams};
+pub use quota::{Quota, QuotaParams};
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -29,26 +29,25 @@
 /// at the same moment without knowing of each other, and a cut that is noticed only by silence.
 const EXCESS_PART: f64 = 0.4;
 
-/// The part of a full bucket with which one starts at a daemon that does not know the members.
-const UNLISTED_START: f64 = 1.0 / 32.0;
-
 /// Bounds what each account uses over all daemons.
 ///
-/// Every daemon keeps a token bucket for each account and draws from it what it admits itself and
-/// what the others say they have admitted. The bucket refills with all that the quota allows in a
-/// window, spread evenly: the burst as well, since a caller may use it once in each window. A
-/// daemon that hears only a part of the members refills only that part, so that the parts of a
-/// split system together stay within the quota.
+/// Two daemons keep the bucket of an account; the others ask the first of them for each request, and the second if
+/// that does not reply. Each draws from its bucket what it gives and what the other says it has given. The bucket
+/// refills with all that the quota allows in a window, spread evenly: the burst as well, since a caller may use it
+/// once in each window. A keeper that hears only a part of the members refills only that part, and a daemon that
+/// reaches no keeper has its equal part in a bucket of its own, so that the parts of a split system together
+/// stay within the quota.
+///
+/// The load that this answers: a few requests a second at each of some hundred daemons, and one account that sends five times
+/// its usual. With a bucket at each daemon, all of them admit until they have heard of each other, which takes news
+/// to all twenty times a second.
 ///
-/// What was used before a daemon's start is not known to it. Its buckets start with its equal part of
-/// a full one: all daemons that start at once have one full bucket together, which the excess that is
-/// permitted beside the buckets covers. An empty start refused callers that were within their quotas
+/// What was used before a daemon's start is not known to it. Its buckets start full: the excess that is permitted
+/// covers one bucket more. An empty start refused callers that were within their quotas
 /// right after all daemons had lost power.
 #[derive(Clone, Debug)]
 pub struct Quota {
     params: QuotaParams,
-    /// The part of a full bucket with which one starts here.
-    start_part: f64,
     buckets: collections::HashMap<id::AccountName, Bucket>,
 }
 
@@ -64,32 +63,14 @@
     is_new: bool,
     /// Whether another daemon's level was taken over.
     adopted: bool,
-    /// Whether it was used since those who are near were told.
-    owed_near: bool,
-    /// The same for those who are far.
-    owed_far: bool,
-}
-
-/// Says whom the uses of accounts are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Audience {
-    /// Those who are told at once.
-    Near,
-    /// Those who are told less often.
-    Far,
-    /// Everyone.
-    All,
+    /// Whether it was used since the others were told.
+    has_news: bool,
 }
 
 impl Quota {
     /// Creates buckets on first use.
     pub fn new(params: QuotaParams) -> Self {
-        Self { params, start_part: UNLISTED_START, buckets: collections::HashMap::new() }
-    }
-
-    /// Takes in how many daemons there are, this one included.
-    pub fn set_members(&mut self, count: usize) {
-        self.start_part = 1.0 / count.max(1) as f64;
+        Self { params, buckets: collections::HashMap::new() }
     }
 
     /// Takes `cost` from the account's bucket, or says in how many seconds to come back.
@@ -111,10 +92,9 @@
         }
         let (rate, burst) = self.params.refill(account, part);
         let (_, whole) = self.params.refill(account, 1.0);
-        let start = whole * self.start_part;
         let bucket = self.bucket(now, &account.name);
         if std::mem::take(&mut bucket.is_new) && !bucket.adopted {
-            bucket.level += start;
+            bucket.level += whole;
         }
         bucket.refill(now, rate, burst);
         // A request larger than the burst passes a full bucket, else it would never pass.
@@ -124,7 +104,7 @@
         }
         bucket.level -= cost;
         bucket.used += cost;
-        bucket.set_owed();
+        bucket.has_news = true;
         Ok(())
     }
 
@@ -136,7 +116,7 @@
         let bucket = self.bucket(now, account);
         bucket.level += cost;
         bucket.returned += cost;
-        bucket.set_owed();
+        bucket.has_news = true;
     }
 
     /// Notes what another daemon has taken and given back.
@@ -157,11 +137,11 @@
     }
 
     /// Returns what each account has used at this daemon since its start: of the accounts that were
-    /// used since `audience` was last told, or of all.
-    pub fn used(&mut self, audience: Audience, all: bool) -> Vec<gateway::AccountSpend> {
+    /// used since the last call, or of all.
+    pub fn used(&mut self, all: bool) -> Vec<gateway::AccountSpend> {
         let mut used = Vec::new();
         for (account, bucket) in &mut self.buckets {
-            if bucket.take_owed(audience) || all {
+            if std::mem::take(&mut bucket.has_news) || all {
                 used.push(gateway::AccountSpend {
                     account: account.clone(),
                     used: bucket.used as u64,
@@ -181,8 +161,7 @@
             returned: 0.0,
             is_new: true,
             adopted: false,
-            owed_near: false,
-            owed_far: false,
+            has_news: false,
         };
         self.buckets.entry(account.clone()).or_insert_with(new)
     }
@@ -205,18 +184,6 @@
 }
 
 impl Bucket {
-    const fn set_owed(&mut self) {
-        self.owed_near = true;
-        self.owed_far = true;
-    }
-
-    /// Says whether `audience` has to be told of the latest use, and takes it as told.
-    fn take_owed(&mut self, audience: Audience) -> bool {
-        let near = audience != Audience::Far && std::mem::take(&mut self.owed_near);
-        let far = audience != Audience::Near && std::mem::take(&mut self.owed_far);
-        near || far
-    }
-
     fn refill(&mut self, now: Timestamp, rate: f64, burst: f64) {
         let passed = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
--- a/crates/decide/src/gateway/strength.rs
+++ b/crates/decide/src/gateway/strength.rs
@@ -23,6 +23,16 @@
     /// Of a host that does not tell.
     pub const UNKNOWN: Self = Self(0);
 
+    /// Returns the strength with the number that [`Self::number`] gave.
+    pub const fn from_number(number: u8) -> Self {
+        Self(number)
+    }
+
+    /// Returns the strength as a number, for lists of members.
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+
     /// Returns the strength of a host whose daemon may use so many processor cores.
     pub fn of_cores(cores: f64) -> Self {
         let hundredths = (cores * 100.0).clamp(0.0, 1e9) as u32;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,22 +6,21 @@
 use tokio_util::sync as tokio_sync;
 use trefoildyke_decide::gateway;
 
-use crate::{query, record, state};
+use crate::{charging, query, state};
 
-/// How often the others are told though nothing has changed, so that they know that it is heard.
+/// How often the hubs tell each other of themselves though nothing has changed, so that each knows who is heard.
 const REST: time::Duration = time::Duration::from_millis(250);
 
-/// How often the daemons of other availability zones are told, in a system that is not small.
-const FAR: time::Duration = time::Duration::from_millis(200);
+/// How often they tell each other of what was used of quotas at most: what the second keeper of an account does not know
+/// yet when it takes over is within the permitted excess.
+const PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// How often everything is told, for those who have missed a digest or have just started.
-const FULL: time::Duration = time::Duration::from_millis(500);
+/// How often they tell each other everything, for those who have missed a digest or have just started.
+const FULL: time::Duration = time::Duration::from_millis(1_000);
 
-/// The same for those who are far: most of what daemons send between availability zones is this.
-const FAR_FULL: time::Duration = time::Duration::from_millis(2_000);
-
-/// How often the daemons that place requests are told everything, as a report may have been lost.
-const REPORTS: time::Duration = time::Duration::from_millis(250);
+/// How often the daemons that place requests, and those that would take over, are told everything, as a report may have
+/// been lost.
+const REPORTS: time::Duration = time::Duration::from_millis(500);
 
 /// The largest datagram that is read, in bytes.
 const LARGEST: usize = 16 << 10;
@@ -48,96 +47,53 @@
                 take_in(&shared, from, &buffer[..length]);
             }
             _ = tick.tick() => {
-                note_silent(&shared);
+                shared.decide(|core| core.tick(shared.now()));
                 teller.tell(&shared);
             }
         }
     }
-    let kind = state::DigestKind { audience: gateway::Audience::All, full: true, last: true };
-    let digest = shared.core().own_digest(shared.now(), kind);
-    let others = shared.core().mesh.others();
-    shared.tell(&gateway::Message::Digest(digest), &others);
+    shared.announce(state::DigestKind { last: true, full: true, ..Default::default() });
     Ok(())
 }
 
-/// Decides who is told when.
+/// Decides when the others are told.
 struct Teller {
-    near: Group,
-    far: Group,
-    reported: tokio::time::Instant,
-}
-
-/// Follows when some of the others were told what.
-struct Group {
-    audience: gateway::Audience,
-    /// How often they are told at most.
-    pause: time::Duration,
-    /// How often they are told everything.
-    full: time::Duration,
     told: tokio::time::Instant,
     told_all: tokio::time::Instant,
-    /// Whether they have not been told the latest.
-    owed: bool,
+    reported: tokio::time::Instant,
 }
 
 impl Teller {
     fn new() -> Self {
-        Self {
-            near: Group::new(gateway::Audience::Near, time::Duration::ZERO, FULL),
-            far: Group::new(gateway::Audience::Far, FAR, FAR_FULL),
-            reported: tokio::time::Instant::now(),
-        }
+        let now = tokio::time::Instant::now();
+        Self { told: now, told_all: now, reported: now }
     }
 
     fn tell(&mut self, shared: &state::Shared) {
-        if shared.take_changed() {
-            self.near.owed = true;
-            self.far.owed = true;
-        }
-        self.near.tell(shared, gateway::Mesh::near);
-        self.far.tell(shared, gateway::Mesh::far);
+        self.tell_hubs(shared);
         if self.reported.elapsed() >= REPORTS {
             self.reported = tokio::time::Instant::now();
             shared.decide(|core| core.report_all(shared.now()));
         }
     }
-}
 
-impl Group {
-    fn new(audience: gateway::Audience, pause: time::Duration, full: time::Duration) -> Self {
-        let now = tokio::time::Instant::now();
-        Self { audience, pause, full, told: now, told_all: now, owed: true }
-    }
-
-    fn tell(
-        &mut self,
-        shared: &state::Shared,
-        who: fn(&gateway::Mesh) -> Vec<std::net::SocketAddr>,
-    ) {
-        if self.told.elapsed() < if self.owed { self.pause } else { REST } {
+    fn tell_hubs(&mut self, shared: &state::Shared) {
+        let elapsed = self.told.elapsed();
+        if elapsed < PAUSE || (elapsed < REST && !shared.take_changed()) {
             return;
         }
-        let others = who(&shared.core().mesh);
-        if others.is_empty() {
+        self.told = tokio::time::Instant::now();
+        let hubs = shared.core().mesh.circle(shared.now());
+        if hubs.is_empty() {
             return;
         }
-        let now = tokio::time::Instant::now();
-        let full = now.duration_since(self.told_all) >= self.full;
-        let kind = state::DigestKind { audience: self.audience, full, last: false };
-        let digest = shared.core().own_digest(shared.now(), kind);
-        shared.tell(&gateway::Message::Digest(digest), &others);
-        self.told = now;
-        self.owed = false;
+        let full = self.told_all.elapsed() >= FULL;
         if full {
-            self.told_all = now;
+            self.told_all = self.told;
         }
-    }
-}
-
-fn note_silent(shared: &state::Shared) {
-    let news = shared.decide(|core| core.tick(shared.now()));
-    if news.silent > 0 {
-        shared.journal.write(&record::Event::PeerSilent { count: news.silent });
+        let kind = state::DigestKind { full, ..Default::default() };
+        let digest = shared.core().own_digest(shared.now(), kind);
+        shared.tell(&gateway::Message::Digest(digest), &hubs);
     }
 }
 
@@ -147,6 +103,7 @@
             shared.decide(|core| core.digest(shared.now(), from, &digest));
         }
         Ok(message) if !shared.core().mesh.is_member(from) => {
+            shared.core().mesh.hear(from);
             log::debug!("a message from {from}, which is no member, is ignored: {message:?}");
         }
         Ok(gateway::Message::Load(report)) => {
@@ -157,20 +114,39 @@
         }
         Ok(gateway::Message::Placed(placed)) => shared.decide(|core| {
             let service = placed.service.clone();
+            core.mesh.hear(from);
             core.service(&service).placed(shared.now(), from, placed);
-            core.report(shared.now(), &service);
         }),
+        Ok(gateway::Message::Charge(charge)) => {
+            let number = charge.number;
+            let reply = shared.core().charge(shared.now(), &charge);
+            shared.set_changed();
+            shared.tell(&gateway::Message::Charged { number, reply }, &[from]);
+        }
+        Ok(gateway::Message::Charged { number, reply }) => {
+            shared.core().mesh.hear(from);
+            charging::replied(shared, from, number, reply);
+        }
+        Ok(gateway::Message::Refund { account, cost }) => {
+            charging::refunded(shared, &account, cost);
+        }
         Ok(gateway::Message::Withdraw { service, number }) => {
             shared.decide(|core| core.service(&service).withdraw(shared.now(), from, number));
         }
         Ok(gateway::Message::Query { stamp, roster }) => {
+            shared.core().mesh.note_client(shared.now(), from);
             let reply = shared.core().reply(shared.now(), stamp, roster);
             if let Some(reply) = reply {
                 shared.tell(&reply, &[from]);
             }
         }
-        Ok(gateway::Message::Reply { stamp, view, changes }) => {
-            shared.queries.replied(stamp, query::Reply { view, changes });
+        Ok(gateway::Message::Reply { stamp, view, answered, changes }) => {
+            let mut core = shared.core();
+            core.mesh.hear(from);
+            core.mesh.note_member_answer(shared.now(), from, answered);
+            drop(core);
+            // A reply that came too late is of no use: its age is not known.
+            let _ = shared.queries.replies.replied(stamp, query::Reply { view, changes });
         }
         Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
     }
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -8,7 +8,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{face, names, record, state};
+use crate::{charging, face, names, record, state};
 
 /// How long a caller is asked to stay away that came before the configuration was known.
 const STARTING: time::Duration = time::Duration::from_millis(500);
@@ -26,7 +26,6 @@
     /// The request for the endpoint, without the headers that each send adds.
     pub(crate) request: hyper::Request<Full<Bytes>>,
     pub(crate) service: id::PoolName,
-    pub(crate) account: Option<id::AccountName>,
     pub(crate) kind: gateway::RouteKind,
     pub(crate) attempts: u32,
     pub(crate) gap: time::Duration,
@@ -44,8 +43,8 @@
     pub(crate) prompt: u32,
     /// The expected length of the answer in tokens.
     pub(crate) expected: f64,
-    /// What was taken from the account's quota.
-    pub(crate) cost: f64,
+    /// What was taken from the account's quota, until it is given back.
+    pub(crate) payment: Option<charging::Payment>,
 }
 
 /// Holds what admission found out of the head alone.
@@ -90,7 +89,7 @@
             returning: !spent.is_zero(),
             objective_ms: route.objective_ms,
         });
-        charge(shared, &admission, cost)?;
+        let payment = charge(shared, &admission, cost).await?;
         let mut request = face::endpoint_request(names, &head, body);
         if let Some(account) = &admission.account
             && let Ok(value) = header::HeaderValue::from_str(account.name.as_str())
@@ -114,8 +113,7 @@
             give_up: arrived + limit,
             prompt,
             expected,
-            cost,
-            account: admission.account.map(|account| account.name),
+            payment,
         })
     }
 }
@@ -200,21 +198,20 @@
     }
 }
 
-fn charge(shared: &state::Shared, admission: &Admission, cost: f64) -> Result<(), face::Reply> {
-    let Some(account) = &admission.account else { return Ok(()) };
-    let now = shared.now();
-    let mut core = shared.core();
-    let part = core.mesh.part(now);
-    core.quota.take(now, account, cost, part).map_err(|wait| {
-        let wait = time::Duration::from_secs_f64(wait.clamp(0.2, 60.0));
+async fn charge(
+    shared: &state::Shared,
+    admission: &Admission,
+    cost: f64,
+) -> Result<Option<charging::Payment>, face::Reply> {
+    let Some(account) = admission.account.as_ref().filter(|account| account.rate > 0.0) else {
+        return Ok(None);
+    };
+    let charged = charging::charge(shared, account, cost).await;
+    charged.map(Some).map_err(|used_up| {
+        let wait = time::Duration::from_secs_f64(used_up.wait.clamp(0.2, 60.0));
         let reply = face::Reply::new(StatusCode::TOO_MANY_REQUESTS, "quota");
         face::Reply { retry_after: Some(wait), ..reply }
-    })?;
-    drop(core);
-    if account.rate > 0.0 {
-        shared.set_changed();
-    }
-    Ok(())
+    })
 }
 
 /// Callers' estimates are right at the median and often far off; their mean lies this much higher.
--- a/crates/gateway/src/face/driver/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -95,10 +95,9 @@
     }
 
     /// Gives back what a request that has not run took from its account's quota.
-    pub(super) fn refund(&self) {
-        if let Some(account) = &self.call.account {
-            let now = self.shared.now();
-            self.shared.core().quota.give_back(now, account, self.call.cost);
+    pub(super) fn refund(&mut self) {
+        if let Some(payment) = self.call.payment.take() {
+            payment.refund(&self.shared);
         }
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -25,20 +25,22 @@
         self.shared.now()
     }
 
-    /// Puts a version in force that the source confirmed to a query sent at `as_of`.
+    /// Puts a version in force, which the source confirmed to a query sent at `as_of` if that is given.
     ///
     /// An older version than the one in force is ignored.
-    pub fn configure(&self, config: gateway::Config, as_of: Timestamp) {
+    pub fn configure(&self, config: gateway::Config, as_of: Option<Timestamp>) {
         let now = self.now();
         let event = record::Event::Configured {
             version: config.version,
             routes: config.routes.len(),
             accounts: config.accounts.len(),
-            age_ms: now.since(as_of).as_millis() as u64,
+            age_ms: as_of.map(|as_of| now.since(as_of).as_millis() as u64),
         };
         let mut core = self.shared.core();
         let is_new = core.configure(now, config);
-        core.freshness.confirm(as_of);
+        if let Some(as_of) = as_of {
+            core.freshness.confirm(as_of);
+        }
         drop(core);
         if is_new {
             self.shared.journal.write(&event);
@@ -86,9 +88,12 @@
         let now = self.now();
         let mut core = self.shared.core();
         let before = core.mesh.others();
-        core.members(now, list);
+        let is_first = core.members(now, list);
         let (count, is_changed) = (core.mesh.count(), core.mesh.others() != before);
         drop(core);
+        if is_first {
+            self.shared.announce(state::DigestKind { starting: true, ..Default::default() });
+        }
         if is_changed {
             self.shared.journal.write(&record::Event::Members { count });
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! told through a [`Feed`]: the configuration, the endpoints and the other daemons. Decisions are
 //! in `trefoildyke_decide::gateway`; this crate carries them out.
 
+mod charging;
 mod clock;
 mod exchange;
 mod face;
@@ -17,6 +18,7 @@
 mod query;
 mod record;
 mod relay;
+mod replies;
 mod settings;
 mod state;
 mod upstream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
     ended: metrics::Counter<u64>,
     sends: metrics::Counter<u64>,
     failures: metrics::Counter<u64>,
+    charges_alone: metrics::Counter<u64>,
     first: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
     registry: prometheus::Registry,
@@ -38,6 +39,10 @@
             ended: counter("gateway_requests_ended", "Requests by route and outcome."),
             sends: counter("gateway_sends", "Sends to endpoints."),
             failures: counter("gateway_send_failures", "Failed sends by kind."),
+            charges_alone: counter(
+                "gateway_charges_alone",
+                "Charges to a quota for which no keeper of its bucket was reached.",
+            ),
             first: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
             registry,
@@ -59,6 +64,10 @@
         self.failures.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn charged_alone(&self) {
+        self.charges_alone.add(1, &[]);
+    }
+
     pub(crate) fn first_byte(&self, ms: u64) {
         self.first.record(ms as f64, &[]);
     }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -2,11 +2,10 @@
 
 use std::{net, sync, time};
 
-use tokio::sync::oneshot;
 use trefoildyke_decide::gateway;
 use trefoildyke_types::time::Timestamp;
 
-use crate::{feed, state};
+use crate::{feed, replies, state};
 
 /// How long an answer may take: some forty times the way there and back.
 const REPLY: time::Duration = time::Duration::from_millis(100);
@@ -40,23 +39,11 @@
 /// Queries that wait for their replies.
 #[derive(Debug, Default)]
 pub(crate) struct Queries {
-    waiting: sync::Mutex<Vec<(u64, oneshot::Sender<Reply>)>>,
+    pub(crate) replies: replies::Replies<(), Reply>,
     /// When the readers last said that the store is silent.
     silent: sync::Mutex<Option<Timestamp>>,
 }
 
-impl Queries {
-    /// Takes in a reply; one that nobody waits for any more is dropped.
-    pub(crate) fn replied(&self, stamp: u64, reply: Reply) {
-        let mut waiting = lock(&self.waiting);
-        if let Some(place) = waiting.iter().position(|(waiting, _)| *waiting == stamp) {
-            let (_, sender) = waiting.swap_remove(place);
-            // The querying task may have given up at the same moment.
-            let _ = sender.send(reply);
-        }
-    }
-}
-
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
@@ -64,7 +51,7 @@
 impl feed::Feed {
     /// Says whether this daemon reads the store for others too.
     pub fn is_reader(&self) -> bool {
-        self.shared.core().mesh.is_reader()
+        self.shared.core().mesh.is_reader(self.now())
     }
 
     /// Says whether this daemon has known the source of the endpoints to be steady for long enough to tell who is gone.
@@ -75,9 +62,8 @@
     /// Asks those that read the store; confirms the configuration if one of them knows it fresh.
     pub async fn query_readers(&self) -> Readers {
         let mut found = Readers::Unheard;
-        let readers = self.shared.core().mesh.readers();
-        let own = self.shared.settings.listen.peers;
-        for reader in readers.into_iter().filter(|reader| *reader != own) {
+        let readers = self.shared.core().mesh.readers_to_ask(self.now());
+        for reader in readers {
             let asked = self.now();
             let roster = self.shared.core().roster.mark();
             let query = gateway::Message::Query { stamp: asked.as_micros(), roster };
@@ -114,7 +100,7 @@
         let now = self.now();
         let is_told = lock(&self.shared.queries.silent).is_some_and(|at| now.since(at) < VALID);
         let core = self.shared.core();
-        is_told && !core.mesh.is_reader() && !core.freshness.is_within(now, STALE)
+        is_told && !core.mesh.is_reader(now) && !core.freshness.is_within(now, STALE)
     }
 
     /// Says whether the list of endpoints was read recently enough, here or by the daemon that told of it.
@@ -164,10 +150,11 @@
     stamp: u64,
     query: &gateway::Message,
 ) -> Option<Reply> {
-    let (sender, answer) = oneshot::channel();
-    lock(&shared.queries.waiting).push((stamp, sender));
+    let answer = shared.queries.replies.expect(shared.now(), stamp, ());
     shared.tell(query, &[reader]);
     let answer = tokio::time::timeout(REPLY, answer).await;
-    lock(&shared.queries.waiting).retain(|(waiting, _)| *waiting != stamp);
+    if answer.is_err() {
+        shared.doubt(reader, "does not reply to a query");
+    }
     answer.ok()?.ok()
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -70,8 +70,8 @@
         routes: usize,
         /// The number of client accounts.
         accounts: usize,
-        /// How old the version's confirmation was, in milliseconds.
-        age_ms: u64,
+        /// How old the version's confirmation was, in milliseconds; `None` if others confirm it.
+        age_ms: Option<u64>,
     },
     /// An endpoint is listed, or its entry has changed.
     EndpointListed {
@@ -92,12 +92,12 @@
         /// How many there are, this daemon included.
         count: usize,
     },
-    /// Another daemon is silent, and what it said is forgotten.
-    PeerSilent {
-        /// How many were forgotten at once.
-        count: usize,
+    /// A message of another daemon was not taken in.
+    MessageIgnored {
+        /// Why.
+        reason: &'static str,
     },
-    /// Another daemon is not asked for places for a while.
+    /// Another daemon is not asked for a while.
     PeerDoubted {
         /// The daemon.
         peer: std::net::SocketAddr,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -7,9 +7,9 @@
 
 use crate::{settings, state};
 
-/// After how long without a digest another daemon counts as not heard: two lost at rest. Until then
-/// both sides of a cut use the whole of each quota.
-const PEER_SILENCE: std::time::Duration = std::time::Duration::from_millis(650);
+/// After how long without a word another daemon counts as not heard: two questions about the store lost. Until
+/// then the keepers of a quota refill the part of a daemon that is cut off and goes on with its own.
+const PEER_SILENCE: std::time::Duration = std::time::Duration::from_millis(1_300);
 
 /// Holds the beliefs of one daemon. Its methods take the time and do no I/O.
 pub(crate) struct Core {
@@ -28,15 +28,17 @@
     incarnation: u64,
     digests: u64,
     reports: u64,
+    /// Whether this daemon has announced itself to the others.
+    announced: bool,
     /// Whether a graceful stop has begun.
     stopping: bool,
 }
 
 /// Says which digest is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct DigestKind {
-    /// Whom it is for.
-    pub(crate) audience: gateway::Audience,
+    /// Whether it is the first that this daemon says to all.
+    pub(crate) starting: bool,
     /// Whether it tells of all accounts, not only of those that were used since the last.
     pub(crate) full: bool,
     /// Whether it is the last of this daemon.
@@ -46,17 +48,6 @@
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
 const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
 
-/// For how long after its start a daemon is asked for places only if there is no other: until it has
-/// read the list of endpoints and the others have told it what they have sent.
-const NEW: std::time::Duration = std::time::Duration::from_millis(2_500);
-
-/// Says what a digest or the passing of time has changed.
-#[derive(Debug, Default)]
-pub(crate) struct PeerNews {
-    /// How many daemons have fallen silent.
-    pub(crate) silent: usize,
-}
-
 impl Core {
     pub(crate) fn new(settings: &settings::Settings, incarnation: u64) -> Self {
         Self {
@@ -65,7 +56,7 @@
             table: None,
             freshness: gateway::Freshness::new(settings.key_age),
             quota: gateway::Quota::new(settings.quota),
-            mesh: gateway::Mesh::new(settings.listen.peers, settings.zone.clone(), PEER_SILENCE)
+            mesh: gateway::Mesh::new(settings.listen.peers, PEER_SILENCE)
                 .with_strength(settings.strength),
             roster: gateway::Roster::new(settings.list_grace),
             services: collections::HashMap::new(),
@@ -75,6 +66,7 @@
             incarnation,
             digests: 0,
             reports: 0,
+            announced: false,
             stopping: false,
         }
     }
@@ -126,7 +118,8 @@
             steady: since(self.roster.steady()).unwrap_or(0),
         };
         let changes = self.roster.changes_since(roster);
-        Some(gateway::Message::Reply { stamp, view, changes })
+        let answered = !self.mesh.is_unanswered();
+        Some(gateway::Message::Reply { stamp, view, answered, changes })
     }
 
     /// Takes in the changes of the list of endpoints.
@@ -149,12 +142,31 @@
         }
     }
 
-    /// Takes in the list of members.
-    pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) {
+    /// Takes in the list of members; says whether this daemon has others to announce itself to for the first time.
+    pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) -> bool {
         for peer in self.mesh.replace(list) {
             self.forget(now, peer);
         }
-        self.quota.set_members(self.mesh.count());
+        let is_first = !self.announced && self.mesh.count() > 1;
+        self.announced |= is_first;
+        is_first
+    }
+
+    /// Takes a part of an account's quota for another daemon.
+    pub(crate) fn charge(
+        &mut self,
+        now: Timestamp,
+        charge: &gateway::Charge,
+    ) -> gateway::ChargeReply {
+        let table = self.table.clone();
+        let Some(account) = table.as_ref().and_then(|table| table.account(&charge.account)) else {
+            return gateway::ChargeReply::Unknown;
+        };
+        let part = self.mesh.part(now);
+        match self.quota.take(now, account, charge.cost, part) {
+            Ok(()) => gateway::ChargeReply::Granted,
+            Err(wait) => gateway::ChargeReply::Refused { wait_ms: (wait * 1_000.0) as u32 },
+        }
     }
 
     /// Takes in what another daemon says.
@@ -173,7 +185,7 @@
                 self.quota.adopt(now, &spend.account, spend.level);
             }
         }
-        if news.leaving {
+        if news.is_over {
             self.forget(now, from);
         }
     }
@@ -195,7 +207,7 @@
         if self.stopping || self.roster.is_empty() {
             return gateway::Placing::Unable;
         }
-        if now.since(self.started) < NEW { gateway::Placing::New } else { gateway::Placing::Able }
+        gateway::Placing::after(now.since(self.started))
     }
 
     /// Returns the other daemon that places the requests of a service, or `None` if this one does.
@@ -204,17 +216,17 @@
         placers.first().copied().filter(|placer| *placer != self.mesh.own())
     }
 
-    /// Tells those who place the requests of a service what this daemon has there.
+    /// Tells the daemon that places the requests of a service what has changed of this daemon's work there.
     pub(crate) fn report(&mut self, now: Timestamp, service: &id::PoolName) {
         self.tell_placers(now, service, false);
     }
 
     fn tell_placers(&mut self, now: Timestamp, service: &id::PoolName, all: bool) {
-        let mut placers = self.mesh.placers(now, service, self.placing(now));
-        placers.retain(|placer| *placer != self.mesh.own());
+        let placers = self.mesh.placers(now, service, self.placing(now));
+        let own = self.mesh.own();
         self.reports += 1;
         let number = (self.incarnation, self.reports);
-        self.service(service).report(now, number, &placers, all);
+        self.service(service).report(now, number, own, &placers, all);
     }
 
     /// Tells all that this daemon has anywhere, since a report may have been lost and others may
@@ -242,26 +254,21 @@
         gateway::Digest {
             incarnation: self.incarnation,
             number: self.digests,
+            starting: kind.starting,
             leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
             unanswered: self.mesh.is_unanswered(),
-            placing: self.placing(now),
-            strength: self.mesh.strength(),
-            spend: self.quota.used(kind.audience, kind.full),
+            clients: self.mesh.clients(now),
+            spend: if kind.starting { Vec::new() } else { self.quota.used(kind.full) },
         }
     }
 
-    /// Looks at what has become of the silent and the late as time passed.
-    pub(crate) fn tick(&mut self, now: Timestamp) -> PeerNews {
-        let silent = self.mesh.expire(now);
-        for peer in &silent {
-            self.forget(now, *peer);
-        }
+    /// Looks at what has become of what waits and of what others have reported as time passed.
+    pub(crate) fn tick(&mut self, now: Timestamp) {
         for service in self.services.values_mut() {
             service.expire(now);
         }
         self.hand_out_all(now);
-        PeerNews { silent: silent.len() }
     }
 
     fn forget(&mut self, now: Timestamp, peer: net::SocketAddr) {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod service;
 mod shared;
 mod slot;
+mod untold;
 mod waiting;
 
 pub(crate) use asking::Asking;
@@ -13,4 +14,5 @@
 pub(crate) use service::{Letter, Reply, Service, Verdict};
 pub(crate) use shared::Shared;
 pub(crate) use slot::Slot;
+use untold::Untold;
 pub(crate) use waiting::Waiting;
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -6,6 +6,8 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
+use crate::state;
+
 /// Holds the decisions on one service and the requests that wait for them.
 pub(crate) struct Service {
     pub(super) name: id::PoolName,
@@ -21,8 +23,10 @@
     /// Requests of this daemon that wait at another one, by number.
     asked: collections::HashMap<u64, Asked>,
     numbers: u64,
-    /// Who was told of the work here last.
-    told: Vec<net::SocketAddr>,
+    /// The daemon that was told of the work here last; `None` for none.
+    told: Option<net::SocketAddr>,
+    /// What those who would take over have not been told.
+    learned: state::Untold,
     /// What is to be sent.
     pub(super) mail: Vec<Letter>,
 }
@@ -97,7 +101,8 @@
             placed: collections::HashMap::new(),
             asked: collections::HashMap::new(),
             numbers: 0,
-            told: Vec::new(),
+            told: None,
+            learned: state::Untold::default(),
             mail: Vec::new(),
         }
     }
@@ -165,22 +170,25 @@
         }
     }
 
-    /// Tells the daemons that place this service's requests what this one has there: what has changed, or all
-    /// if that is asked for or others place them now.
+    /// Tells the daemon that places this service's requests what this one, `own`, has there: what has changed, or all
+    /// if that is asked for or another one places them now. Those that would take over are told only with all.
     pub(crate) fn report(
         &mut self,
         now: Timestamp,
         number: (u64, u64),
+        own: net::SocketAddr,
         placers: &[net::SocketAddr],
         all: bool,
     ) {
-        if placers.is_empty() {
-            self.told.clear();
+        let first = placers.first().copied().filter(|placer| *placer != own);
+        let is_full = all || self.told != first;
+        self.told = first;
+        let others: Vec<_> = placers.iter().copied().filter(|placer| *placer != own).collect();
+        let told = if is_full { &others[..] } else { first.as_slice() };
+        if told.is_empty() {
             return;
         }
         let (incarnation, number) = number;
-        let is_full = all || self.told != placers;
-        self.told = placers.to_vec();
         let report = gateway::LoadReport {
             incarnation,
             number,
@@ -189,9 +197,11 @@
             placed: 0,
             endpoints: self.pool.report(now, is_full),
         };
-        for placer in placers {
+        let later = self.learned.take(&report);
+        for placer in told {
             let placed = self.placed.get(placer).copied().unwrap_or_default();
-            let report = gateway::LoadReport { placed, ..report.clone() };
+            let base = if Some(*placer) == first { &report } else { &later };
+            let report = gateway::LoadReport { placed, ..base.clone() };
             self.mail.push(Letter { to: *placer, message: gateway::Message::Load(report) });
         }
     }
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -8,7 +8,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{clock, metrics, query, record, settings, state, upstream};
+use crate::{charging, clock, metrics, query, record, settings, state, upstream};
 
 /// The part of the connections that an endpoint accepts which may be idle; requests need the rest.
 const IDLE_PART: f64 = 0.5;
@@ -27,6 +27,8 @@
     pub(crate) links: upstream::Links,
     /// What other daemons are asked about the store.
     pub(crate) queries: query::Queries,
+    /// What other daemons are asked of quotas.
+    pub(crate) charges: charging::Charges,
     socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
     core: sync::Mutex<state::Core>,
     /// When a graceful stop that has begun cuts off what still runs.
@@ -53,6 +55,7 @@
             gate: kernel::Gate::default(),
             links,
             queries: query::Queries::default(),
+            charges: charging::Charges::default(),
             socket: sync::OnceLock::new(),
             core,
             stop_end: sync::OnceLock::new(),
@@ -89,6 +92,13 @@
         }
     }
 
+    /// Tells all others something of this daemon, once.
+    pub(crate) fn announce(&self, kind: state::DigestKind) {
+        let digest = self.core().own_digest(self.now(), kind);
+        let others = self.core().mesh.others();
+        self.tell(&gateway::Message::Digest(digest), &others);
+    }
+
     pub(crate) fn set_changed(&self) {
         self.changed.store(true, atomic::Ordering::Relaxed);
     }
@@ -150,7 +160,7 @@
         result
     }
 
-    /// Notes that another daemon is not to be asked for places for a while.
+    /// Notes that another daemon is not to be asked for a while.
     pub(crate) fn doubt(&self, peer: std::net::SocketAddr, reason: &'static str) {
         self.core().mesh.doubt(self.now(), peer);
         self.journal.write(&record::Event::PeerDoubted { peer, reason });
--- /dev/null
+++ b/crates/gateway/src/state/untold.rs
@@ -0,0 +1,34 @@
+//! What was learned of endpoints and only the daemon that places the requests was told.
+
+use std::collections;
+
+use trefoildyke_decide::gateway;
+use trefoildyke_types::id;
+
+/// Keeps what was learned until the daemons that would take over are told as well.
+#[derive(Debug, Default)]
+pub(super) struct Untold {
+    learned: collections::BTreeMap<id::EndpointName, gateway::Learned>,
+}
+
+impl Untold {
+    /// Adds what a report tells of endpoints; returns one for those who were not told since the last full one.
+    ///
+    /// It is of use only if `report` is full.
+    pub(super) fn take(&mut self, report: &gateway::LoadReport) -> gateway::LoadReport {
+        for load in &report.endpoints {
+            if let Some(learned) = &load.learned {
+                self.learned.entry(load.endpoint.clone()).or_default().add(learned);
+            }
+        }
+        if !report.is_full {
+            return gateway::LoadReport { endpoints: Vec::new(), ..report.clone() };
+        }
+        let mut learned = std::mem::take(&mut self.learned);
+        let mut endpoints = report.endpoints.clone();
+        for load in &mut endpoints {
+            load.learned = learned.remove(&load.endpoint);
+        }
+        gateway::LoadReport { endpoints, ..report.clone() }
+    }
+}
