--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -129,10 +129,13 @@
     /// Returns the part of the members that this daemon hears, or that the hubs hear which it hears; itself
     /// included.
     ///
-    /// A keeper refills only that part of a quota: whoever is cut off goes on with its own part.
+    /// A keeper refills only that part of a quota: whoever is cut off goes on with its own part. All count as heard that
+    /// had no time to say anything yet: after all daemons had lost power, keepers that heard nobody refused 60 of
+    /// 300 requests that were within their quotas in the first two seconds.
     pub fn part(&self, now: Timestamp) -> f64 {
-        if !self.listed {
-            return mesh::UNLISTED_PART;
+        let Some(listed) = self.listed else { return mesh::UNLISTED_PART };
+        if now.since(listed) <= self.silence {
+            return 1.0;
         }
         let is_heard = |member: &mesh::Member| {
             member.heard.is_some_and(|heard| now.since(heard) <= self.silence)
@@ -145,6 +148,6 @@
 
     /// Returns the part of each quota that a daemon takes which reaches none of its keepers: its equal part.
     pub fn equal_part(&self) -> f64 {
-        if self.listed { 1.0 / self.count() as f64 } else { mesh::UNLISTED_PART }
+        if self.listed.is_some() { 1.0 / self.count() as f64 } else { mesh::UNLISTED_PART }
     }
 }
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -27,8 +27,8 @@
     unanswered: bool,
     /// How long a member may be silent before it counts as not heard.
     silence: time::Duration,
-    /// Whether the members were ever listed.
-    listed: bool,
+    /// When the members were listed first.
+    listed: Option<Timestamp>,
     /// Whether a daemon that is not listed was heard.
     met_stranger: bool,
     /// Daemons that announced their start before they were listed, and when.
@@ -136,7 +136,7 @@
             strength: gateway::Strength::UNKNOWN,
             unanswered: false,
             silence,
-            listed: false,
+            listed: None,
             met_stranger: false,
             announced: collections::BTreeMap::new(),
             members: collections::BTreeMap::new(),
@@ -174,8 +174,8 @@
     }
 
     /// Takes in the list of members and returns those that are gone from it.
-    pub fn replace(&mut self, list: &[Peer]) -> Vec<net::SocketAddr> {
-        self.listed = true;
+    pub fn replace(&mut self, now: Timestamp, list: &[Peer]) -> Vec<net::SocketAddr> {
+        self.listed.get_or_insert(now);
         let listed: collections::BTreeSet<_> = list.iter().map(|peer| peer.address).collect();
         let others = self.members.keys().copied();
         let gone: Vec<_> = others.filter(|address| !listed.contains(address)).collect();
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -144,7 +144,7 @@
 
     /// Takes in the list of members; says whether this daemon has others to announce itself to for the first time.
     pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) -> bool {
-        for peer in self.mesh.replace(list) {
+        for peer in self.mesh.replace(now, list) {
             self.forget(now, peer);
         }
         let is_first = !self.announced && self.mesh.count() > 1;
