--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -3,11 +3,11 @@
 //! They read the store for all, and between them they keep the buckets of all quotas. Found by the strength of their
 //! hosts and by hashing, so that all daemons with the same members find the same ones without a word.
 
-use std::net;
+use std::{net, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::gateway::{Mesh, mesh};
+use crate::gateway::{self, Mesh, mesh};
 
 /// How many hubs there are at least: two may be lost or cut off.
 const LEAST: usize = 3;
@@ -19,6 +19,13 @@
 /// How many hubs keep the bucket of an account: one that is asked, and one that takes over when it is lost.
 const KEEPERS: usize = 2;
 
+/// After how long a daemon counts as not heard that asks a hub about the store each 450 ms: two questions lost.
+const CLIENT_SILENCE: time::Duration = time::Duration::from_millis(1_300);
+
+/// For how long after its start a daemon may not have heard of others that live: until they have read the store
+/// once and asked a hub.
+const SETTLING: time::Duration = time::Duration::from_millis(600);
+
 impl Mesh {
     /// Works out the order in which daemons become hubs: those on strong hosts first, which have work to spare.
     pub(super) fn rank(&mut self) {
@@ -120,7 +127,7 @@
     pub fn clients(&self, now: Timestamp) -> u16 {
         let hubs = self.hubs();
         let is_client = |(address, member): &(&net::SocketAddr, &mesh::Member)| {
-            member.asked.is_some_and(|asked| now.since(asked) <= self.silence)
+            member.asked.is_some_and(|asked| now.since(asked) <= CLIENT_SILENCE)
                 && !hubs.contains(address)
         };
         u16::try_from(self.members.iter().filter(is_client).count()).unwrap_or(u16::MAX)
@@ -129,25 +136,44 @@
     /// Returns the part of the members that this daemon hears, or that the hubs hear which it hears; itself
     /// included.
     ///
-    /// A keeper refills only that part of a quota: whoever is cut off goes on with its own part. All count as heard that
-    /// had no time to say anything yet: after all daemons had lost power, keepers that heard nobody refused 60 of
-    /// 300 requests that were within their quotas in the first two seconds.
     pub fn part(&self, now: Timestamp) -> f64 {
-        let Some(listed) = self.listed else { return mesh::UNLISTED_PART };
-        if now.since(listed) <= self.silence {
-            return 1.0;
+        if self.listed.is_none() {
+            return mesh::UNLISTED_PART;
         }
-        let is_heard = |member: &mesh::Member| {
-            member.heard.is_some_and(|heard| now.since(heard) <= self.silence)
-        };
         let told = self.circle(now).into_iter().filter_map(|address| self.members.get(&address));
-        let told: usize = told.filter(|m| is_heard(m)).map(|m| 1 + usize::from(m.clients)).sum();
+        let told: usize = told
+            .filter(|m| m.is_heard(now, self.silence))
+            .map(|m| 1 + usize::from(m.clients))
+            .sum();
         let heard = 1 + told + usize::from(self.clients(now));
         (heard as f64 / self.count() as f64).min(1.0)
     }
 
+    /// Returns which part of an account's quota this daemon may give for all: that of the members which are heard,
+    /// since whoever is cut off goes on with its own part.
+    ///
+    /// The first keeper counts all as heard while they had no time to say anything: after all daemons had lost power,
+    /// keepers that heard nobody refused 60 of 300 requests that were within their quotas in the first two seconds.
+    /// The second keeper gives no more than its bucket holds for as long as it hears the first one, which refills too:
+    /// those that it asks have lost the way there.
+    pub fn quota_part(&self, now: Timestamp, account: &id::AccountName) -> gateway::QuotaPart {
+        let keepers = self.keepers(account);
+        let is_first = keepers.first() == Some(&self.own);
+        let has_settled = self.listed.is_none_or(|listed| now.since(listed) > SETTLING);
+        if is_first && !has_settled {
+            return gateway::QuotaPart::equal(1.0);
+        }
+        let part = gateway::QuotaPart::equal(self.part(now));
+        let first = keepers.first().and_then(|first| self.members.get(first));
+        if !is_first && first.is_some_and(|first| first.is_heard(now, self.silence)) {
+            return gateway::QuotaPart { rate: 0.0, ..part };
+        }
+        part
+    }
+
     /// Returns the part of each quota that a daemon takes which reaches none of its keepers: its equal part.
-    pub fn equal_part(&self) -> f64 {
-        if self.listed.is_some() { 1.0 / self.count() as f64 } else { mesh::UNLISTED_PART }
+    pub fn equal_part(&self) -> gateway::QuotaPart {
+        let count = self.listed.map(|_| self.count() as f64);
+        gateway::QuotaPart::equal(count.map_or(mesh::UNLISTED_PART, f64::recip))
     }
 }
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -25,7 +25,7 @@
     strength: gateway::Strength,
     /// Whether the store left this daemon's last call without an answer.
     unanswered: bool,
-    /// How long a member may be silent before it counts as not heard.
+    /// How long a hub may be silent before it counts as not heard.
     silence: time::Duration,
     /// When the members were listed first.
     listed: Option<Timestamp>,
@@ -293,6 +293,11 @@
         self.doubts = 0;
     }
 
+    /// Says whether a digest of the member came in the last `silence`.
+    fn is_heard(&self, now: Timestamp, silence: time::Duration) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) <= silence)
+    }
+
     /// Says whether the member may be asked something.
     fn may_answer(&self, now: Timestamp) -> bool {
         !self.leaving && self.doubted_until.is_none_or(|until| now >= until)
--- a/crates/decide/src/gateway/mesh/roles.rs
+++ b/crates/decide/src/gateway/mesh/roles.rs
@@ -23,11 +23,10 @@
 impl Mesh {
     /// Notes that a member did not answer, or cannot place requests.
     pub fn doubt(&mut self, now: Timestamp, address: net::SocketAddr) {
-        if let Some(member) = self.members.get_mut(&address) {
-            if member.may_answer(now) {
-                member.doubted_until = Some(now + DOUBT * (1 << member.doubts.min(DOUBLINGS)));
-                member.doubts += 1;
-            }
+        let member = self.members.get_mut(&address);
+        if let Some(member) = member.filter(|member| member.may_answer(now)) {
+            member.doubted_until = Some(now + DOUBT * (1 << member.doubts.min(DOUBLINGS)));
+            member.doubts += 1;
         }
     }
 
--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -22,6 +22,13 @@
     pub endpoints: Vec<EndpointLoad>,
 }
 
+impl LoadReport {
+    /// Returns how many requests the sender has at the endpoints that are named.
+    pub(crate) fn running(&self) -> u32 {
+        self.endpoints.iter().map(|load| u32::from(load.running)).sum()
+    }
+}
+
 /// Holds one daemon's work at one endpoint.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct EndpointLoad {
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -34,6 +34,6 @@
 pub use pool::{
     Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
 };
-pub use quota::{Quota, QuotaParams};
+pub use quota::{Quota, QuotaParams, QuotaPart};
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -24,6 +24,8 @@
     told: Load,
     /// What other daemons were given and have not reported yet.
     pub(super) promised: Load,
+    /// What other daemons have reported; the sum of their latest reports.
+    pub(super) others: Load,
     /// The time between two tokens, in milliseconds.
     step: mean::Mean,
     /// The time between two tokens where no prompt is read in between, in milliseconds.
@@ -75,6 +77,7 @@
             own: Load::default(),
             told: Load::default(),
             promised: Load::default(),
+            others: Load::default(),
             step: mean::Mean::new(assumed.step_ms, STEP_WINDOW),
             pace: mean::Low(assumed.step_ms),
             first: line::Line::new(assumed.begin, assumed.prompt * KILO),
@@ -216,6 +219,11 @@
         self.paused_until = now + (params.pause * factor).min(params.longest_pause);
     }
 
+    /// Returns what all daemons are believed to have here.
+    pub(super) const fn load(&self) -> Load {
+        self.own.plus(self.promised).plus(self.others)
+    }
+
     /// Says whether new work may go here at all.
     pub(super) fn is_usable(&self, now: Timestamp) -> bool {
         !self.draining && now >= self.paused_until
@@ -272,16 +280,11 @@
         }
     }
 
-    pub(super) fn state(
-        &self,
-        now: Timestamp,
-        name: &id::EndpointName,
-        others: Load,
-    ) -> state::EndpointState {
+    pub(super) fn state(&self, now: Timestamp, name: &id::EndpointName) -> state::EndpointState {
         state::EndpointState {
             endpoint: name.clone(),
             own: self.own.running,
-            others: others.running,
+            others: self.others.running,
             step_ms: self.step.value(),
             failures: self.failures.value(),
             silent_ms: self.silence(now, self.own).as_millis() as u64,
--- a/crates/decide/src/gateway/pool/load.rs
+++ b/crates/decide/src/gateway/pool/load.rs
@@ -20,6 +20,14 @@
         self.prefill = self.prefill.saturating_sub(prompt);
     }
 
+    /// Returns what is left without `other`.
+    pub(super) const fn minus(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(other.running),
+            prefill: self.prefill.saturating_sub(other.prefill),
+        }
+    }
+
     /// Returns both together.
     pub(super) const fn plus(self, other: Self) -> Self {
         Self {
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod ranks;
 mod state;
+mod usual;
 mod view;
 mod wait;
 
@@ -45,8 +46,12 @@
     next_ticket: u64,
     flow: flow::Flow,
     ranks: ranks::Ranks,
-    /// Places that were given to other daemons, the oldest first.
-    promises: collections::VecDeque<promises::Promise>,
+    /// By daemon, the places that it was given, the oldest first.
+    promises: collections::HashMap<net::SocketAddr, collections::VecDeque<promises::Promise>>,
+    /// What is usual among the endpoints.
+    usual: usual::Usual,
+    /// Whether endpoints were listed or removed since that was worked out.
+    has_listed: bool,
 }
 
 impl Pool {
@@ -61,7 +66,9 @@
             next_ticket: 0,
             flow: flow::Flow::default(),
             ranks: ranks::Ranks::default(),
-            promises: collections::VecDeque::new(),
+            promises: collections::HashMap::new(),
+            usual: usual::Usual::default(),
+            has_listed: true,
         }
     }
 
@@ -76,23 +83,11 @@
             Some(endpoint) if endpoint.start == entry.start => endpoint.update(entry),
             _ => {
                 self.peers.forget_endpoint(&entry.endpoint);
-                let endpoint = endpoint::Endpoint::new(now, entry, self.assumed());
+                let endpoint = endpoint::Endpoint::new(now, entry, self.assumed(now));
                 self.endpoints.insert(entry.endpoint.clone(), endpoint);
             }
         }
-    }
-
-    /// Returns what is assumed of an endpoint that is new: the mean of those that are known.
-    fn assumed(&self) -> assumed::Assumed {
-        if self.endpoints.is_empty() {
-            return assumed::Assumed::new(&self.params);
-        }
-        let usual = self.usual();
-        assumed::Assumed {
-            step_ms: usual.step_ms,
-            begin: usual.begin_ms / usual.pace_ms,
-            prompt: usual.prompt_ms / usual.pace_ms,
-        }
+        self.has_listed = true;
     }
 
     /// Returns the endpoint of a grant, unless it has started again since: what became of the grant says
@@ -105,11 +100,13 @@
     /// Forgets an endpoint; work that it still has ends by itself.
     pub fn remove(&mut self, endpoint: &id::EndpointName) {
         self.endpoints.remove(endpoint);
+        self.has_listed = true;
     }
 
     /// Takes in a new request: grants it a place, queues it or refuses it.
     pub fn arrive(&mut self, now: Timestamp, demand: Demand) -> Verdict {
         let ticket = self.new_ticket();
+        self.refresh(now);
         self.ranks.note(now, demand.rank);
         let service = self.expected_service(demand.prompt, demand.expected);
         let place = self.queue.place(now, ticket, &demand, service);
@@ -155,37 +152,37 @@
         }
     }
 
-    /// Takes in what another daemon has at this service.
+    /// Takes in what another daemon has at this service; says whether a request has ended somewhere, so that one that
+    /// waits may have its place.
     pub fn note_peer(
         &mut self,
         now: Timestamp,
         peer: net::SocketAddr,
         report: &gateway::LoadReport,
-    ) {
-        let mut report = report.clone();
-        // A start that is not known here, or over, is none of the endpoints that are.
-        report.endpoints.retain(|load| {
-            self.endpoints.get(&load.endpoint).is_some_and(|known| known.start == load.start)
-        });
-        if !self.peers.note(now, peer, &report) {
-            return;
-        }
+    ) -> bool {
+        let noted = self.peers.note(now, peer, report, &mut self.endpoints);
+        let peers::Noted::Taken { has_freed } = noted else { return false };
         for load in &report.endpoints {
-            if let Some(endpoint) = self.endpoints.get_mut(&load.endpoint) {
+            // A start that is not known here, or over, is none of the endpoints that are.
+            let known = self.endpoints.get_mut(&load.endpoint);
+            if let Some(endpoint) = known.filter(|known| known.start == load.start) {
                 endpoint.learn(now, load, &self.params);
             }
         }
         self.redeem(peer, report.placed);
+        has_freed
     }
 
-    /// Forgets the work of daemons that have not repeated their reports for too long.
+    /// Forgets the work of daemons that have not repeated their reports for too long, and places that were not taken.
     pub fn expire_peers(&mut self, now: Timestamp) {
-        self.peers.expire(now);
+        self.peers.expire(now, &mut self.endpoints);
+        self.lapse(now);
     }
 
     /// Forgets a daemon that is gone, leaves or says nothing more.
     pub fn forget_peer(&mut self, peer: net::SocketAddr) {
-        self.peers.forget(peer);
+        self.peers.forget(peer, &mut self.endpoints);
+        self.redeem(peer, u64::MAX);
     }
 
     /// Returns what this daemon has at the endpoints and has learned since the last call: all, or only where
@@ -222,9 +219,8 @@
 
     /// Returns what is believed of each endpoint, for logs and metrics.
     pub fn states(&self, now: Timestamp) -> Vec<EndpointState> {
-        let state = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
-            endpoint.state(now, name, self.peers.load(name))
-        };
+        let state =
+            |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| endpoint.state(now, name);
         self.endpoints.iter().map(state).collect()
     }
 
@@ -236,7 +232,7 @@
     /// Returns how long a request is expected to take: to its first event where that is shortest, as nothing is
     /// late before no endpoint can be in time; to its end at an endpoint of mean speed.
     fn expected_service(&self, prompt: u32, expected: f64) -> queue::Service {
-        let usual = self.usual();
+        let usual = self.usual;
         let prompt = f64::from(prompt);
         let read = prompt * usual.prompt_ms;
         let first =
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::{
     Demand, Grant, Pool, Ticket,
-    pool::{endpoint, load, view},
+    pool::{endpoint, load, usual, view},
 };
 
 /// How many waiting requests are looked at for the slots that are free: twice what a burst brought to
@@ -104,9 +104,9 @@
         name: id::EndpointName,
         demand: &Demand,
     ) -> Option<Grant> {
-        let load = self.load(&name, self.endpoints.get(&name)?);
         let age = self.peers.oldest().map_or(0, |heard| now.since(heard).as_millis());
         let endpoint = self.endpoints.get_mut(&name)?;
+        let load = endpoint.load();
         let read = endpoint.prompt_ms() * f64::from(load.prefill.saturating_add(demand.prompt));
         let first = if demand.gap.is_zero() { read } else { read + endpoint.begin_ms() };
         endpoint.begin(now, demand.prompt, load);
@@ -144,8 +144,7 @@
         if !self.ranks.is_last(now, rank) {
             return 0;
         }
-        let slots: u32 = self.endpoints.values().filter(|e| !e.draining).map(|e| e.slots).sum();
-        (f64::from(slots) * self.params.reserve).round() as usize
+        (f64::from(self.usual.slots) * self.params.reserve).round() as usize
     }
 
     /// Says whether the answer can be complete in time at this endpoint.
@@ -223,7 +222,7 @@
         demand: &Demand,
         endpoint: &endpoint::Endpoint,
         load: load::Load,
-        usual: view::Usual,
+        usual: usual::Usual,
     ) -> f64 {
         let prompt_ms = endpoint.prompt_ms();
         let running = f64::from(load.running);
--- a/crates/decide/src/gateway/pool/promises.rs
+++ b/crates/decide/src/gateway/pool/promises.rs
@@ -6,15 +6,13 @@
 
 use crate::gateway::{Grant, Pool};
 
-/// How long a place is kept for a daemon that does not report it: the way there, a busy host, and
-/// the way of the report.
-const KEPT: time::Duration = time::Duration::from_millis(250);
+/// How long a place is kept for a daemon that does not report it: all daemons report their work twice a second.
+const KEPT: time::Duration = time::Duration::from_millis(700);
 
 /// A place that a daemon was given.
 #[derive(Clone, Debug)]
 pub(super) struct Promise {
     until: Timestamp,
-    peer: net::SocketAddr,
     given: u64,
     endpoint: id::EndpointName,
     /// Which start of the endpoint.
@@ -25,15 +23,14 @@
 impl Pool {
     /// Gives a place to another daemon, as its `given`-th.
     ///
-    /// It counts as taken until that daemon's report names it, or for a quarter of a second.
+    /// It counts as taken until that daemon's report names it, or for some time.
     pub fn promise(&mut self, now: Timestamp, grant: &Grant, peer: net::SocketAddr, given: u64) {
         if let Some(endpoint) = self.granted(grant) {
             endpoint.own.remove(grant.prompt);
             endpoint.promised.add(grant.prompt);
         }
-        self.promises.push_back(Promise {
+        self.promises.entry(peer).or_default().push_back(Promise {
             until: now + KEPT,
-            peer,
             given,
             endpoint: grant.endpoint.clone(),
             start: grant.start,
@@ -43,27 +40,32 @@
 
     /// Drops the promises that a daemon's report names: all up to `placed`.
     pub(super) fn redeem(&mut self, peer: net::SocketAddr, placed: u64) {
-        self.drop_promises(|promise| promise.peer == peer && promise.given <= placed);
+        let Some(promises) = self.promises.get_mut(&peer) else { return };
+        let named = promises.partition_point(|promise| promise.given <= placed);
+        let named: Vec<_> = promises.drain(..named).collect();
+        for promise in &named {
+            self.drop_promise(promise);
+        }
     }
 
     /// Drops the promises that have lapsed.
     pub(super) fn lapse(&mut self, now: Timestamp) {
-        if self.promises.front().is_some_and(|promise| promise.until <= now) {
-            self.drop_promises(|promise| promise.until <= now);
+        let mut lapsed = Vec::new();
+        self.promises.retain(|_, promises| {
+            let old = promises.partition_point(|promise| promise.until <= now);
+            lapsed.extend(promises.drain(..old));
+            !promises.is_empty()
+        });
+        for promise in &lapsed {
+            self.drop_promise(promise);
         }
     }
 
-    fn drop_promises(&mut self, is_over: impl Fn(&Promise) -> bool) {
-        let endpoints = &mut self.endpoints;
-        self.promises.retain(|promise| {
-            let is_over = is_over(promise);
-            if is_over
-                && let Some(endpoint) = endpoints.get_mut(&promise.endpoint)
-                && endpoint.start == promise.start
-            {
-                endpoint.promised.remove(promise.prompt);
-            }
-            !is_over
-        });
+    fn drop_promise(&mut self, promise: &Promise) {
+        if let Some(endpoint) = self.endpoints.get_mut(&promise.endpoint)
+            && endpoint.start == promise.start
+        {
+            endpoint.promised.remove(promise.prompt);
+        }
     }
 }
--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::{
     Pool,
-    pool::{endpoint, load},
+    pool::{endpoint, load, usual},
 };
 
 /// By how much more of its answers than usual an endpoint must fail to be given only one request at a
@@ -38,7 +38,7 @@
 /// The endpoints as they are at one moment.
 #[derive(Clone, Debug)]
 pub(super) struct View<'a> {
-    pub(super) usual: Usual,
+    pub(super) usual: usual::Usual,
     /// Free slots for any request.
     pub(super) free: usize,
     /// How long the fastest endpoint takes for a prompt token, in milliseconds.
@@ -46,32 +46,17 @@
     pub(super) open: Vec<Open<'a>>,
 }
 
-/// Holds means over the endpoints of a pool.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Usual {
-    /// The part of failed answers.
-    pub(super) failures: f64,
-    /// The time between two tokens where no prompt is read in between, in milliseconds.
-    pub(super) pace_ms: f64,
-    /// The time between two tokens, in milliseconds.
-    pub(super) step_ms: f64,
-    /// The time to a first event beside the prompts', in milliseconds.
-    pub(super) begin_ms: f64,
-    /// The time that a prompt token takes, in milliseconds.
-    pub(super) prompt_ms: f64,
-}
-
 impl Pool {
     /// Returns the endpoints with free slots as of now.
     pub(super) fn view(&self, now: Timestamp) -> View<'_> {
-        let usual = self.usual();
+        let usual = self.usual;
         let mut view = View { usual, free: 0, least_prompt_ms: f64::INFINITY, open: Vec::new() };
         for (name, endpoint) in &self.endpoints {
             if !endpoint.is_usable(now) {
                 continue;
             }
             view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms());
-            let load = self.load(name, endpoint);
+            let load = endpoint.load();
             let room = self.room(now, endpoint, load, usual);
             view.free += room.slots;
             if room.slots > 0 || room.is_next || room.is_probe {
@@ -81,22 +66,13 @@
         view
     }
 
-    /// Returns what all daemons are believed to have at an endpoint.
-    pub(super) fn load(
-        &self,
-        name: &id::EndpointName,
-        endpoint: &endpoint::Endpoint,
-    ) -> load::Load {
-        endpoint.own.plus(endpoint.promised).plus(self.peers.load(name))
-    }
-
     /// Returns what is free at an endpoint.
     fn room(
         &self,
         now: Timestamp,
         endpoint: &endpoint::Endpoint,
         load: load::Load,
-        usual: Usual,
+        usual: usual::Usual,
     ) -> Room {
         let is_failing = endpoint.failure_part() > usual.failures + FAILING;
         if !is_failing && !endpoint.is_doubted(now, load, &self.params) {
@@ -118,19 +94,4 @@
         let is_engine = self.event_tokens > 0;
         !is_engine && endpoint.slots >= self.params.queue_slots && load.running <= endpoint.slots
     }
-
-    /// Returns what is usual among the endpoints.
-    pub(super) fn usual(&self) -> Usual {
-        let count = self.endpoints.len().max(1) as f64;
-        let mean = |of: fn(&endpoint::Endpoint) -> f64| {
-            self.endpoints.values().map(of).sum::<f64>() / count
-        };
-        Usual {
-            failures: mean(endpoint::Endpoint::failure_part),
-            pace_ms: mean(endpoint::Endpoint::pace_ms),
-            step_ms: mean(endpoint::Endpoint::step_ms),
-            begin_ms: mean(endpoint::Endpoint::begin_ms),
-            prompt_ms: mean(endpoint::Endpoint::prompt_ms),
-        }
-    }
 }
--- a/crates/decide/src/gateway/pool/wait.rs
+++ b/crates/decide/src/gateway/pool/wait.rs
@@ -11,7 +11,7 @@
     /// that have become late with no hope of a place.
     pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Settled)> {
         let mut settled = Vec::new();
-        self.lapse(now);
+        self.refresh(now);
         let late = self.queue.note_late(now);
         for moved in &late {
             self.flow.left(now, moved.from);
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -29,6 +29,9 @@
 /// at the same moment without knowing of each other, and a cut that is noticed only by silence.
 const EXCESS_PART: f64 = 0.4;
 
+/// The rate by which the time is told until a bucket that does not refill holds enough; a second.
+const LEAST_RATE: f64 = 1.0;
+
 /// Bounds what each account uses over all daemons.
 ///
 /// Two daemons keep the bucket of an account; the others ask the first of them for each request, and the second if
@@ -67,6 +70,22 @@
     has_news: bool,
 }
 
+/// The part of an account's quota that a daemon may give.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaPart {
+    /// Of the rate at which the bucket refills; 0 to 1.
+    pub rate: f64,
+    /// Of the bucket's size; above 0, at most 1.
+    pub size: f64,
+}
+
+impl QuotaPart {
+    /// Returns the same part of both.
+    pub const fn equal(part: f64) -> Self {
+        Self { rate: part, size: part }
+    }
+}
+
 impl Quota {
     /// Creates buckets on first use.
     pub fn new(params: QuotaParams) -> Self {
@@ -75,8 +94,6 @@
 
     /// Takes `cost` from the account's bucket, or says in how many seconds to come back.
     ///
-    /// `part` is the part of the members that this daemon hears, itself included.
-    ///
     /// # Errors
     ///
     /// Fails with the seconds until the bucket is refilled.
@@ -85,13 +102,13 @@
         now: Timestamp,
         account: &gateway::Account,
         cost: f64,
-        part: f64,
+        part: QuotaPart,
     ) -> Result<(), f64> {
         if account.rate <= 0.0 {
             return Ok(());
         }
-        let (rate, burst) = self.params.refill(account, part);
-        let (_, whole) = self.params.refill(account, 1.0);
+        let (rate, whole) = self.params.refill(account);
+        let (rate, burst) = (rate * part.rate, whole * part.size);
         let bucket = self.bucket(now, &account.name);
         if std::mem::take(&mut bucket.is_new) && !bucket.adopted {
             bucket.level += whole;
@@ -100,7 +117,7 @@
         // A request larger than the burst passes a full bucket, else it would never pass.
         let least = cost.min(burst);
         if bucket.level < least {
-            return Err((least - bucket.level) / rate);
+            return Err((least - bucket.level) / rate.max(LEAST_RATE));
         }
         bucket.level -= cost;
         bucket.used += cost;
@@ -176,10 +193,10 @@
 
 impl QuotaParams {
     /// Returns the rate a second and the size of an account's bucket.
-    fn refill(&self, account: &gateway::Account, part: f64) -> (f64, f64) {
+    fn refill(&self, account: &gateway::Account) -> (f64, f64) {
         let whole = account.rate * self.window_s + account.burst;
         let size = (whole * self.overshoot + self.slack) * EXCESS_PART;
-        (whole / self.window_s * part, size.max(1.0) * part)
+        (whole / self.window_s, size.max(1.0))
     }
 }
 
--- a/crates/gateway/src/charging.rs
+++ b/crates/gateway/src/charging.rs
@@ -45,7 +45,7 @@
     let keepers = shared.core().mesh.keepers(&account.name);
     for keeper in keepers {
         if keeper == own {
-            let part = shared.core().mesh.part(shared.now());
+            let part = shared.core().mesh.quota_part(shared.now(), &account.name);
             return take_here(shared, account, cost, part);
         }
         if !shared.core().mesh.may_answer(shared.now(), keeper) {
@@ -71,7 +71,7 @@
     shared: &state::Shared,
     account: &gateway::Account,
     cost: f64,
-    part: f64,
+    part: gateway::QuotaPart,
 ) -> Result<Payment, UsedUp> {
     let taken = shared.core().quota.take(shared.now(), account, cost, part);
     taken.map_err(|wait| UsedUp { wait })?;
--- a/crates/gateway/src/state/asks.rs
+++ b/crates/gateway/src/state/asks.rs
@@ -7,13 +7,17 @@
 
 use crate::state::{
     Letter,
-    service::{AskKey, Held, Service, Waiter},
+    service::{Answered, AskKey, Held, Service, Waiter},
 };
 
 /// After how long without a word a request of another daemon is taken out of the queue: its daemon
 /// asks again every 200 ms, and three such words may be lost.
 const ASK_KEPT: time::Duration = time::Duration::from_millis(700);
 
+/// For how long a place that was given is told again to a daemon that asks once more: it asks two times within a
+/// fifth of a second, then another daemon.
+const ANSWER_KEPT: time::Duration = time::Duration::from_millis(400);
+
 impl Service {
     /// Takes in that another daemon asks for a place, or still waits for one.
     pub(crate) fn ask_for(&mut self, now: Timestamp, peer: net::SocketAddr, ask: &gateway::Ask) {
@@ -24,6 +28,11 @@
             held.seen = now;
             return self.reply_queued(now, key, rank);
         }
+        if let Some(answered) = self.answered.get(&key) {
+            // The reply was lost; a second place would be held in vain.
+            let reply = answered.reply.clone();
+            return self.reply(key, reply);
+        }
         if self.pool.is_empty() {
             return self.reply(key, gateway::PlaceReply::Unable);
         }
@@ -61,17 +70,16 @@
         *given += 1;
         let given = *given;
         self.pool.promise(now, grant, key.peer, given);
-        self.reply(
-            key,
-            gateway::PlaceReply::Granted {
-                endpoint: grant.endpoint.clone(),
-                given,
-                first_ms: grant.first_ms,
-                beside: grant.beside,
-                ahead: grant.ahead,
-                age_ms: grant.age_ms,
-            },
-        );
+        let reply = gateway::PlaceReply::Granted {
+            endpoint: grant.endpoint.clone(),
+            given,
+            first_ms: grant.first_ms,
+            beside: grant.beside,
+            ahead: grant.ahead,
+            age_ms: grant.age_ms,
+        };
+        self.answered.insert(key, Answered { reply: reply.clone(), at: now });
+        self.reply(key, reply);
     }
 
     /// Takes in that another daemon's request needs no place any more.
@@ -95,6 +103,7 @@
     /// Drops what other daemons say nothing of any more: waiting requests, and work.
     pub(crate) fn expire(&mut self, now: Timestamp) {
         self.pool.expire_peers(now);
+        self.answered.retain(|_, answered| now.since(answered.at) < ANSWER_KEPT);
         let is_old = |(_, held): &(&AskKey, &Held)| now.since(held.seen) > ASK_KEPT;
         let old: Vec<_> = self.asks.iter().filter(is_old).map(|(key, _)| *key).collect();
         for key in old {
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -7,9 +7,9 @@
 
 use crate::{settings, state};
 
-/// After how long without a word another daemon counts as not heard: two questions about the store lost. Until
-/// then the keepers of a quota refill the part of a daemon that is cut off and goes on with its own.
-const PEER_SILENCE: std::time::Duration = std::time::Duration::from_millis(1_300);
+/// After how long without a digest a hub counts as not heard: two lost at rest. Until then keepers of a quota
+/// give the part of one that is cut off.
+const PEER_SILENCE: std::time::Duration = std::time::Duration::from_millis(650);
 
 /// Holds the beliefs of one daemon. Its methods take the time and do no I/O.
 pub(crate) struct Core {
@@ -162,7 +162,7 @@
         let Some(account) = table.as_ref().and_then(|table| table.account(&charge.account)) else {
             return gateway::ChargeReply::Unknown;
         };
-        let part = self.mesh.part(now);
+        let part = self.mesh.quota_part(now, &charge.account);
         match self.quota.take(now, account, charge.cost, part) {
             Ok(()) => gateway::ChargeReply::Granted,
             Err(wait) => gateway::ChargeReply::Refused { wait_ms: (wait * 1_000.0) as u32 },
@@ -198,8 +198,9 @@
         report: &gateway::LoadReport,
     ) {
         let service = self.service(&report.service);
-        service.pool.note_peer(now, from, report);
-        service.hand_out(now);
+        if service.pool.note_peer(now, from, report) {
+            service.hand_out(now);
+        }
     }
 
     /// Says whether this daemon can place the requests of others.
--- a/crates/gateway/src/state/service.rs
+++ b/crates/gateway/src/state/service.rs
@@ -16,6 +16,8 @@
     pub(super) waiters: collections::HashMap<gateway::Ticket, Waiter>,
     /// Requests of other daemons that wait here.
     pub(super) asks: collections::HashMap<AskKey, Held>,
+    /// Requests of other daemons that were given a place of late.
+    pub(super) answered: collections::HashMap<AskKey, Answered>,
     /// By daemon, how many places it was given here.
     pub(super) given: collections::HashMap<net::SocketAddr, u64>,
     /// By daemon, the last place that it gave to this one.
@@ -59,6 +61,12 @@
     pub(super) seen: Timestamp,
 }
 
+/// A place that another daemon was given.
+pub(super) struct Answered {
+    pub(super) reply: gateway::PlaceReply,
+    pub(super) at: Timestamp,
+}
+
 /// A request of this daemon that waits at another one.
 struct Asked {
     demand: gateway::Demand,
@@ -97,6 +105,7 @@
             budget,
             waiters: collections::HashMap::new(),
             asks: collections::HashMap::new(),
+            answered: collections::HashMap::new(),
             given: collections::HashMap::new(),
             placed: collections::HashMap::new(),
             asked: collections::HashMap::new(),
