--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -12,10 +12,16 @@
 /// How many hubs there are at least: two may be lost or cut off.
 const LEAST: usize = 3;
 
-/// For how many daemons there is one. At two questions about the store a second each, answering takes a hub
-/// about 64 datagrams a second.
+/// For how many daemons there is one.
 const DAEMONS_EACH: usize = 32;
 
+/// How many daemons read the store at least: one may be lost, and who finds none that replies reads it itself.
+const LEAST_READERS: usize = 2;
+
+/// For how many daemons one reads it. At two questions a second each, answering takes a reader about 128 datagrams
+/// a second. With three readers at least and one for 32 daemons, the calls of a calm day were more by a quarter.
+const DAEMONS_A_READER: usize = 64;
+
 /// How many hubs keep the bucket of an account: one that is asked, and one that takes over when it is lost.
 const KEEPERS: usize = 2;
 
@@ -48,7 +54,7 @@
 
     /// Returns the daemons that read the store for all.
     ///
-    /// They are the hubs, but those that the store turns away come last: where it turns away a third of the hosts, and by
+    /// They are the first of the hubs, but those that the store turns away come last: where it turns away a third of the hosts, and by
     /// chance all hubs among them, everybody else would go on with what was removed for seconds.
     ///
     /// Every daemon works them out from what it knows. Where that differs, there are some more
@@ -56,7 +62,8 @@
     pub fn readers(&self, now: Timestamp) -> Vec<net::SocketAddr> {
         let (answered, unanswered): (Vec<_>, Vec<_>) =
             self.ranked.iter().partition(|address| !self.is_turned_away(now, **address));
-        answered.into_iter().chain(unanswered).take(self.hub_count()).collect()
+        let count = LEAST_READERS.max(self.count() / DAEMONS_A_READER);
+        answered.into_iter().chain(unanswered).take(count).collect()
     }
 
     fn is_turned_away(&self, now: Timestamp, address: net::SocketAddr) -> bool {
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -17,7 +17,9 @@
 /// Members come from a list that may lag. A daemon announces itself to all once when it starts and once when it
 /// leaves; between that only a few, the hubs, hear from each other again and again, so that what a daemon sends and
 /// takes in does not grow with the members. Whoever is listed and was not heard counts as alive until it
-/// leaves a question unanswered. Only what listed addresses say is taken in.
+/// leaves a question unanswered. Whoever announces its start is a member before it is listed: of two daemons, the one
+/// that was listed later finds the other, so that all that start together know each other without reading the list again
+/// and again. Of others, only what listed addresses say is taken in.
 #[derive(Clone, Debug)]
 pub struct Mesh {
     own: net::SocketAddr,
@@ -31,8 +33,6 @@
     listed: Option<Timestamp>,
     /// Whether a daemon that is not listed was heard.
     met_stranger: bool,
-    /// Daemons that announced their start before they were listed, and when.
-    announced: collections::BTreeMap<net::SocketAddr, Timestamp>,
     /// Addresses of the others.
     members: collections::BTreeMap<net::SocketAddr, Member>,
     /// All addresses in the order in which they become hubs; follows from `members`, `own` and `strength`.
@@ -49,6 +49,8 @@
     asked: Option<Timestamp>,
     /// How many daemons ask it about the store, as it said last.
     clients: u16,
+    /// Until when it is a member though it is not listed, since it has announced its start.
+    kept_until: Option<Timestamp>,
     /// Until when it counts as just started.
     new_until: Option<Timestamp>,
     /// Whether it has said that it leaves.
@@ -104,9 +106,6 @@
     pub strength: gateway::Strength,
 }
 
-/// Up to how many members what each does for itself costs little.
-const SMALL: usize = 16;
-
 /// The part of each quota that a daemon takes that never got a list of the members.
 const UNLISTED_PART: f64 = 1.0 / 32.0;
 
@@ -114,8 +113,12 @@
 /// this is over.
 const TURNED_AWAY: time::Duration = time::Duration::from_millis(2_000);
 
-/// How many daemons are remembered that announced themselves before they were listed.
-const ANNOUNCED: usize = 4_096;
+/// For how long a daemon that has announced its start is a member though it is not listed: lists may be some seconds
+/// old, and are read every few seconds.
+const ANNOUNCED_KEPT: time::Duration = time::Duration::from_secs(10);
+
+/// How many members there are at most; further ones have to be listed.
+const MOST: usize = 16_384;
 
 /// Holds what a digest adds to what was known.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -138,7 +141,6 @@
             silence,
             listed: None,
             met_stranger: false,
-            announced: collections::BTreeMap::new(),
             members: collections::BTreeMap::new(),
             ranked: vec![own],
         }
@@ -151,6 +153,11 @@
         self
     }
 
+    /// Returns how much work for others this daemon's host can take.
+    pub const fn strength(&self) -> gateway::Strength {
+        self.strength
+    }
+
     /// Notes whether the store has answered this daemon's last call; says whether that has changed.
     pub const fn note_answer(&mut self, is_answered: bool) -> bool {
         std::mem::replace(&mut self.unanswered, !is_answered) == is_answered
@@ -177,18 +184,16 @@
     pub fn replace(&mut self, now: Timestamp, list: &[Peer]) -> Vec<net::SocketAddr> {
         self.listed.get_or_insert(now);
         let listed: collections::BTreeSet<_> = list.iter().map(|peer| peer.address).collect();
-        let others = self.members.keys().copied();
-        let gone: Vec<_> = others.filter(|address| !listed.contains(address)).collect();
+        let is_gone = |(address, member): &(&net::SocketAddr, &Member)| {
+            !listed.contains(address) && member.kept_until.is_none_or(|until| now >= until)
+        };
+        let gone = self.members.iter().filter(is_gone).map(|(address, _)| *address);
+        let gone: Vec<_> = gone.collect();
         for address in &gone {
             self.members.remove(address);
         }
         for peer in list.iter().filter(|peer| peer.address != self.own) {
-            let announced = self.announced.remove(&peer.address);
-            let member = self.members.entry(peer.address).or_default();
-            member.strength = peer.strength;
-            if let Some(at) = announced {
-                member.new_until = Some(at + placing::NEW);
-            }
+            self.members.entry(peer.address).or_default().strength = peer.strength;
         }
         self.rank();
         gone
@@ -201,8 +206,11 @@
         from: net::SocketAddr,
         digest: &gateway::Digest,
     ) -> Option<News> {
+        if digest.starting {
+            self.admit(from, digest.strength);
+        }
         let Some(member) = self.members.get_mut(&from) else {
-            self.note_stranger(now, from, digest);
+            self.met_stranger |= !digest.leaving;
             return None;
         };
         let is_same = member.last.is_some_and(|(incarnation, _)| incarnation == digest.incarnation);
@@ -218,6 +226,7 @@
             member.whole = !is_first;
         }
         if digest.starting {
+            member.kept_until = Some(now + ANNOUNCED_KEPT);
             member.new_until = Some(now + placing::NEW);
             member.settle_doubt();
         }
@@ -243,11 +252,13 @@
         Some(news)
     }
 
-    fn note_stranger(&mut self, now: Timestamp, from: net::SocketAddr, digest: &gateway::Digest) {
-        self.met_stranger |= !digest.leaving;
-        if digest.starting && self.announced.len() < ANNOUNCED {
-            self.announced.insert(from, now);
+    /// Takes a daemon that announces its start for a member.
+    fn admit(&mut self, from: net::SocketAddr, strength: gateway::Strength) {
+        if from == self.own || self.members.contains_key(&from) || self.members.len() >= MOST {
+            return;
         }
+        self.members.insert(from, Member { strength, ..Member::default() });
+        self.rank();
     }
 
     /// Notes that a daemon has replied to something, or that one which is not listed says something.
@@ -275,11 +286,6 @@
         self.members.contains_key(&address)
     }
 
-    /// Says whether the system is so large that what each does for itself is to be done less often.
-    pub fn is_large(&self) -> bool {
-        self.count() > SMALL
-    }
-
     /// Returns the addresses of the others.
     pub fn others(&self) -> Vec<net::SocketAddr> {
         self.members.keys().copied().collect()
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -2,6 +2,8 @@
 
 use trefoildyke_types::id;
 
+use crate::gateway;
+
 /// Holds one daemon's part of the shared state: full pictures and running totals, so a lost one does
 /// no harm.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -12,6 +14,8 @@
     pub number: u64,
     /// Whether this is the first that the sender says to all.
     pub starting: bool,
+    /// How much work for others the sender's host can take.
+    pub strength: gateway::Strength,
     /// Whether the sender has just started and knows little of what was used.
     pub is_young: bool,
     /// Whether the sender leaves and says nothing more.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -109,11 +109,6 @@
         self.shared.core().roster.len()
     }
 
-    /// Says whether there are so many daemons that what each does for itself is to be done less often.
-    pub fn is_large(&self) -> bool {
-        self.shared.core().mesh.is_large()
-    }
-
     /// Says whether a daemon that is not among the members was heard since the last call.
     pub fn take_stranger(&self) -> bool {
         self.shared.core().mesh.take_stranger()
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -256,6 +256,7 @@
             incarnation: self.incarnation,
             number: self.digests,
             starting: kind.starting,
+            strength: self.mesh.strength(),
             leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
             unanswered: self.mesh.is_unanswered(),
