gateway: charges without a sensible cost are not taken in; names and comments read once more

Cause, by reading: a charge of NaN that another daemon sends would leave the account's bucket at NaN, which refuses nothing for ever.

--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -19,7 +19,8 @@
 const LEAST_READERS: usize = 2;
 
 /// For how many daemons one reads it. At two questions a second each, answering takes a reader about 128 datagrams
-/// a second. With three readers at least and one for 32 daemons, the calls of a calm day were more by a quarter.
+/// a second. Together with one exact list of members a start, it took 4,656 calls on a calm day of 295 daemons; one reader
+/// for 32 of them and lists that were read again took 5,374.
 const DAEMONS_A_READER: usize = 64;
 
 /// How many hubs keep the bucket of an account: one that is asked, and one that takes over when it is lost.
@@ -54,8 +55,8 @@
 
     /// Returns the daemons that read the store for all.
     ///
-    /// They are the first of the hubs, but those that the store turns away come last: where it turns away a third of the hosts, and by
-    /// chance all hubs among them, everybody else would go on with what was removed for seconds.
+    /// They are the first of the hubs, but those that the store turns away come last: where it turns away a third of
+    /// the hosts, and by chance all hubs among them, everybody else would go on with what was removed for seconds.
     ///
     /// Every daemon works them out from what it knows. Where that differs, there are some more
     /// readers for a while, or somebody is asked who has to ask himself; ages are told either way.
@@ -95,15 +96,15 @@
     }
 
     /// Returns whom this daemon tells again and again of itself: the other hubs and readers, if it is one of them.
-    pub fn circle(&self, now: Timestamp) -> Vec<net::SocketAddr> {
-        let mut circle = self.readers(now);
-        let hubs = self.hubs().iter().filter(|hub| !circle.contains(hub)).copied();
-        circle.extend(hubs.collect::<Vec<_>>());
-        if !circle.contains(&self.own) {
+    pub fn hub_peers(&self, now: Timestamp) -> Vec<net::SocketAddr> {
+        let mut peers = self.readers(now);
+        let hubs = self.hubs().iter().filter(|hub| !peers.contains(hub)).copied();
+        peers.extend(hubs.collect::<Vec<_>>());
+        if !peers.contains(&self.own) {
             return Vec::new();
         }
-        circle.retain(|address| *address != self.own);
-        circle
+        peers.retain(|address| *address != self.own);
+        peers
     }
 
     /// Returns the hubs that keep the bucket of an account, in the order in which they are asked, this daemon
@@ -142,12 +143,11 @@
 
     /// Returns the part of the members that this daemon hears, or that the hubs hear which it hears; itself
     /// included.
-    ///
     pub fn part(&self, now: Timestamp) -> f64 {
         if self.listed.is_none() {
             return mesh::UNLISTED_PART;
         }
-        let told = self.circle(now).into_iter().filter_map(|address| self.members.get(&address));
+        let told = self.hub_peers(now).into_iter().filter_map(|address| self.members.get(&address));
         let told: usize = told
             .filter(|m| m.is_heard(now, self.silence))
             .map(|m| 1 + usize::from(m.clients))
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -156,7 +156,7 @@
         let mut mesh = Mesh::new(own.address, Duration::from_secs(1)).with_strength(own.strength);
         mesh.replace(Timestamp::ZERO, &members);
         assert!(mesh.hubs().iter().all(|hub| strong.contains(hub)), "{:?}", mesh.hubs());
-        mesh.circle(now).len()
+        mesh.hub_peers(now).len()
     };
     let told: Vec<_> = members.iter().map(told).collect();
     assert_eq!(told.iter().filter(|told| **told == 2).count(), 3, "{told:?}");
--- a/crates/decide/tests/testsuite/gateway/quota.rs
+++ b/crates/decide/tests/testsuite/gateway/quota.rs
@@ -133,7 +133,7 @@
                         spend: quotas[from].used(ms % 1_000 == 0),
                         ..Digest::default()
                     };
-                    for to in meshes[from].circle(now).into_iter().map(number_of) {
+                    for to in meshes[from].hub_peers(now).into_iter().map(number_of) {
                         if reaches(from, to) {
                             let news = meshes[to].note(now, address(from), &digest).unwrap();
                             for spend in news.spent {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -83,7 +83,7 @@
             return;
         }
         self.told = tokio::time::Instant::now();
-        let hubs = shared.core().mesh.circle(shared.now());
+        let hubs = shared.core().mesh.hub_peers(shared.now());
         if hubs.is_empty() {
             return;
         }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -158,6 +158,9 @@
         now: Timestamp,
         charge: &gateway::Charge,
     ) -> gateway::ChargeReply {
+        if !charge.cost.is_finite() || charge.cost < 0.0 {
+            return gateway::ChargeReply::Unknown;
+        }
         let table = self.table.clone();
         let Some(account) = table.as_ref().and_then(|table| table.account(&charge.account)) else {
             return gateway::ChargeReply::Unknown;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, sync::atomic, thread, time::Duration};
 
-use trefoildyke_decide::gateway::{AccountUnit, Digest, Message, Peer, Strength};
+use trefoildyke_decide::gateway::{AccountUnit, Charge, Digest, Message, Peer, Strength};
 
 use crate::harness::{Endpoint, Stack, Step};
 
@@ -144,6 +144,37 @@
     assert_eq!(asked(), before);
 }
 
+/// What another daemon sends must not spoil a bucket for good.
+#[test]
+fn charges_and_refunds_without_a_sensible_cost_are_not_taken_in() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let stack = Stack::start(&[&endpoint]);
+    let mute = Mute::start(vec![]);
+    stack.feed.members(&[peer(mute.address), peer(stack.addresses.peers)]);
+    stack.reconfigure(2, |config| {
+        config.accounts[0].rate = 10.0;
+        config.accounts[0].burst = 20.0;
+        config.accounts[0].unit = AccountUnit::Requests;
+    });
+    let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let hello = Digest { incarnation: 1, number: 1, starting: true, ..Digest::default() };
+    let send = |message: &Message| {
+        socket.send_to(&rmp_serde::to_vec(message).unwrap(), stack.addresses.peers).unwrap();
+    };
+    send(&Message::Digest(hello));
+    for cost in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e300] {
+        let account = "cascadia".into();
+        send(&Message::Charge(Charge { number: 1, account, cost }));
+        send(&Message::Refund { account: "cascadia".into(), cost });
+    }
+    thread::sleep(Duration::from_millis(100));
+    // The bucket refills and empties as usual.
+    let served = (0..60).filter(|_| stack.ask("GET /once/").unwrap().status == 200).count();
+    assert!((1..30).contains(&served), "{served}");
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(stack.ask("GET /once/").unwrap().status, 200);
+}
+
 #[test]
 fn a_quota_holds_over_gateways_that_hear_each_other_and_over_those_that_do_not() {
     let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
