--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -2,7 +2,10 @@
 
 use std::{net, sync, sync::atomic, thread, time::Duration};
 
-use trefoildyke_decide::gateway::{AccountUnit, Charge, Digest, Message, Peer, Strength};
+use trefoildyke_decide::gateway::{
+    AccountUnit, Ask, Charge, Demand, Digest, Mesh, Message, Peer, PlaceReply, Strength,
+};
+use trefoildyke_types::time::Timestamp;
 
 use crate::harness::{Endpoint, Stack, Step};
 
@@ -144,35 +147,84 @@
     assert_eq!(asked(), before);
 }
 
-/// What another daemon sends must not spoil a bucket for good.
+/// Returns a socket of a daemon that would keep the account's bucket only after the one at `own`.
+fn second_keeper(own: net::SocketAddr) -> net::UdpSocket {
+    loop {
+        let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let mut mesh = Mesh::new(own, Duration::from_secs(1));
+        mesh.replace(Timestamp::ZERO, &[peer(own), peer(socket.local_addr().unwrap())]);
+        if mesh.keepers(&"cascadia".into())[0] == own {
+            return socket;
+        }
+    }
+}
+
+/// A charge that is no number would fill the bucket anew, and a refund of less than nothing would empty it.
 #[test]
 fn charges_and_refunds_without_a_sensible_cost_are_not_taken_in() {
     let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
     let stack = Stack::start(&[&endpoint]);
-    let mute = Mute::start(vec![]);
-    stack.feed.members(&[peer(mute.address), peer(stack.addresses.peers)]);
+    // One request a second at most.
     stack.reconfigure(2, |config| {
-        config.accounts[0].rate = 10.0;
-        config.accounts[0].burst = 20.0;
+        config.accounts[0].rate = 0.5;
+        config.accounts[0].burst = 4.0;
         config.accounts[0].unit = AccountUnit::Requests;
     });
-    let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
-    let hello = Digest { incarnation: 1, number: 1, starting: true, ..Digest::default() };
+    let own = stack.addresses.peers;
+    let socket = second_keeper(own);
+    stack.feed.members(&[peer(own), peer(socket.local_addr().unwrap())]);
     let send = |message: &Message| {
-        socket.send_to(&rmp_serde::to_vec(message).unwrap(), stack.addresses.peers).unwrap();
+        socket.send_to(&rmp_serde::to_vec(message).unwrap(), own).unwrap();
     };
-    send(&Message::Digest(hello));
-    for cost in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e300] {
-        let account = "cascadia".into();
-        send(&Message::Charge(Charge { number: 1, account, cost }));
-        send(&Message::Refund { account: "cascadia".into(), cost });
+    let status = || stack.ask("GET /once/").unwrap().status;
+    assert!((0..5).any(|_| status() == 429), "the bucket does not empty");
+    for cost in [f64::NAN, f64::INFINITY, -1e300] {
+        send(&Message::Charge(Charge { number: 1, account: "cascadia".into(), cost }));
     }
-    thread::sleep(Duration::from_millis(100));
-    // The bucket refills and empties as usual.
-    let served = (0..60).filter(|_| stack.ask("GET /once/").unwrap().status == 200).count();
-    assert!((1..30).contains(&served), "{served}");
-    thread::sleep(Duration::from_millis(500));
-    assert_eq!(stack.ask("GET /once/").unwrap().status, 200);
+    send(&Message::Refund { account: "cascadia".into(), cost: f64::NAN });
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(status(), 429, "it is full again");
+    send(&Message::Refund { account: "cascadia".into(), cost: -1e300 });
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(status(), 200, "it does not refill");
+}
+
+/// The reply to the first question is lost, so the daemon asks once more.
+#[test]
+fn a_daemon_that_asks_again_is_told_of_the_place_that_it_has() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let stack = Stack::start(&[&endpoint]);
+    let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let own = stack.addresses.peers;
+    stack.feed.members(&[peer(own), peer(socket.local_addr().unwrap())]);
+    let now = Timestamp::ZERO;
+    let demand = Demand {
+        rank: 0,
+        zone: "a".into(),
+        prompt: 0,
+        parts: Vec::new(),
+        expected: 0.0,
+        gap: Duration::ZERO,
+        objective: now + Duration::from_millis(300),
+        leaves: now + Duration::from_secs(2),
+        deadline: now + Duration::from_secs(2),
+        returning: false,
+        repeatable: true,
+        tried: Vec::new(),
+    };
+    let ask = Message::Ask(Ask::new("svc".into(), 1, now, &demand));
+    let mut buffer = [0; 4_096];
+    let mut placed = || loop {
+        socket.send_to(&rmp_serde::to_vec(&ask).unwrap(), own).unwrap();
+        let (length, _) = socket.recv_from(&mut buffer).unwrap();
+        if let Ok(Message::Placed(placed)) = rmp_serde::from_slice(&buffer[..length]) {
+            return placed.reply;
+        }
+    };
+    let first = placed();
+    assert!(matches!(first, PlaceReply::Granted { given: 1, .. }), "{first:?}");
+    assert_eq!(placed(), first, "a second place is held in vain");
 }
 
 #[test]
