--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -103,6 +103,12 @@
         self.steady.is_some_and(|own| self.is_settled(now, own))
     }
 
+    /// Returns how long it takes until this daemon can tell who is gone, if nothing intervenes; zero if it can, or does
+    /// not know since when the source is steady.
+    pub fn settles_in(&self, now: Timestamp) -> time::Duration {
+        self.steady.map_or(time::Duration::ZERO, |steady| (steady + self.grace).since(now))
+    }
+
     /// Says whether a list may be followed that a daemon read at `read` which had known the source to be steady since
     /// `since`.
     ///
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -59,6 +59,11 @@
         self.shared.core().roster.has_settled(self.now())
     }
 
+    /// Returns how long it takes until this daemon can tell which endpoints are gone; zero if it can.
+    pub fn settles_in(&self) -> time::Duration {
+        self.shared.core().roster.settles_in(self.now())
+    }
+
     /// Asks those that read the store; confirms the configuration if one of them knows it fresh.
     pub async fn query_readers(&self) -> Readers {
         let mut found = Readers::Unheard;
