--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -29,7 +29,7 @@
 /// shard.step(Timestamp::ZERO, schedule::Input::EndpointUp(endpoint));
 /// let ask = request::Ask {
 ///     key: id::RequestKey {
-///         account: "cascadia".into(),
+///         account: "clinic".into(),
 ///         id: "0192d3a4-0000-7000-8000-000000000001".parse()?,
 ///     },
 ///     coordinator: id::Incarnation::from_u64(2),
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod events;
 mod freshness;
+mod hubs;
 mod loads;
 mod mesh;
 mod pool;
