gateway: lines tell which requests ask the same, and which sends ended with their connection

On-call engineers could not tell from the lines of the incident whether two arrivals were the same request, nor which of its sends an endpoint's end had cut: account and length of the prompt were the only hints. Now each request has a fingerprint of its account, method, host, target and body (`ended`, `send_failed`), and a send whose connection ended is `cut`, apart from `lost` (nothing usable came); `after_ms` is how long after the send that was. The counter gateway_send_failures has the new kind. No decision depends on either yet; the model of attempts explores `cut` too.

--- a/crates/decide/src/gateway/attempt.rs
+++ b/crates/decide/src/gateway/attempt.rs
@@ -32,7 +32,9 @@
     NotSent,
     /// The endpoint says that it did not and will not run the request.
     Rejected,
-    /// The connection ended, or what came was not an answer to this request.
+    /// The connection ended under the request: the endpoint did, or something on the way broke.
+    Cut,
+    /// Nothing came in time, or what came was not an answer to this request.
     Lost,
     /// The endpoint ran the request and answered with a failure of its own.
     Failed,
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod deadlines;
 mod events;
+mod fingerprint;
 mod freshness;
 mod mesh;
 mod message;
@@ -26,6 +27,7 @@
 };
 pub use deadlines::Deadlines;
 pub use events::{EventTooLong, Events};
+pub use fingerprint::Fingerprint;
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News, Peer, Placing};
 pub use message::{
--- a/crates/decide/tests/testsuite/gateway/attempt.rs
+++ b/crates/decide/tests/testsuite/gateway/attempt.rs
@@ -16,6 +16,7 @@
 #[test]
 fn a_request_that_may_have_run_is_not_sent_again() {
     assert_eq!(failed(Repeat::Never, 3, &[Failure::Lost]), Next::Unknown);
+    assert_eq!(failed(Repeat::Never, 3, &[Failure::Cut]), Next::Unknown);
     assert_eq!(failed(Repeat::Never, 3, &[Failure::Failed]), Next::PassOn);
 }
 
@@ -60,6 +61,7 @@
         Just(Failure::NotSent),
         Just(Failure::Rejected),
         Just(Failure::Lost),
+        Just(Failure::Cut),
         Just(Failure::Failed)
     ];
     proptest::collection::vec((failure, any::<bool>()), 1..12)
@@ -76,7 +78,7 @@
         for (failure, has_budget) in failures {
             prop_assert!(runs == 0 || idempotent, "a second send after a possible run");
             attempt.sent();
-            runs += u32::from(matches!(failure, Failure::Lost | Failure::Failed));
+            runs += u32::from(matches!(failure, Failure::Lost | Failure::Cut | Failure::Failed));
             prop_assert!(runs <= limit);
             match attempt.failed(failure, || has_budget) {
                 Next::Again => {}
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod deadlines;
 mod engines;
 mod events;
+mod fingerprint;
 mod freshness;
 mod hubs;
 mod loads;
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -23,6 +23,8 @@
 /// Holds an admitted request and what its driver depends on.
 pub(crate) struct Call {
     pub(crate) id: String,
+    /// What tells whether another request asks the same.
+    pub(crate) fingerprint: gateway::Fingerprint,
     /// The request for the endpoint, without the headers that each send adds.
     pub(crate) request: hyper::Request<Full<Bytes>>,
     pub(crate) service: id::PoolName,
@@ -74,6 +76,7 @@
         let waits = names::number(&head.headers, &names.deadline);
         let waits = waits.map_or(DEFAULT_DEADLINE, time::Duration::from_millis);
         let body = read_body(&admission, body).await?;
+        let fingerprint = admission.fingerprint(&head, &body);
         let tokens = tokens(names::text(&head.headers, &names.tokens));
         let arrived = access.arrived();
         let route = &admission.route;
@@ -87,6 +90,7 @@
         let cost = admission.cost(tokens);
         let rank = rank(route, admission.account.as_ref());
         access.asks(record::Asked {
+            fingerprint: Some(fingerprint),
             rank: Some(rank),
             prompt,
             expected: expected as u32,
@@ -103,6 +107,7 @@
         }
         Ok(Self {
             id,
+            fingerprint,
             request,
             service: admission.service,
             kind: route.kind,
@@ -197,6 +202,16 @@
 }
 
 impl Admission {
+    /// Returns what tells a request that is asked again from others, whatever id it has.
+    fn fingerprint(&self, head: &http::request::Parts, body: &[u8]) -> gateway::Fingerprint {
+        let account = self.account.as_ref().map(|account| &account.name);
+        let host = head.headers.get(header::HOST).map(header::HeaderValue::as_bytes);
+        let host = host.unwrap_or_default().to_ascii_lowercase();
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let parts = [head.method.as_str().as_bytes(), &host, target.as_bytes(), body];
+        gateway::Fingerprint::of(account, parts)
+    }
+
     /// Returns what the request counts against its account's quota.
     fn cost(&self, tokens: Option<(u32, u32)>) -> f64 {
         let declared = tokens.map(|(prompt, most)| prompt.saturating_add(most));
--- a/crates/gateway/src/face/driver/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -26,13 +26,16 @@
         let kind = match failed.failure {
             gateway::Failure::NotSent => "not_sent",
             gateway::Failure::Rejected => "rejected",
+            gateway::Failure::Cut => "cut",
             gateway::Failure::Lost => "lost",
             gateway::Failure::Failed => "failed",
         };
         self.shared.metrics.failed(kind);
         self.shared.journal.write(&record::Event::SendFailed {
             id: self.call.id.clone(),
+            fingerprint: self.call.fingerprint,
             endpoint: self.tried.last().cloned().unwrap_or_else(|| "".into()),
+            after_ms: self.shared.now().since(self.sent).as_millis() as u64,
             failure: failed.failure,
             detail: failed.detail.clone(),
             next,
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) access: face::AccessEntry,
     attempt: gateway::Attempt,
     tried: Vec<id::EndpointName>,
+    /// When it was sent last.
+    sent: Timestamp,
     /// Holds up the end of a graceful stop.
     _pass: kernel::Pass,
 }
@@ -94,7 +96,8 @@
         let repeat =
             if is_idempotent { gateway::Repeat::Idempotent } else { gateway::Repeat::Never };
         let attempt = gateway::Attempt::new(repeat, call.attempts);
-        Self { shared, call, access, attempt, tried: Vec::new(), _pass: pass }
+        let sent = shared.now();
+        Self { shared, call, access, attempt, tried: Vec::new(), sent, _pass: pass }
     }
 
     async fn run(mut self) -> hyper::Response<face::Body> {
@@ -179,9 +182,10 @@
     fn note_sent(&mut self, slot: &state::Slot, asked: Timestamp) {
         let grant = slot.grant();
         self.attempt.sent();
+        self.sent = self.shared.now();
         self.access.sent(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
-        let waited = self.shared.now().since(asked).as_millis() as u64;
+        let waited = self.sent.since(asked).as_millis() as u64;
         self.shared.metrics.sent(waited);
         self.shared.journal.write(&record::Event::Sent {
             id: self.call.id.clone(),
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -6,6 +6,8 @@
 /// Describes what a request asked for: the inputs of the decisions on its quota, order and place.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
 pub struct Asked {
+    /// What tells whether another request asks the same; `None` if it was refused before it was read.
+    pub fingerprint: Option<gateway::Fingerprint>,
     /// Its rank; `None` if it was refused before it had one.
     pub rank: Option<u8>,
     /// The length of its prompt in tokens.
@@ -134,8 +136,12 @@
     SendFailed {
         /// The request.
         id: String,
+        /// What tells whether another request asks the same.
+        fingerprint: gateway::Fingerprint,
         /// Where to.
         endpoint: id::EndpointName,
+        /// How long after it was sent, in milliseconds.
+        after_ms: u64,
         /// How.
         failure: gateway::Failure,
         /// What happened on the connection.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -61,7 +61,7 @@
 enum Step {
     Part(Bytes),
     End,
-    Lost(String),
+    Broken(face::Failed),
     Silent,
     Late,
 }
@@ -89,8 +89,7 @@
                     return relay.broken();
                 }
             }
-            Step::Lost(detail) => {
-                let failed = face::Failed::new(gateway::Failure::Lost, detail);
+            Step::Broken(failed) => {
                 if !relay.resume(failed).await {
                     return relay.broken();
                 }
@@ -104,7 +103,7 @@
         let patience = self.patience();
         let end = self.end;
         let Some(source) = &mut self.source else {
-            return Step::Lost("no source".to_owned());
+            return Step::Broken(face::Failed::new(gateway::Failure::Lost, "no source"));
         };
         loop {
             let until =
@@ -115,9 +114,15 @@
                 Err(_) => return Step::Silent,
             };
             match frame {
-                None if self.events.is_cut() => return Step::Lost("cut in an event".to_owned()),
+                None if self.events.is_cut() => {
+                    let failed = face::Failed::new(gateway::Failure::Cut, "cut in an event");
+                    return Step::Broken(failed);
+                }
                 None => return Step::End,
-                Some(Err(error)) => return Step::Lost(error.to_string()),
+                Some(Err(error)) => {
+                    let failure = upstream::broken(&error);
+                    return Step::Broken(face::Failed::new(failure, error.to_string()));
+                }
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     let pause = source.slot.heard();
@@ -125,7 +130,11 @@
                     match self.events.push(bytes) {
                         Ok(Some(whole)) => return Step::Part(whole),
                         Ok(None) => {}
-                        Err(error) => return Step::Lost(error.to_string()),
+                        Err(error) => {
+                            let failed =
+                                face::Failed::new(gateway::Failure::Lost, error.to_string());
+                            return Step::Broken(failed);
+                        }
                     }
                 }
             }
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -3,7 +3,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use trefoildyke_decide::gateway;
 
-use crate::face;
+use crate::{face, upstream};
 
 /// The largest answer that is read as a whole, in bytes; twice the largest body that callers may
 /// send by default.
@@ -25,7 +25,9 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             slot.set_outcome(gateway::Outcome::Lost);
-            return Err(face::Failed::new(gateway::Failure::Lost, error.to_string()));
+            let broken = error.downcast_ref().map(upstream::broken);
+            let failure = broken.unwrap_or(gateway::Failure::Lost);
+            return Err(face::Failed::new(failure, error.to_string()));
         }
         Err(_) => {
             let failed = face::Failed::new(gateway::Failure::Lost, "the time was up");
--- a/crates/gateway/src/upstream/link.rs
+++ b/crates/gateway/src/upstream/link.rs
@@ -7,6 +7,7 @@
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 use tokio::task;
+use trefoildyke_decide::gateway;
 
 use crate::upstream;
 
@@ -73,6 +74,19 @@
     }
 }
 
+/// Says what an error of a connection, or of an answer's body on it, means for the request.
+pub(crate) fn broken(error: &hyper::Error) -> gateway::Failure {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    let is_invalid = |source: &std::io::Error| {
+        matches!(source.kind(), std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput)
+    };
+    if error.is_parse() || source.is_some_and(is_invalid) {
+        return gateway::Failure::Lost;
+    }
+    gateway::Failure::Cut
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -27,6 +27,11 @@
 }
 
 impl SendError {
+    fn broken(error: &hyper::Error) -> Self {
+        let (failure, outcome) = (upstream::broken(error), gateway::Outcome::Lost);
+        Self { failure, outcome, detail: describe(error) }
+    }
+
     fn lost(detail: impl Into<String>) -> Self {
         let (failure, outcome) = (gateway::Failure::Lost, gateway::Outcome::Lost);
         Self { failure, outcome, detail: detail.into() }
@@ -62,7 +67,7 @@
             Ok(response) => return judge(names, id, response, link),
             Err((_, true)) if !is_new => {}
             Err((error, true)) => return Err(SendError::not_sent(describe(&error))),
-            Err((error, false)) => return Err(SendError::lost(describe(&error))),
+            Err((error, false)) => return Err(SendError::broken(&error)),
         }
     }
 }
--- a/crates/spec/src/attempts.rs
+++ b/crates/spec/src/attempts.rs
@@ -117,7 +117,7 @@
 
 /// Returns what the gateway may be told of a send that came to this.
 fn possible(bounds: &Bounds, truth: Truth) -> Vec<Failure> {
-    let mut possible = vec![Failure::Lost];
+    let mut possible = vec![Failure::Lost, Failure::Cut];
     if truth == Truth::Never || !bounds.unwritten {
         possible.push(Failure::NotSent);
     }
