--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 
 mod callers;
+mod crashes;
 mod drains;
 mod failures;
 mod fuzz;
