decide, gateway: a request under which three endpoints have ended is sent nowhere any more

What callers saw: everything beside one request was cut off, up to seven answers at a time, engine after engine, for tens of seconds, and urgent requests were refused since a third to half of the engines were down.

Cause: whether a request may be sent was decided from its own attempt alone. A request that comes again has a new id, reaches any daemon and begins there with a clean record, so each arrival got a fresh engine. The class: what a failure tells of a request was neither kept beyond the attempt nor told to others.

Ruled out from the lines of the incident: that daemons carried it on (`sends` is 1 in nearly all of these arrivals; a resumed stream can do so all the same, the third test), and that engines end on their own (20 of 23 ends had the request, sent 0.01 to 0.4 s before, no event delivered).

Mend: requests have a fingerprint; each end of an endpoint under one is told to the hubs, named by the start of the endpoint, and counts once whoever saw it. From three on no daemon sends it, not even from its queue or as a resumed stream, and callers are told that it has not run and when to come back. Two hubs tell all at once; marks in questions about the store and in digests of hubs repair what was lost. Why it holds: what is known is a union that only grows, and refuted ends stay refuted, so daemons that have heard the same hold the same (property test). Innocent requests are freed by an answer that came whole, by endpoints that stay listed (only connections broke), and by a request that explains the ends better.

--- a/crates/decide/src/gateway/fingerprint.rs
+++ b/crates/decide/src/gateway/fingerprint.rs
@@ -23,6 +23,11 @@
         }
         Self(hash.digest())
     }
+
+    /// Returns the number.
+    pub(crate) const fn as_u64(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -24,6 +24,8 @@
     pub unanswered: bool,
     /// How many daemons ask the sender about the store.
     pub clients: u16,
+    /// The mark of what the sender knows of requests that end endpoints.
+    pub quarantine: u64,
     /// What the accounts have used at the sender that were used of late, from time to time all.
     pub spend: Vec<AccountSpend>,
 }
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -1,6 +1,7 @@
 //! What daemons tell each other.
 
 mod charge;
+mod crash;
 mod digest;
 mod load;
 mod placing;
@@ -11,6 +12,7 @@
 use crate::gateway;
 
 pub use charge::{Charge, ChargeReply};
+pub use crash::Crash;
 pub use digest::{AccountSpend, Digest};
 pub use load::{EndpointLoad, Firsts, Learned, LoadReport};
 pub use placing::{Ask, PlaceReply, Placed};
@@ -56,6 +58,8 @@
         stamp: u64,
         /// The mark of the sender's list of endpoints.
         roster: u64,
+        /// The mark of what the sender knows of requests that end endpoints.
+        quarantine: u64,
     },
     /// Answers [`Message::Query`].
     Reply {
@@ -68,4 +72,11 @@
         /// What leads from the list of the query to the one of `view`, if the sender knows that.
         changes: Option<Vec<gateway::RosterChange>>,
     },
+    /// Tells under which requests endpoints have ended.
+    Crashes {
+        /// The ends.
+        crashes: Vec<Crash>,
+        /// Whether the sender wants to know what else the receiver knows.
+        asks: bool,
+    },
 }
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod message;
 mod pool;
 mod prompt;
+mod quarantine;
 mod quota;
 mod roster;
 mod strength;
@@ -31,13 +32,14 @@
 pub use freshness::Freshness;
 pub use mesh::{Mesh, News, Peer, Placing};
 pub use message::{
-    AccountSpend, Ask, Charge, ChargeReply, Digest, EndpointLoad, Firsts, Learned, LoadReport,
-    Message, PlaceReply, Placed, StoreView,
+    AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
+    LoadReport, Message, PlaceReply, Placed, StoreView,
 };
 pub use pool::{
     Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
 };
 pub use prompt::{PromptPart, prompt_parts};
+pub use quarantine::{Quarantine, QuarantineChange, QuarantineParams};
 pub use quota::{Quota, QuotaParams, QuotaPart};
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// Says whether the start of an endpoint is still listed so long after a moment that it cannot have ended then: its
+    /// entry would have lapsed within `lapse`, and the source has answered for so long.
+    pub fn outlived(
+        &self,
+        now: Timestamp,
+        (endpoint, start): &(id::EndpointName, u64),
+        moment: Timestamp,
+        lapse: time::Duration,
+    ) -> bool {
+        let is_listed = self.entries.get(endpoint).is_some_and(|entry| entry.start == *start);
+        let is_later = self.read.is_some_and(|read| read.since(moment) >= lapse);
+        let is_steady = self.steady.is_some_and(|steady| now.since(steady) >= lapse);
+        is_listed && is_later && is_steady
+    }
+
     /// Returns since when the source has answered without a break.
     pub const fn steady(&self) -> Option<Timestamp> {
         self.steady
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod mesh;
 mod pool;
 mod prompts;
+mod quarantine;
 mod quota;
 mod reports;
 mod roster;
--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -0,0 +1,222 @@
+//! Requests that end the endpoints they run on.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use trefoildyke_decide::gateway::{
+    Crash, Fingerprint, Quarantine, QuarantineChange, QuarantineParams, Roster,
+};
+use trefoildyke_types::time::Timestamp;
+
+use super::support;
+
+/// After how long an endpoint is not listed any more that has ended, in milliseconds.
+const LAPSE_MS: u64 = 8_000;
+
+/// How long an end counts, in milliseconds.
+const KEPT_MS: u64 = 600_000;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn request(number: u8) -> Fingerprint {
+    Fingerprint::of(None, [b"POST", b"claims.example", &[number], b""])
+}
+
+fn end(number: u8, endpoint: &str) -> Crash {
+    let fingerprint = request(number);
+    Crash { fingerprint, endpoint: endpoint.into(), start: 0, age_ms: 0, refuted: false }
+}
+
+fn quarantine() -> Quarantine {
+    Quarantine::new(QuarantineParams::default())
+}
+
+/// Tells of the ends of these endpoints under one request.
+fn ends(quarantine: &mut Quarantine, number: u8, endpoints: &[&str]) {
+    let crashes: Vec<_> = endpoints.iter().map(|endpoint| end(number, endpoint)).collect();
+    quarantine.learn(at(0), &crashes);
+}
+
+fn is_held(quarantine: &Quarantine, number: u8) -> bool {
+    quarantine.held(at(1), request(number)).is_some()
+}
+
+#[test]
+fn a_request_is_held_once_three_endpoints_have_ended_under_it() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a", "b"]);
+    assert!(!is_held(&quarantine, 1));
+    let changes = quarantine.learn(at(0), &[end(1, "c")]);
+    assert_eq!(changes, [QuarantineChange::Held { fingerprint: request(1), ends: 3 }]);
+    assert!(is_held(&quarantine, 1));
+    assert!(!is_held(&quarantine, 2));
+}
+
+/// Two daemons that had the same request at an endpoint both see its end, and a datagram may come twice.
+#[test]
+fn the_end_of_one_start_of_an_endpoint_counts_once() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a", "a", "b", "b"]);
+    assert!(!is_held(&quarantine, 1));
+    quarantine.learn(at(0), &[Crash { start: 7, ..end(1, "a") }]);
+    assert!(is_held(&quarantine, 1));
+}
+
+#[test]
+fn a_request_that_an_endpoint_has_run_to_its_end_is_free_everywhere() {
+    let mut first = quarantine();
+    ends(&mut first, 1, &["a", "b", "c"]);
+    let mut second = first.clone();
+    let changes = first.survived(at(1), request(1)).unwrap();
+    assert_eq!(changes, [QuarantineChange::Released(request(1))]);
+    assert!(first.survived(at(1), request(1)).is_none());
+    // Who still counts the ends does not bring them back.
+    first.learn(at(2), &second.shared(at(2)));
+    second.learn(at(2), &first.shared(at(2)));
+    assert!(!is_held(&first, 1) && !is_held(&second, 1));
+    assert_eq!(first.mark(), second.mark());
+    // Three new ends count.
+    ends(&mut first, 1, &["d", "e", "f"]);
+    assert!(is_held(&first, 1));
+}
+
+/// An innocent request is sent again after each end, and by chance always beside the one that ends endpoints.
+#[test]
+fn a_request_beside_the_guilty_one_is_sent_again() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a", "b", "c"]);
+    ends(&mut quarantine, 2, &["a", "b", "c", "d"]);
+    assert!(is_held(&quarantine, 2));
+    assert!(!is_held(&quarantine, 1));
+    // Endpoints that ended without the guilty one count.
+    ends(&mut quarantine, 1, &["x", "y", "z"]);
+    assert!(is_held(&quarantine, 1));
+}
+
+#[test]
+fn an_end_counts_for_ten_minutes_and_one_more_end_holds_the_request_again() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a", "b"]);
+    quarantine.learn(at(60_000), &[end(1, "c")]);
+    assert!(quarantine.held(at(KEPT_MS - 1), request(1)).is_some());
+    assert_eq!(quarantine.held(at(KEPT_MS), request(1)), None);
+    quarantine.learn(at(KEPT_MS), &[end(1, "d"), end(1, "e")]);
+    assert!(quarantine.held(at(KEPT_MS), request(1)).is_some());
+}
+
+#[test]
+fn ages_that_daemons_tell_do_not_make_ends_younger() {
+    let mut first = quarantine();
+    ends(&mut first, 1, &["a", "b", "c"]);
+    // This one has just started; its clock stands near nought.
+    let mut second = quarantine();
+    second.learn(at(5), &first.shared(at(KEPT_MS - 10)));
+    assert!(second.held(at(14), request(1)).is_some());
+    assert_eq!(second.held(at(15), request(1)), None);
+    let mut third = quarantine();
+    third.learn(at(5), &first.shared(at(KEPT_MS)));
+    assert!(third.shared(at(5)).is_empty());
+}
+
+#[test]
+fn callers_come_back_when_the_list_has_shown_whether_the_endpoints_live_and_then_after_the_ends_are_old()
+ {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a", "b"]);
+    quarantine.learn(at(2_000), &[end(1, "c")]);
+    let after = |ms| quarantine.held(at(ms), request(1)).unwrap().as_millis() as u64;
+    assert_eq!(after(3_000), LAPSE_MS - 1_000);
+    assert_eq!(after(2_000 + LAPSE_MS), KEPT_MS - 2_000 - LAPSE_MS);
+}
+
+#[test]
+fn an_endpoint_that_stays_listed_has_not_ended() {
+    let mut quarantine = quarantine();
+    let mut roster = Roster::new(Duration::from_millis(2_200));
+    let list = || vec![support::entry("a"), support::entry("b")];
+    roster.replace(at(0), list());
+    ends(&mut quarantine, 1, &["a", "b", "gone"]);
+    let compare = |quarantine: &mut Quarantine, roster: &Roster, ms| {
+        quarantine.compare(at(ms), request(1), |start, moment, lapse| {
+            roster.outlived(at(ms), start, moment, lapse)
+        })
+    };
+    roster.replace(at(LAPSE_MS - 1), list());
+    assert!(compare(&mut quarantine, &roster, LAPSE_MS - 1).is_none());
+    roster.replace(at(LAPSE_MS), list());
+    let changes = compare(&mut quarantine, &roster, LAPSE_MS).unwrap();
+    assert_eq!(changes, [QuarantineChange::Released(request(1))]);
+    assert_eq!(quarantine.ends(at(LAPSE_MS), request(1)), 1);
+}
+
+/// While the store is away, entries of endpoints that have ended may stay.
+#[test]
+fn a_list_whose_source_was_away_does_not_show_that_endpoints_live() {
+    let mut roster = Roster::new(Duration::from_millis(2_200));
+    let lapse = Duration::from_millis(LAPSE_MS);
+    let start = ("a".into(), 0);
+    roster.replace(at(0), vec![support::entry("a")]);
+    roster.failed();
+    roster.replace(at(20_000), vec![support::entry("a")]);
+    assert!(!roster.outlived(at(20_000), &start, at(0), lapse));
+    roster.replace(at(28_000), vec![support::entry("a")]);
+    assert!(roster.outlived(at(28_000), &start, at(0), lapse));
+    assert!(!roster.outlived(at(28_000), &("a".into(), 1), at(0), lapse));
+    assert!(!roster.outlived(at(28_000), &("b".into(), 0), at(0), lapse));
+}
+
+#[test]
+fn what_was_cut_off_once_is_told_only_to_those_that_hear_of_every_end() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 1, &["a"]);
+    assert_eq!((quarantine.mark(), quarantine.shared(at(0)).len()), (0, 0));
+    ends(&mut quarantine, 1, &["b"]);
+    assert_ne!(quarantine.mark(), 0);
+    assert_eq!(quarantine.shared(at(0)).len(), 2);
+}
+
+/// A flood of ends must neither fill the memory nor push out what is held, nor what is told a datagram.
+#[test]
+fn a_flood_of_ends_is_bounded_and_keeps_what_is_held() {
+    let mut quarantine = quarantine();
+    ends(&mut quarantine, 0, &["a", "b", "c"]);
+    for number in 0..3_000_u32 {
+        let fingerprint = Fingerprint::of(None, [b"GET", b"", &number.to_le_bytes(), b""]);
+        let crashes = ["x", "y"].map(|endpoint| Crash { fingerprint, ..end(1, endpoint) });
+        quarantine.learn(at(u64::from(number) + 1), &crashes);
+    }
+    assert!(is_held(&quarantine, 0));
+    let told = quarantine.shared(at(3_000));
+    assert!(told.len() <= 128, "{}", told.len());
+    assert!(told.iter().any(|crash| crash.fingerprint == request(0)));
+    assert_eq!(quarantine.own(at(3_000), Duration::from_secs(5)).len(), 0);
+}
+
+proptest! {
+    /// Whatever is lost, repeated or comes in another order: daemons that have heard the same know the same.
+    #[test]
+    fn daemons_that_have_heard_the_same_hold_the_same(
+        heard in prop::collection::vec((0..3_u8, 0..5_u8, any::<bool>()), 0..40),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let crashes: Vec<_> = heard
+            .iter()
+            .map(|(number, endpoint, refuted)| Crash {
+                refuted: *refuted,
+                ..end(*number, &endpoint.to_string())
+            })
+            .collect();
+        let (mut first, mut second) = (quarantine(), quarantine());
+        first.learn(at(0), &crashes);
+        let split = if crashes.is_empty() { 0 } else { order.index(crashes.len()) };
+        for crash in crashes[split..].iter().chain(&crashes).rev() {
+            second.learn(at(0), std::slice::from_ref(crash));
+        }
+        prop_assert_eq!(first.mark(), second.mark());
+        for number in 0..3 {
+            prop_assert_eq!(is_held(&first, number), is_held(&second, number));
+        }
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -74,6 +74,7 @@
         if self.reported.elapsed() >= REPORTS {
             self.reported = tokio::time::Instant::now();
             shared.decide(|core| core.report_all(shared.now()));
+            shared.repeat_crashes();
         }
     }
 
@@ -101,6 +102,10 @@
     match rmp_serde::from_slice(bytes) {
         Ok(gateway::Message::Digest(digest)) => {
             shared.decide(|core| core.digest(shared.now(), from, &digest));
+            // Who starts or leaves says so to all; all of them must not answer.
+            if !digest.starting && !digest.leaving && shared.core().mesh.is_member(from) {
+                shared.compare_crashes(from, digest.quarantine);
+            }
         }
         Ok(message) if !shared.core().mesh.is_member(from) => {
             shared.core().mesh.hear(from);
@@ -133,7 +138,11 @@
         Ok(gateway::Message::Withdraw { service, number }) => {
             shared.decide(|core| core.service(&service).withdraw(shared.now(), from, number));
         }
-        Ok(gateway::Message::Query { stamp, roster }) => {
+        Ok(gateway::Message::Crashes { crashes, asks }) => {
+            shared.learn_crashes(from, &crashes, asks);
+        }
+        Ok(gateway::Message::Query { stamp, roster, quarantine }) => {
+            shared.compare_crashes(from, quarantine);
             shared.core().mesh.note_client(shared.now(), from);
             let reply = shared.core().reply(shared.now(), stamp, roster);
             if let Some(reply) = reply {
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -98,6 +98,10 @@
             returning: !spent.is_zero(),
             objective_ms: route.objective_ms,
         });
+        // Before the charge: what is sent nowhere costs its account nothing.
+        if let Some(after) = shared.held(fingerprint) {
+            return Err(face::Reply::not_run(face::QUARANTINED, after));
+        }
         let payment = charge(shared, &admission, cost).await?;
         let mut request = face::endpoint_request(names, &head, body);
         if let Some(account) = &admission.account
--- a/crates/gateway/src/face/driver/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     face,
-    face::{Driver, Failed, driver::refuse},
+    face::{
+        Driver, Failed,
+        driver::{Unplaced, refuse},
+    },
     record,
 };
 
@@ -18,6 +21,12 @@
 impl Driver {
     /// Decides and logs what follows a failed send.
     pub(crate) fn next(&mut self, failed: &Failed) -> gateway::Next {
+        // Endpoint after endpoint is lost to a request that ends them unless all daemons learn of each end.
+        if failed.failure == gateway::Failure::Cut
+            && let Some(grant) = &self.grant
+        {
+            self.shared.cut_off(self.call.fingerprint, grant);
+        }
         let mut attempt = self.attempt.clone();
         let is_open = !failed.is_late && self.shared.now() < self.call.give_up;
         let may_repeat = || is_open && (failed.is_paid || self.take_budget());
@@ -37,6 +46,7 @@
             endpoint: self.tried.last().cloned().unwrap_or_else(|| "".into()),
             after_ms: self.shared.now().since(self.sent).as_millis() as u64,
             failure: failed.failure,
+            ends: self.shared.core().quarantine.ends(self.shared.now(), self.call.fingerprint),
             detail: failed.detail.clone(),
             next,
         });
@@ -72,7 +82,7 @@
     pub(super) fn unplaced(
         mut self,
         last: Option<Box<hyper::Response<face::Body>>>,
-        after: time::Duration,
+        unplaced: Unplaced,
     ) -> hyper::Response<face::Body> {
         if let Some(response) = last {
             self.access.begun(response.status().as_u16());
@@ -84,8 +94,11 @@
             return refuse(&mut self.access, reply);
         }
         self.refund();
-        let after = after.max(self.spread());
-        refuse(&mut self.access, face::Reply::not_run("overload", after))
+        let reply = match unplaced {
+            Unplaced::Overload(after) => face::Reply::not_run("overload", after.max(self.spread())),
+            Unplaced::Quarantined(after) => face::Reply::not_run(face::QUARANTINED, after),
+        };
+        refuse(&mut self.access, reply)
     }
 
     /// Returns the part of its time that a caller stays away after a refusal.
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) access: face::AccessEntry,
     attempt: gateway::Attempt,
     tried: Vec<id::EndpointName>,
+    /// Where it was sent last.
+    grant: Option<gateway::Grant>,
     /// When it was sent last.
     sent: Timestamp,
     /// Holds up the end of a graceful stop.
@@ -65,6 +67,15 @@
     }
 }
 
+/// Says why a request got no place, and after how long its caller should come back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Unplaced {
+    /// It would wait too long.
+    Overload(time::Duration),
+    /// It ends endpoints.
+    Quarantined(time::Duration),
+}
+
 /// Answers one request.
 pub(crate) async fn handle(
     shared: sync::Arc<state::Shared>,
@@ -97,7 +108,7 @@
             if is_idempotent { gateway::Repeat::Idempotent } else { gateway::Repeat::Never };
         let attempt = gateway::Attempt::new(repeat, call.attempts);
         let sent = shared.now();
-        Self { shared, call, access, attempt, tried: Vec::new(), sent, _pass: pass }
+        Self { shared, call, access, attempt, tried: Vec::new(), grant: None, sent, _pass: pass }
     }
 
     async fn run(mut self) -> hyper::Response<face::Body> {
@@ -112,7 +123,7 @@
         loop {
             let slot = match self.place().await {
                 Ok(slot) => slot,
-                Err(after) => return self.unplaced(last, after),
+                Err(unplaced) => return self.unplaced(last, unplaced),
             };
             let mut failed = match self.send(slot, None).await {
                 Ok(answered) if self.is_stream(&answered) => return relay::stream(self, answered),
@@ -142,21 +153,33 @@
         self.call.kind.is_stream() && answered.answer.response.status().is_success()
     }
 
-    /// Waits for a place; fails with the time after which to come back.
-    pub(crate) async fn place(&mut self) -> Result<state::Slot, time::Duration> {
+    /// Waits for a place.
+    pub(crate) async fn place(&mut self) -> Result<state::Slot, Unplaced> {
+        self.check_quarantine()?;
         let now = self.shared.now();
         let service = self.call.service.clone();
         let part = if self.call.returning { LAST_WAIT_PART } else { WAIT_PART };
         let end = tokio::time::Instant::now() + self.call.leaves.since(now).mul_f64(part);
         let placement = placing::place(&self.shared, &service, self.demand(), end).await;
         self.access.decided_by(placement.placer);
-        let grant = placement.result?;
+        let grant = placement.result.map_err(Unplaced::Overload)?;
         let shared = sync::Arc::clone(&self.shared);
-        let slot = state::Slot::new(shared, service, grant);
+        let mut slot = state::Slot::new(shared, service, grant);
+        // Endpoints may have ended under others like it while it waited.
+        if let Err(unplaced) = self.check_quarantine() {
+            slot.set_outcome(gateway::Outcome::Unused);
+            return Err(unplaced);
+        }
         self.note_sent(&slot, now);
         Ok(slot)
     }
 
+    fn check_quarantine(&self) -> Result<(), Unplaced> {
+        self.shared
+            .held(self.call.fingerprint)
+            .map_or(Ok(()), |left| Err(Unplaced::Quarantined(left)))
+    }
+
     fn demand(&self) -> gateway::Demand {
         gateway::Demand {
             rank: self.call.rank,
@@ -185,6 +208,7 @@
         self.sent = self.shared.now();
         self.access.sent(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
+        self.grant = Some(grant.clone());
         let waited = self.sent.since(asked).as_millis() as u64;
         self.shared.metrics.sent(waited);
         self.shared.journal.write(&record::Event::Sent {
--- a/crates/gateway/src/face/mod.rs
+++ b/crates/gateway/src/face/mod.rs
@@ -14,4 +14,4 @@
 pub(crate) use connections::serve;
 pub(crate) use driver::{Answered, Driver, Failed, handle};
 pub(crate) use headers::{endpoint_request, response_head};
-pub(crate) use reply::Reply;
+pub(crate) use reply::{QUARANTINED, Reply};
--- a/crates/gateway/src/face/reply.rs
+++ b/crates/gateway/src/face/reply.rs
@@ -7,6 +7,9 @@
 
 use crate::face;
 
+/// The reason for which a request is refused that ends endpoints.
+pub(crate) const QUARANTINED: &str = "quarantined";
+
 /// Describes an answer of the gateway's own: a refusal or a failure.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Reply {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod names;
 mod placing;
+mod quarantine;
 mod query;
 mod record;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
     sends: metrics::Counter<u64>,
     failures: metrics::Counter<u64>,
     charges_alone: metrics::Counter<u64>,
+    quarantines: metrics::Counter<u64>,
     first: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
     registry: prometheus::Registry,
@@ -43,6 +44,10 @@
                 "gateway_charges_alone",
                 "Charges to a quota for which no keeper of its bucket was reached.",
             ),
+            quarantines: counter(
+                "gateway_quarantines",
+                "Requests that are sent nowhere any more since endpoints end under them.",
+            ),
             first: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
             registry,
@@ -68,6 +73,10 @@
         self.charges_alone.add(1, &[]);
     }
 
+    pub(crate) fn quarantined(&self) {
+        self.quarantines.add(1, &[]);
+    }
+
     pub(crate) fn first_byte(&self, ms: u64) {
         self.first.record(ms as f64, &[]);
     }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -71,9 +71,10 @@
         for reader in readers {
             let asked = self.now();
             let roster = self.shared.core().roster.mark();
-            let query = gateway::Message::Query { stamp: asked.as_micros(), roster };
-            let Some(reply) = query_one(&self.shared, reader, asked.as_micros(), &query).await
-            else {
+            let quarantine = self.shared.core().quarantine.mark();
+            let stamp = asked.as_micros();
+            let query = gateway::Message::Query { stamp, roster, quarantine };
+            let Some(reply) = query_one(&self.shared, reader, stamp, &query).await else {
                 continue;
             };
             let age = time::Duration::from_millis(u64::from(reply.view.confirmed));
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -144,11 +144,26 @@
         after_ms: u64,
         /// How.
         failure: gateway::Failure,
+        /// Under how many endpoints' ends such a request was, as far as this daemon knows.
+        ends: usize,
         /// What happened on the connection.
         detail: String,
         /// What is done next.
         next: gateway::Next,
     },
+    /// A request is sent nowhere any more, since endpoints end under it.
+    Quarantined {
+        /// What it asks.
+        fingerprint: gateway::Fingerprint,
+        /// How many endpoints ended under it.
+        ends: usize,
+    },
+    /// It may be sent again: an endpoint ran it, or endpoints that seemed to have ended live, or another request
+    /// explains their ends, or it is long ago.
+    Released {
+        /// What it asks.
+        fingerprint: gateway::Fingerprint,
+    },
     /// A stream goes on at another endpoint.
     Resumed {
         /// The request.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -158,6 +158,7 @@
     fn finish(mut self) {
         if let Some(Source { link, mut slot, .. }) = self.source.take() {
             slot.set_outcome(gateway::Outcome::Served);
+            self.driver.shared.survived(self.driver.call.fingerprint);
             let service = &self.driver.call.service;
             self.driver.shared.keep(service, &slot.grant().endpoint, link);
         }
--- a/crates/gateway/src/relay/whole.rs
+++ b/crates/gateway/src/relay/whole.rs
@@ -35,6 +35,7 @@
         }
     };
     slot.heard();
+    driver.shared.survived(driver.call.fingerprint);
     driver.shared.keep(&driver.call.service, &slot.grant().endpoint, answer.link);
     let is_failure = head.status.is_server_error();
     slot.set_outcome(if is_failure { gateway::Outcome::Failed } else { gateway::Outcome::Served });
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub retry_window: time::Duration,
     /// How quotas are kept.
     pub quota: gateway::QuotaParams,
+    /// How requests are recognised that end endpoints.
+    pub quarantine: gateway::QuarantineParams,
     /// How long a planned stop may take before it is cut short; 8 s.
     pub grace: time::Duration,
     /// How long a connection to an endpoint may take to open; 400 ms.
@@ -81,6 +83,7 @@
             retry_fixed: 50.0,
             retry_window: time::Duration::from_secs(10),
             quota: gateway::QuotaParams::default(),
+            quarantine: gateway::QuarantineParams::default(),
             grace: time::Duration::from_secs(8),
             connect: time::Duration::from_millis(400),
             exchange: time::Duration::from_millis(50),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -24,6 +24,7 @@
     /// By endpoint, its service.
     homes: collections::HashMap<id::EndpointName, id::PoolName>,
     pub(crate) deadlines: gateway::Deadlines,
+    pub(crate) quarantine: gateway::Quarantine,
     started: Timestamp,
     incarnation: u64,
     digests: u64,
@@ -62,6 +63,7 @@
             services: collections::HashMap::new(),
             homes: collections::HashMap::new(),
             deadlines: gateway::Deadlines::default(),
+            quarantine: gateway::Quarantine::new(settings.quarantine),
             started: Timestamp::ZERO,
             incarnation,
             digests: 0,
@@ -264,6 +266,7 @@
             is_young: now.since(self.started) < YOUNG,
             unanswered: self.mesh.is_unanswered(),
             clients: self.mesh.clients(now),
+            quarantine: self.quarantine.mark(),
             spend: if kind.starting { Vec::new() } else { self.quota.used(kind.full) },
         }
     }
