platform, gateway: what is known of requests that end endpoints outlasts the loss of all daemons

What callers would see: after a power loss of all hosts, a request that was already sent nowhere ends three more endpoints, with all that runs there.

Cause: it lay in the daemons' memory alone.

Ages are told as of the time of writing, so ends do not grow younger. It holds as long as one of the two is left: a daemon, or the store.

--- a/crates/decide/src/gateway/quarantine/tell.rs
+++ b/crates/decide/src/gateway/quarantine/tell.rs
@@ -19,6 +19,11 @@
         self.told(now, |suspect, _| suspect.ends.len() >= SHARED)
     }
 
+    /// Returns a number that is the same for daemons that send the same requests nowhere; 0 if they send all.
+    pub fn held_mark(&self) -> u64 {
+        self.held.iter().fold(0, |mark, fingerprint| mark ^ fingerprint.as_u64())
+    }
+
     /// Returns what is known of one request.
     pub fn of(&self, now: Timestamp, fingerprint: gateway::Fingerprint) -> Vec<gateway::Crash> {
         self.told(now, |_, found| found == fingerprint)
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use trefoildyke_decide::gateway;
 
-use crate::{record, state};
+use crate::{feed, record, state};
 
 /// For how long the hubs are told again of an end that this daemon saw, as datagrams may be lost.
 const REPEATED: time::Duration = time::Duration::from_secs(2);
@@ -15,6 +15,32 @@
 /// How many hubs tell all daemons of a request that is to be sent nowhere; one may be lost.
 const TELLERS: usize = 2;
 
+impl feed::Feed {
+    /// Says whether this daemon is the one to write down what must outlast all daemons of requests that end endpoints.
+    pub fn keeps_crashes(&self) -> bool {
+        let core = self.shared.core();
+        core.mesh.readers(self.now()).first() == Some(&core.mesh.own())
+    }
+
+    /// Returns a number that stands for the requests that are sent nowhere since they end endpoints; 0 if there are none.
+    pub fn held_mark(&self) -> u64 {
+        self.shared.core().quarantine.held_mark()
+    }
+
+    /// Returns what is to be written down of such requests.
+    pub fn crashes(&self) -> Vec<gateway::Crash> {
+        self.shared.core().quarantine.shared(self.now())
+    }
+
+    /// Takes in what was kept `since_ms` milliseconds ago.
+    pub fn recall_crashes(&self, mut crashes: Vec<gateway::Crash>, since_ms: u32) {
+        for crash in &mut crashes {
+            crash.age_ms = crash.age_ms.saturating_add(since_ms);
+        }
+        self.shared.learn(&crashes);
+    }
+}
+
 impl state::Shared {
     /// Says whether a request is sent nowhere since it ends endpoints, and when its caller should come back.
     pub(crate) fn held(&self, fingerprint: gateway::Fingerprint) -> Option<time::Duration> {
@@ -58,14 +84,18 @@
         crashes: &[gateway::Crash],
         asks: bool,
     ) {
-        let now = self.now();
-        let changes = self.core().quarantine.learn(now, crashes);
-        self.note_quarantine(&changes);
+        self.learn(crashes);
         if asks {
             self.tell_crashes(from, false);
         }
     }
 
+    fn learn(&self, crashes: &[gateway::Crash]) {
+        let now = self.now();
+        let changes = self.core().quarantine.learn(now, crashes);
+        self.note_quarantine(&changes);
+    }
+
     /// Tells another daemon with the mark `mark` what is known here, if that is something else.
     pub(crate) fn compare_crashes(&self, from: net::SocketAddr, mark: u64) {
         if self.core().quarantine.mark() != mark {
