--- a/crates/trefoildyked/tests/testsuite/harness/cluster.rs
+++ b/crates/trefoildyked/tests/testsuite/harness/cluster.rs
@@ -162,6 +162,12 @@
         http::parse(&self.http.call(request, CALL).await.unwrap()).unwrap()
     }
 
+    /// Returns how often one request was started at one endpoint.
+    pub(crate) async fn starts_at(&self, endpoint: &Process, id: id::RequestId) -> u64 {
+        let ledger = self.ledger(endpoint).await;
+        ledger["starts"][format!("cascadia/{id}")].as_u64().unwrap_or(0)
+    }
+
     /// Returns how often one request was started.
     pub(crate) async fn starts_of(&self, id: id::RequestId) -> u32 {
         self.starts().await.get(&format!("cascadia/{id}")).copied().unwrap_or(0)
--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod binary;
 mod configuration;
+mod crashes;
 mod crossed;
 mod cut;
 mod endpoints;
