--- a/crates/gateway/tests/testsuite/crashes.rs
+++ b/crates/gateway/tests/testsuite/crashes.rs
@@ -15,7 +15,8 @@
 
 use std::{thread, time::Duration};
 
-use trefoildyke_decide::gateway::{Peer, RosterEntry, Strength};
+use trefoildyke_decide::gateway::{Mesh, Peer, RosterEntry, Strength};
+use trefoildyke_types::time::Timestamp;
 
 use crate::harness::{self, Endpoint, Stack, Step};
 
@@ -53,14 +54,21 @@
 /// Starts gateways that know each other.
 fn meeting(count: usize) -> Vec<Stack> {
     let stacks: Vec<_> = (0..count).map(|_| Stack::start(&[])).collect();
-    let address = |stack: &Stack| stack.addresses.peers;
-    let members: Vec<_> = stacks.iter().map(address).collect();
-    let peer = |address: &_| Peer { address: *address, strength: Strength::UNKNOWN };
-    for stack in &stacks {
-        stack.feed.members(&members.iter().map(peer).collect::<Vec<_>>());
+    meet(&stacks);
+    stacks
+}
+
+fn members(stacks: &[Stack]) -> Vec<Peer> {
+    let peer = |stack: &Stack| Peer { address: stack.addresses.peers, strength: Strength::UNKNOWN };
+    stacks.iter().map(peer).collect()
+}
+
+/// Tells gateways of each other.
+fn meet(stacks: &[Stack]) {
+    for stack in stacks {
+        stack.feed.members(&members(stacks));
     }
     thread::sleep(Duration::from_millis(400));
-    stacks
 }
 
 #[test]
@@ -137,3 +145,73 @@
     let reply = second.reply().unwrap();
     assert_eq!((reply.status, endpoints[2].seen().len()), (503, 1));
 }
+
+/// All hear of the third end from the one of three that is left of those which hear of every end.
+#[test]
+fn all_gateways_refuse_a_request_that_ends_endpoints_though_hubs_are_lost() {
+    let endpoints: Vec<_> = (0..4).map(|_| ending()).collect();
+    let mut stacks = meeting(5);
+    let mut mesh = Mesh::new(stacks[0].addresses.peers, KNOWN);
+    mesh.replace(Timestamp::ZERO, &members(&stacks));
+    let hubs = mesh.hubs().to_vec();
+    stacks.sort_by_key(|stack| hubs.iter().position(|hub| *hub == stack.addresses.peers));
+    // Those that are no hubs come first now.
+    for (place, endpoint) in endpoints[..3].iter().enumerate() {
+        if place == 2 {
+            stacks.drain(2..4);
+        }
+        stacks[0].feed.endpoints(only(place, &endpoints));
+        end_one(&stacks[0], endpoint);
+    }
+    for stack in &stacks {
+        stack.feed.endpoints(only(3, &endpoints));
+    }
+    thread::sleep(KNOWN);
+    for (number, stack) in stacks.iter().enumerate() {
+        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
+    }
+    assert_eq!(seen(&endpoints), 3);
+}
+
+/// Whether it becomes one of those that hear of every end, or asks those about the store.
+#[test]
+fn gateways_that_start_later_learn_which_request_ends_endpoints() {
+    let endpoints: Vec<_> = (0..4).map(|_| ending()).collect();
+    let mut stacks = meeting(3);
+    for (place, endpoint) in endpoints[..3].iter().enumerate() {
+        stacks[0].feed.endpoints(only(place, &endpoints));
+        end_one(&stacks[0], endpoint);
+    }
+    stacks.extend((0..3).map(|_| Stack::start(&[])));
+    meet(&stacks);
+    for stack in &stacks {
+        stack.feed.endpoints(only(3, &endpoints));
+        stack.query_readers();
+    }
+    thread::sleep(KNOWN);
+    for (number, stack) in stacks.iter().enumerate() {
+        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
+    }
+    assert_eq!(seen(&endpoints), 3);
+}
+
+#[test]
+fn a_request_that_an_endpoint_answers_in_between_is_sent_on() {
+    let endpoints: Vec<_> = (0..6)
+        .map(|place| {
+            let is_sound = place == 2;
+            if is_sound { Endpoint::start(vec![vec![Step::Answer("whole")]]) } else { ending() }
+        })
+        .collect();
+    let stacks = meeting(2);
+    for place in 0..5 {
+        for stack in &stacks {
+            stack.feed.endpoints(only(place, &endpoints));
+        }
+        // Ends at one gateway, is answered at the other.
+        let reply = stacks[usize::from(place == 2)].ask("POST /once/7").unwrap();
+        assert_eq!(reply.status, if place == 2 { 200 } else { 502 }, "endpoint {place}");
+        thread::sleep(Duration::from_millis(300));
+    }
+    assert_eq!(seen(&endpoints), 5);
+}
--- a/crates/gateway/tests/testsuite/harness/stack.rs
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -72,6 +72,12 @@
         caller.reply()
     }
 
+    /// Asks the gateways that read the store for the others.
+    pub(crate) fn query_readers(&self) {
+        let (kernel, _) = self.running.as_ref().unwrap();
+        kernel.block_on(self.feed.query_readers());
+    }
+
     /// Stops gracefully and returns how many requests were cut off.
     pub(crate) fn stop(mut self) -> usize {
         let (kernel, gateway) = self.running.take().unwrap();
