gateway: each hub tells all of a request that is sent nowhere any more

What callers would see: a request ends further engines for up to nine seconds after two hosts were lost, where three ends were seen before. Cause: two fixed tellers, found from a list of members that names lost ones for seconds. Now each hub that comes to know tells all (nine hubs and 295 daemons: 2,646 datagrams, once a request, by arithmetic), and ends are told to the hubs for 5 s again in place of 2 s, until one that was killed has started again.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Keeping requests that end endpoints from further ones, together with the other daemons.
 //!
-//! Every end is told to the hubs. Those know when a request is to be sent nowhere, and tell all; who missed that, or has just
-//! started, finds out by the mark in the questions about the store.
+//! Every end is told to the hubs. Those know when a request is to be sent nowhere, and each tells all, since the others may be
+//! lost; who missed that, or has just started, finds out by the mark in the questions about the store.
 
 use std::{net, time};
 
@@ -9,11 +9,8 @@
 
 use crate::{feed, record, state};
 
-/// For how long the hubs are told again of an end that this daemon saw, as datagrams may be lost.
-const REPEATED: time::Duration = time::Duration::from_secs(2);
-
-/// How many hubs tell all daemons of a request that is to be sent nowhere; one may be lost.
-const TELLERS: usize = 2;
+/// For how long the hubs are told again of an end that this daemon saw: datagrams may be lost, and hubs may start again.
+const REPEATED: time::Duration = time::Duration::from_secs(5);
 
 impl feed::Feed {
     /// Says whether this daemon is the one to write down what must outlast all daemons of requests that end endpoints.
@@ -141,7 +138,7 @@
     fn tell_all(&self, fingerprint: gateway::Fingerprint) {
         let core = self.core();
         let own = core.mesh.own();
-        if !core.mesh.hubs().iter().take(TELLERS).any(|hub| *hub == own) {
+        if !core.mesh.hubs().contains(&own) {
             return;
         }
         let crashes = core.quarantine.of(self.now(), fingerprint);
