--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -46,7 +46,7 @@
 const MOST: usize = 1_024;
 
 impl Quarantine {
-    /// Starts without a suspicion.
+    /// Starts with no end known.
     pub const fn new(params: QuarantineParams) -> Self {
         let suspects = collections::BTreeMap::new();
         Self { params, suspects, held: collections::BTreeSet::new(), mark: 0 }
@@ -166,7 +166,7 @@
     /// Forgets what counts no more, and works out what follows from the rest.
     fn weigh(&mut self, now: Timestamp) -> Vec<QuarantineChange> {
         self.forget(now);
-        let held = self.guilty(now);
+        let held = self.causes(now);
         self.mark = self.work_out_mark();
         let before = std::mem::replace(&mut self.held, held);
         let new = self.held.difference(&before).map(|fingerprint| QuarantineChange::Held {
@@ -177,9 +177,9 @@
         new.chain(gone).collect()
     }
 
-    /// Finds the requests that endpoints ended under, without those that were only beside them: an end that another request
-    /// explains, under which more endpoints have ended, does not count.
-    fn guilty(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
+    /// Finds the requests that end endpoints, without those that only ran beside them: an end does not count for a request if
+    /// another one explains it, under which more endpoints have ended.
+    fn causes(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
         let counted = self.suspects.iter().map(|(fingerprint, suspect)| {
             let ends = suspect.ends.iter().filter(|(_, end)| end.counts(now));
             (*fingerprint, ends.map(|(start, _)| start).collect::<Vec<_>>())
@@ -188,15 +188,15 @@
             counted.filter(|(_, ends)| ends.len() >= self.params.ends).collect();
         counted.sort_by_key(|(_, ends)| cmp::Reverse(ends.len()));
         let mut explained = collections::BTreeSet::new();
-        let mut guilty = collections::BTreeSet::new();
+        let mut causes = collections::BTreeSet::new();
         for (fingerprint, ends) in counted {
             let open = ends.iter().filter(|start| !explained.contains(*start)).count();
             if open >= self.params.ends {
-                guilty.insert(fingerprint);
+                causes.insert(fingerprint);
                 explained.extend(ends);
             }
         }
-        guilty
+        causes
     }
 
     fn forget(&mut self, now: Timestamp) {
--- a/crates/decide/src/gateway/quarantine/params.rs
+++ b/crates/decide/src/gateway/quarantine/params.rs
@@ -7,8 +7,8 @@
 pub struct QuarantineParams {
     /// How many endpoints may end under a request before it is sent nowhere any more; 3.
     ///
-    /// Two may well end under an innocent one, which is sent again after the first: at another endpoint it may meet the
-    /// request that ended the first.
+    /// Two may well end under a harmless one, which is sent again after the first: at another endpoint it may run beside
+    /// the request that ended the first.
     pub ends: usize,
     /// How long an end counts; 10 minutes.
     ///
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -82,15 +82,15 @@
     assert!(is_held(&first, 1));
 }
 
-/// An innocent request is sent again after each end, and by chance always beside the one that ends endpoints.
+/// A harmless request is sent again after each end, and by chance always beside the one that ends endpoints.
 #[test]
-fn a_request_beside_the_guilty_one_is_sent_again() {
+fn a_request_that_only_runs_beside_the_harmful_one_is_sent_again() {
     let mut quarantine = quarantine();
     ends(&mut quarantine, 1, &["a", "b", "c"]);
     ends(&mut quarantine, 2, &["a", "b", "c", "d"]);
     assert!(is_held(&quarantine, 2));
     assert!(!is_held(&quarantine, 1));
-    // Endpoints that ended without the guilty one count.
+    // Endpoints that ended without the harmful one count.
     ends(&mut quarantine, 1, &["x", "y", "z"]);
     assert!(is_held(&quarantine, 1));
 }
--- a/crates/gateway/src/face/driver/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -43,7 +43,7 @@
         self.shared.journal.write(&record::Event::SendFailed {
             id: self.call.id.clone(),
             fingerprint: self.call.fingerprint,
-            endpoint: self.tried.last().cloned().unwrap_or_else(|| "".into()),
+            endpoint: self.grant.as_ref().map_or_else(|| "".into(), |grant| grant.endpoint.clone()),
             after_ms: self.shared.now().since(self.sent).as_millis() as u64,
             failure: failed.failure,
             ends: self.shared.core().quarantine.ends(self.shared.now(), self.call.fingerprint),
--- a/crates/gateway/tests/testsuite/crashes.rs
+++ b/crates/gateway/tests/testsuite/crashes.rs
@@ -71,6 +71,18 @@
     thread::sleep(Duration::from_millis(400));
 }
 
+/// Checks that all gateways know in time that the request must not be sent to a fourth endpoint.
+fn check_refused(stacks: &[Stack], endpoints: &[Endpoint]) {
+    for stack in stacks {
+        stack.feed.endpoints(only(3, endpoints));
+    }
+    thread::sleep(KNOWN);
+    for (number, stack) in stacks.iter().enumerate() {
+        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
+    }
+    assert_eq!(seen(endpoints), 3);
+}
+
 #[test]
 fn a_request_under_which_three_endpoints_ended_is_refused_and_others_are_served() {
     let mut endpoints: Vec<_> = (0..3).map(|_| ending()).collect();
@@ -99,14 +111,7 @@
         }
         end_one(&stacks[place], &endpoints[place]);
     }
-    for stack in &stacks {
-        stack.feed.endpoints(only(3, &endpoints));
-    }
-    thread::sleep(KNOWN);
-    for (number, stack) in stacks.iter().enumerate() {
-        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
-    }
-    assert_eq!(seen(&endpoints), 3);
+    check_refused(&stacks, &endpoints);
 }
 
 #[test]
@@ -163,14 +168,7 @@
         stacks[0].feed.endpoints(only(place, &endpoints));
         end_one(&stacks[0], endpoint);
     }
-    for stack in &stacks {
-        stack.feed.endpoints(only(3, &endpoints));
-    }
-    thread::sleep(KNOWN);
-    for (number, stack) in stacks.iter().enumerate() {
-        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
-    }
-    assert_eq!(seen(&endpoints), 3);
+    check_refused(&stacks, &endpoints);
 }
 
 /// Whether it becomes one of those that hear of every end, or asks those about the store.
@@ -185,14 +183,9 @@
     stacks.extend((0..3).map(|_| Stack::start(&[])));
     meet(&stacks);
     for stack in &stacks {
-        stack.feed.endpoints(only(3, &endpoints));
         stack.query_readers();
     }
-    thread::sleep(KNOWN);
-    for (number, stack) in stacks.iter().enumerate() {
-        assert_eq!(stack.ask(HARMFUL).unwrap().status, 503, "gateway {number}");
-    }
-    assert_eq!(seen(&endpoints), 3);
+    check_refused(&stacks, &endpoints);
 }
 
 #[test]
