decide, gateway: quotas hold while daemons differ on who is listed

Two daemons read the new list at second 8.18 and ask the next keeper; the other three still ask the old one until 12.78, and both keepers hear all seven and refill in full.

Mend: (1) a daemon whose own entry may have lapsed keeps no bucket and takes no part alone (503, come back, if no keeper replies); (2) daemons tell by which hubs they go, and a keeper gives the part of those that go by the same ones; (3) who is asked though it is no keeper by its own list says so; (4) a bucket that a daemon begins to keep starts empty; (5) who is listed again says so to all; (6) nobody counts as gone while the store has answered for less than 4 s. The sum over all groups is then (members of the group that are listed) / (members that it counts) <= 1. Same cause elsewhere: the retry budget's fixed number was divided anew at once when members fell (122 repeats of 100 in the new test); it counts the most members of the last 10 s.

--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -33,6 +33,9 @@
 /// once and asked a hub.
 const SETTLING: time::Duration = time::Duration::from_millis(600);
 
+/// For how long after its start a daemon does not know what others have given.
+const YOUNG: time::Duration = time::Duration::from_secs(5);
+
 impl Mesh {
     /// Works out the order in which daemons become hubs: those on strong hosts first, which have work to spare.
     pub(super) fn rank(&mut self) {
@@ -42,6 +45,13 @@
             (std::cmp::Reverse(*strength), mesh::roles::weight(0, *address))
         });
         self.ranked = all.into_iter().map(|(_, address)| address).collect();
+        self.hub_mark = self.hubs().iter().fold(0, |mark, hub| mesh::roles::weight(mark, *hub));
+        self.hub_mark = self.hub_mark.max(1);
+    }
+
+    /// Returns a number that is the same for daemons which go by the same hubs; not 0.
+    pub const fn hub_mark(&self) -> u64 {
+        self.hub_mark
     }
 
     fn hub_count(&self) -> usize {
@@ -119,37 +129,60 @@
         hubs
     }
 
+    /// Returns what this daemon tells others of the hubs that it goes by: nothing unless it is sure to be a member, so that
+    /// nobody counts it who has its part already.
+    pub fn told_hub_mark(&self, now: Timestamp) -> u64 {
+        if self.is_listed(now) { self.hub_mark } else { 0 }
+    }
+
+    /// Says whether this daemon keeps the bucket of an account.
+    pub fn keeps(&self, account: &id::AccountName) -> bool {
+        self.keepers(account).contains(&self.own)
+    }
+
     /// Says whether a daemon may be asked something: it has not just left a question unanswered.
     pub fn may_answer(&self, now: Timestamp, address: net::SocketAddr) -> bool {
         self.members.get(&address).is_some_and(|member| member.may_answer(now))
     }
 
-    /// Notes that a member asks this daemon about the store.
-    pub fn note_client(&mut self, now: Timestamp, from: net::SocketAddr) {
+    /// Notes that a member which goes by the hubs with the mark `hub_mark` asks this daemon about the store.
+    pub fn note_client(&mut self, now: Timestamp, from: net::SocketAddr, hub_mark: u64) {
         if let Some(member) = self.members.get_mut(&from) {
             member.asked = Some(now);
+            member.hub_mark = hub_mark;
         }
     }
 
-    /// Returns how many members ask this daemon about the store that are not hubs themselves.
+    /// Notes that a member goes by the hubs with the mark `hub_mark`.
+    pub fn note_hub_mark(&mut self, from: net::SocketAddr, hub_mark: u64) {
+        if let Some(member) = self.members.get_mut(&from) {
+            member.hub_mark = hub_mark;
+        }
+    }
+
+    /// Returns how many members ask this daemon about the store that go by the same hubs and are none themselves.
     pub fn clients(&self, now: Timestamp) -> u16 {
         let hubs = self.hubs();
         let is_client = |(address, member): &(&net::SocketAddr, &mesh::Member)| {
             member.asked.is_some_and(|asked| now.since(asked) <= CLIENT_SILENCE)
+                && member.hub_mark == self.hub_mark
                 && !hubs.contains(address)
         };
         u16::try_from(self.members.iter().filter(is_client).count()).unwrap_or(u16::MAX)
     }
 
-    /// Returns the part of the members that this daemon hears, or that the hubs hear which it hears; itself
-    /// included.
+    /// Returns the part of the members that go by the same hubs and that this daemon hears, or the hubs hear which it
+    /// hears; itself included.
+    ///
+    /// Daemons read the list of members seconds apart. Until all know who is gone, some ask other keepers than the rest, and
+    /// each keeper gives the part of those that ask it: together no more than the whole.
     pub fn part(&self, now: Timestamp) -> f64 {
         if self.listed.is_none() {
             return mesh::UNLISTED_PART;
         }
         let told = self.hub_peers(now).into_iter().filter_map(|address| self.members.get(&address));
         let told: usize = told
-            .filter(|m| m.is_heard(now, self.silence))
+            .filter(|m| m.is_heard(now, self.silence) && m.hub_mark == self.hub_mark)
             .map(|m| 1 + usize::from(m.clients))
             .sum();
         let heard = 1 + told + usize::from(self.clients(now));
@@ -162,7 +195,8 @@
     /// The first keeper counts all as heard while they had no time to say anything: after all daemons had lost power,
     /// keepers that heard nobody refused 60 of 300 requests that were within their quotas in the first two seconds.
     /// The second keeper gives no more than its bucket holds for as long as it hears the first one, which refills too:
-    /// those that it asks have lost the way there.
+    /// those that ask it have lost the way there. A first one that goes by other hubs, or may not be listed any more, gives
+    /// nothing to them.
     pub fn quota_part(&self, now: Timestamp, account: &id::AccountName) -> gateway::QuotaPart {
         let keepers = self.keepers(account);
         let is_first = keepers.first() == Some(&self.own);
@@ -172,12 +206,20 @@
         }
         let part = gateway::QuotaPart::equal(self.part(now));
         let first = keepers.first().and_then(|first| self.members.get(first));
-        if !is_first && first.is_some_and(|first| first.is_heard(now, self.silence)) {
+        let gives = |first: &mesh::Member| {
+            first.is_heard(now, self.silence) && first.hub_mark == self.hub_mark
+        };
+        if !is_first && first.is_some_and(gives) {
             return gateway::QuotaPart { rate: 0.0, ..part };
         }
         part
     }
 
+    /// Says whether this daemon has known the members for a short time only.
+    pub fn is_young(&self, now: Timestamp) -> bool {
+        self.listed.is_none_or(|listed| now.since(listed) < YOUNG)
+    }
+
     /// Returns the part of each quota that a daemon takes which reaches none of its keepers: its equal part.
     pub fn equal_part(&self) -> gateway::QuotaPart {
         let count = self.listed.map(|_| self.count() as f64);
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -29,6 +29,8 @@
     unanswered: bool,
     /// How long a hub may be silent before it counts as not heard.
     silence: time::Duration,
+    /// Until when this daemon's own entry surely lasts; `None` if it has none that can lapse.
+    listed_until: Option<Timestamp>,
     /// When the members were listed first.
     listed: Option<Timestamp>,
     /// Whether a daemon that is not listed was heard.
@@ -37,6 +39,10 @@
     members: collections::BTreeMap<net::SocketAddr, Member>,
     /// All addresses in the order in which they become hubs; follows from `members`, `own` and `strength`.
     ranked: Vec<net::SocketAddr>,
+    /// Stands for the hubs; follows from `ranked`.
+    hub_mark: u64,
+    /// When the members last became fewer, and how many there were before.
+    fallen: Option<(Timestamp, usize)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -47,8 +53,10 @@
     heard: Option<Timestamp>,
     /// When it last asked this daemon about the store.
     asked: Option<Timestamp>,
-    /// How many daemons ask it about the store, as it said last.
+    /// How many daemons ask it about the store and go by the same hubs, as it said last.
     clients: u16,
+    /// The mark of the hubs that it goes by, as it said last.
+    hub_mark: u64,
     /// Until when it is a member though it is not listed, since it has announced its start.
     kept_until: Option<Timestamp>,
     /// Until when it counts as just started.
@@ -117,6 +125,9 @@
 /// old, and are read every few seconds.
 const ANNOUNCED_KEPT: time::Duration = time::Duration::from_secs(10);
 
+/// For how long members that are gone count in what is divided among all: the longest window in which that is bounded.
+const LATELY: time::Duration = time::Duration::from_secs(10);
+
 /// How many members there are at most; further ones have to be listed.
 const MOST: usize = 16_384;
 
@@ -139,10 +150,13 @@
             strength: gateway::Strength::UNKNOWN,
             unanswered: false,
             silence,
+            listed_until: None,
             listed: None,
             met_stranger: false,
             members: collections::BTreeMap::new(),
             ranked: vec![own],
+            hub_mark: 0,
+            fallen: None,
         }
     }
 
@@ -158,6 +172,18 @@
         self.strength
     }
 
+    /// Notes that this daemon's own entry lasts until `until` at least.
+    pub fn note_entry(&mut self, until: Timestamp) {
+        self.listed_until = self.listed_until.max(Some(until));
+    }
+
+    /// Says whether this daemon is sure to be a member for all.
+    ///
+    /// Where its entry may have lapsed, the others may have divided its parts among themselves.
+    pub fn is_listed(&self, now: Timestamp) -> bool {
+        self.listed_until.is_none_or(|until| now < until)
+    }
+
     /// Notes whether the store has answered this daemon's last call; says whether that has changed.
     pub const fn note_answer(&mut self, is_answered: bool) -> bool {
         std::mem::replace(&mut self.unanswered, !is_answered) == is_answered
@@ -182,7 +208,7 @@
 
     /// Takes in the list of members and returns those that are gone from it.
     pub fn replace(&mut self, now: Timestamp, list: &[Peer]) -> Vec<net::SocketAddr> {
-        self.listed.get_or_insert(now);
+        let before = self.count_lately(now);
         let listed: collections::BTreeSet<_> = list.iter().map(|peer| peer.address).collect();
         let is_gone = |(address, member): &(&net::SocketAddr, &Member)| {
             !listed.contains(address) && member.kept_until.is_none_or(|until| now >= until)
@@ -192,11 +218,20 @@
         for address in &gone {
             self.members.remove(address);
         }
+        self.extend(now, list);
+        if self.count() < before {
+            self.fallen = Some((now, before));
+        }
+        gone
+    }
+
+    /// Takes in a list of members in which some may be missing that are alive.
+    pub fn extend(&mut self, now: Timestamp, list: &[Peer]) {
+        self.listed.get_or_insert(now);
         for peer in list.iter().filter(|peer| peer.address != self.own) {
             self.members.entry(peer.address).or_default().strength = peer.strength;
         }
         self.rank();
-        gone
     }
 
     /// Takes in a digest; `None` if it is from a stranger or older than another.
@@ -235,6 +270,7 @@
         member.leaving = digest.leaving;
         member.turned_away_until = digest.unanswered.then(|| now + TURNED_AWAY);
         member.clients = digest.clients;
+        member.hub_mark = digest.hub_mark;
         let is_over = digest.leaving || (digest.starting && !is_same);
         let mut news = News { is_over, ..News::default() };
         for spend in &digest.spend {
@@ -281,6 +317,15 @@
         self.members.len() + 1
     }
 
+    /// Returns how many members there were at most of late.
+    ///
+    /// What is divided among the members may not be divided anew at once when there are fewer: those that are gone
+    /// have used their parts.
+    pub fn count_lately(&self, now: Timestamp) -> usize {
+        let fallen = self.fallen.filter(|(at, _)| now.since(*at) <= LATELY);
+        fallen.map_or(0, |(_, before)| before).max(self.count())
+    }
+
     /// Says whether messages from `address` are taken in.
     pub fn is_member(&self, address: net::SocketAddr) -> bool {
         self.members.contains_key(&address)
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -22,7 +22,9 @@
     pub leaving: bool,
     /// Whether the store left the sender's last call without an answer.
     pub unanswered: bool,
-    /// How many daemons ask the sender about the store.
+    /// The mark of the hubs that the sender goes by.
+    pub hub_mark: u64,
+    /// How many daemons ask the sender about the store that go by the same hubs.
     pub clients: u16,
     /// The mark of what the sender knows of requests that end endpoints.
     pub quarantine: u64,
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -52,12 +52,19 @@
         /// How much.
         cost: f64,
     },
+    /// Tells hubs by which other hubs the sender goes from now on, so that they do not count it any more.
+    Hubs {
+        /// The mark of those.
+        hub_mark: u64,
+    },
     /// Asks what the receiver knows of the store.
     Query {
         /// The sender's time; comes back in the reply, so that its age can be told.
         stamp: u64,
         /// The mark of the sender's list of endpoints.
         roster: u64,
+        /// The mark of the hubs that the sender goes by.
+        hub_mark: u64,
         /// The mark of what the sender knows of requests that end endpoints.
         quarantine: u64,
     },
--- a/crates/decide/src/gateway/quota.rs
+++ b/crates/decide/src/gateway/quota.rs
@@ -52,6 +52,8 @@
 pub struct Quota {
     params: QuotaParams,
     buckets: collections::HashMap<id::AccountName, Bucket>,
+    /// The mark of the hubs by which it was last worked out whose buckets this daemon keeps.
+    hub_mark: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -66,8 +68,12 @@
     is_new: bool,
     /// Whether another daemon's level was taken over.
     adopted: bool,
+    /// Whether the next level that another daemon tells is taken over.
+    adopts: bool,
     /// Whether it was used since the others were told.
     has_news: bool,
+    /// Whether this daemon keeps it for others.
+    is_kept: bool,
 }
 
 /// The part of an account's quota that a daemon may give.
@@ -89,7 +95,7 @@
 impl Quota {
     /// Creates buckets on first use.
     pub fn new(params: QuotaParams) -> Self {
-        Self { params, buckets: collections::HashMap::new() }
+        Self { params, buckets: collections::HashMap::new(), hub_mark: None }
     }
 
     /// Takes `cost` from the account's bucket, or says in how many seconds to come back.
@@ -110,8 +116,9 @@
         let (rate, whole) = self.params.refill(account);
         let (rate, burst) = (rate * part.rate, whole * part.size);
         let bucket = self.bucket(now, &account.name);
-        if std::mem::take(&mut bucket.is_new) && !bucket.adopted {
-            bucket.level += whole;
+        if std::mem::take(&mut bucket.is_new) {
+            bucket.adopts = false;
+            bucket.level += if bucket.adopted { 0.0 } else { whole };
         }
         bucket.refill(now, rate, burst);
         // A request larger than the burst passes a full bucket, else it would never pass.
@@ -147,7 +154,7 @@
     /// would refuse callers who are within their quotas.
     pub fn adopt(&mut self, now: Timestamp, account: &id::AccountName, level: i64) {
         let bucket = self.bucket(now, account);
-        if !bucket.adopted && bucket.used == 0.0 {
+        if std::mem::take(&mut bucket.adopts) {
             bucket.adopted = true;
             bucket.level = bucket.level.max(level as f64);
         }
@@ -178,11 +185,37 @@
             returned: 0.0,
             is_new: true,
             adopted: false,
+            adopts: true,
             has_news: false,
+            is_kept: false,
         };
         self.buckets.entry(account.clone()).or_insert_with(new)
     }
 
+    /// Takes in that this daemon may keep the buckets of other accounts from now on, as `mesh` says.
+    ///
+    /// A bucket that it begins to keep while others may still keep it starts empty, and takes over their level. Else each
+    /// change of the members would give the permitted excess once more. Right after its own start a daemon takes over from
+    /// nobody: all may have started.
+    pub fn note_hubs(
+        &mut self,
+        now: Timestamp,
+        mesh: &gateway::Mesh,
+        accounts: &[gateway::Account],
+    ) {
+        if self.hub_mark.replace(mesh.hub_mark()) == Some(mesh.hub_mark()) {
+            return;
+        }
+        for account in accounts {
+            let keeps = mesh.keeps(&account.name);
+            let bucket = self.bucket(now, &account.name);
+            if keeps && !bucket.is_kept && !mesh.is_young(now) {
+                bucket.restart(now);
+            }
+            bucket.is_kept = keeps;
+        }
+    }
+
     /// Starts the buckets of accounts that have none, so that they refill before the first use.
     pub fn open(&mut self, now: Timestamp, accounts: &[gateway::Account]) {
         for account in accounts {
@@ -201,6 +234,14 @@
 }
 
 impl Bucket {
+    /// Empties it.
+    fn restart(&mut self, now: Timestamp) {
+        self.level = self.level.min(0.0);
+        self.refilled = now;
+        self.is_new = false;
+        self.adopts = true;
+    }
+
     fn refill(&mut self, now: Timestamp, rate: f64, burst: f64) {
         let passed = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -5,6 +5,8 @@
 use trefoildyke_decide::gateway::RetryBudget;
 use trefoildyke_types::time::Timestamp;
 
+use super::mesh::{mesh_of, peers};
+
 #[test]
 fn the_sum_over_daemons_stays_within_the_shared_bound_in_every_window() {
     let window = Duration::from_secs(10);
@@ -40,3 +42,31 @@
     assert!(!budget.take(Timestamp::from_millis(9_000), 1));
     assert!(budget.take(Timestamp::from_millis(10_001), 1));
 }
+
+// The fixed number was divided by the members of the moment. When four of seven were not listed any more, the other three
+// took a third each right after all seven had used a seventh: 122 repeats in a window of 100. Found by reading, after the same cause had
+// let an account exceed its quota.
+#[test]
+fn the_fixed_number_holds_over_the_loss_of_members() {
+    let members = peers(7);
+    let mut daemons: Vec<_> = members
+        .iter()
+        .map(|own| {
+            let budget = RetryBudget::new(Duration::from_secs(10), 0.0, 100.0);
+            (mesh_of(own.address, &members), budget)
+        })
+        .collect();
+    let mut repeats = 0;
+    for (ms, left) in [(1_000, 7), (5_000, 3)] {
+        let now = Timestamp::from_millis(ms);
+        for (mesh, budget) in daemons.iter_mut().take(left) {
+            mesh.replace(now, &members[..left]);
+            while budget.take(now, mesh.count_lately(now)) {
+                repeats += 1;
+            }
+        }
+    }
+    assert!(repeats <= 100, "{repeats}");
+    let later = Timestamp::from_millis(16_000);
+    assert_eq!(daemons[0].0.count_lately(later), 3);
+}
--- a/crates/gateway/src/charging.rs
+++ b/crates/gateway/src/charging.rs
@@ -20,11 +20,16 @@
     keeper: Option<net::SocketAddr>,
 }
 
-/// The quota is used up.
+/// Says why nothing was taken for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct UsedUp {
-    /// In how many seconds the bucket will hold enough.
-    pub(crate) wait: f64,
+pub(crate) enum ChargeError {
+    /// The quota is used up.
+    UsedUp {
+        /// In how many seconds the bucket will hold enough.
+        wait: f64,
+    },
+    /// No keeper of the bucket replies, and the others may have this daemon's own part.
+    Unlisted,
 }
 
 /// Questions to keepers that wait for their replies.
@@ -35,15 +40,19 @@
 }
 
 /// Takes `cost` from the account's bucket, wherever it is kept; a daemon that reaches none of its keepers takes it from
-/// its own part of the quota.
+/// its own part of the quota, if it is sure to be a member.
 pub(crate) async fn charge(
     shared: &state::Shared,
     account: &gateway::Account,
     cost: f64,
-) -> Result<Payment, UsedUp> {
+) -> Result<Payment, ChargeError> {
     let own = shared.settings.listen.peers;
     let keepers = shared.core().mesh.keepers(&account.name);
+    let is_listed = shared.core().mesh.is_listed(shared.now());
     for keeper in keepers {
+        if keeper == own && !is_listed {
+            continue;
+        }
         if keeper == own {
             let part = shared.core().mesh.quota_part(shared.now(), &account.name);
             return take_here(shared, account, cost, part);
@@ -56,12 +65,15 @@
                 return Ok(Payment { account: account.name.clone(), cost, keeper: Some(keeper) });
             }
             Some(gateway::ChargeReply::Refused { wait_ms }) => {
-                return Err(UsedUp { wait: f64::from(wait_ms) / 1_000.0 });
+                return Err(ChargeError::UsedUp { wait: f64::from(wait_ms) / 1_000.0 });
             }
             Some(gateway::ChargeReply::Unknown) => {}
             None => shared.doubt(keeper, "does not reply to a charge"),
         }
     }
+    if !is_listed {
+        return Err(ChargeError::Unlisted);
+    }
     shared.metrics.charged_alone();
     let part = shared.core().mesh.equal_part();
     take_here(shared, account, cost, part)
@@ -72,9 +84,9 @@
     account: &gateway::Account,
     cost: f64,
     part: gateway::QuotaPart,
-) -> Result<Payment, UsedUp> {
+) -> Result<Payment, ChargeError> {
     let taken = shared.core().quota.take(shared.now(), account, cost, part);
-    taken.map_err(|wait| UsedUp { wait })?;
+    taken.map_err(|wait| ChargeError::UsedUp { wait })?;
     shared.set_changed();
     Ok(Payment { account: account.name.clone(), cost, keeper: None })
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -141,9 +141,12 @@
         Ok(gateway::Message::Crashes { crashes, asks }) => {
             shared.learn_crashes(from, &crashes, asks);
         }
-        Ok(gateway::Message::Query { stamp, roster, quarantine }) => {
+        Ok(gateway::Message::Hubs { hub_mark }) => {
+            shared.core().mesh.note_hub_mark(from, hub_mark);
+        }
+        Ok(gateway::Message::Query { stamp, roster, hub_mark, quarantine }) => {
             shared.compare_crashes(from, quarantine);
-            shared.core().mesh.note_client(shared.now(), from);
+            shared.core().mesh.note_client(shared.now(), from, hub_mark);
             let reply = shared.core().reply(shared.now(), stamp, roster);
             if let Some(reply) = reply {
                 shared.tell(&reply, &[from]);
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -232,10 +232,13 @@
         return Ok(None);
     };
     let charged = charging::charge(shared, account, cost).await;
-    charged.map(Some).map_err(|used_up| {
-        let wait = time::Duration::from_secs_f64(used_up.wait.clamp(0.2, 60.0));
-        let reply = face::Reply::new(StatusCode::TOO_MANY_REQUESTS, "quota");
-        face::Reply { retry_after: Some(wait), ..reply }
+    charged.map(Some).map_err(|error| match error {
+        charging::ChargeError::UsedUp { wait } => {
+            let wait = time::Duration::from_secs_f64(wait.clamp(0.2, 60.0));
+            let reply = face::Reply::new(StatusCode::TOO_MANY_REQUESTS, "quota");
+            face::Reply { retry_after: Some(wait), ..reply }
+        }
+        charging::ChargeError::Unlisted => face::Reply::not_run("unlisted", UNCONFIRMED).closing(),
     })
 }
 
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -231,7 +231,7 @@
     pub(super) fn take_budget(&self) -> bool {
         let now = self.shared.now();
         let mut core = self.shared.core();
-        let members = core.mesh.count();
+        let members = core.mesh.count_lately(now);
         core.service(&self.call.service).budget.take(now, members)
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -88,9 +88,15 @@
         let now = self.now();
         let mut core = self.shared.core();
         let before = core.mesh.others();
+        let (hubs, before_mark) = (core.mesh.hubs().to_vec(), core.mesh.hub_mark());
         let is_first = core.members(now, list);
         let (count, is_changed) = (core.mesh.count(), core.mesh.others() != before);
+        let has_moved = core.mesh.hub_mark() != before_mark;
+        let hub_mark = core.mesh.told_hub_mark(now);
         drop(core);
+        if has_moved {
+            self.shared.tell(&gateway::Message::Hubs { hub_mark }, &hubs);
+        }
         if is_first {
             self.shared.announce(state::DigestKind { starting: true, ..Default::default() });
         }
@@ -99,6 +105,16 @@
         }
     }
 
+    /// Notes that this daemon's own entry among the members lasts until `until` at least.
+    pub fn listed(&self, until: Timestamp) {
+        self.shared.core().mesh.note_entry(until);
+    }
+
+    /// Says to all known daemons that this one is a member again: its entry had lapsed, and most read the list later.
+    pub fn rejoined(&self) {
+        self.shared.announce(state::DigestKind { starting: true, ..Default::default() });
+    }
+
     /// Returns how many daemons are known, this one included.
     pub fn member_count(&self) -> usize {
         self.shared.core().mesh.count()
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -14,6 +14,9 @@
 /// old while its store answers.
 const STALE: time::Duration = time::Duration::from_millis(1_500);
 
+/// Stands for no hubs.
+const UNCOUNTED: u64 = 0;
+
 /// For how long it holds that the store answers none of those that read it: two queries, one of them lost.
 const VALID: time::Duration = time::Duration::from_millis(1_000);
 
@@ -68,12 +71,16 @@
     pub async fn query_readers(&self) -> Readers {
         let mut found = Readers::Unheard;
         let readers = self.shared.core().mesh.readers_to_ask(self.now());
-        for reader in readers {
+        for (place, reader) in readers.into_iter().enumerate() {
             let asked = self.now();
             let roster = self.shared.core().roster.mark();
             let quarantine = self.shared.core().quarantine.mark();
+            // One of them counts this daemon.
+            let is_first = place == 0;
+            let hub_mark =
+                if is_first { self.shared.core().mesh.told_hub_mark(asked) } else { UNCOUNTED };
             let stamp = asked.as_micros();
-            let query = gateway::Message::Query { stamp, roster, quarantine };
+            let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine };
             let Some(reply) = query_one(&self.shared, reader, stamp, &query).await else {
                 continue;
             };
@@ -93,8 +100,14 @@
             }
         }
         if found == Readers::Silent {
+            let mut core = self.shared.core();
             // Endpoints cannot list themselves either.
-            self.shared.core().roster.failed();
+            core.roster.failed();
+            // Nobody reads who is listed.
+            if core.mesh.is_listed(self.now()) {
+                core.mesh.note_entry(self.now() + VALID);
+            }
+            drop(core);
             *lock(&self.shared.queries.silent) = Some(self.now());
         }
         found
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -49,6 +49,10 @@
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
 const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// How long the store must have answered before members that are missing in it count as gone: two renewals, and a pause after
+/// a call that failed.
+const MEMBERS_BACK: std::time::Duration = std::time::Duration::from_secs(4);
+
 impl Core {
     pub(crate) fn new(settings: &settings::Settings, incarnation: u64) -> Self {
         Self {
@@ -146,15 +150,28 @@
 
     /// Takes in the list of members; says whether this daemon has others to announce itself to for the first time.
     pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) -> bool {
-        for peer in self.mesh.replace(now, list) {
-            self.forget(now, peer);
+        // Entries lapse while the store is away, and are written again after it is back.
+        let steady = self.roster.steady();
+        if steady.is_some_and(|steady| now.since(steady) >= MEMBERS_BACK) {
+            for peer in self.mesh.replace(now, list) {
+                self.forget(now, peer);
+            }
+        } else {
+            self.mesh.extend(now, list);
         }
+        self.note_hubs(now);
         let is_first = !self.announced && self.mesh.count() > 1;
         self.announced |= is_first;
         is_first
     }
 
-    /// Takes a part of an account's quota for another daemon.
+    fn note_hubs(&mut self, now: Timestamp) {
+        if let Some(table) = &self.table {
+            self.quota.note_hubs(now, &self.mesh, &table.config().accounts);
+        }
+    }
+
+    /// Takes a part of an account's quota for another daemon; one that does not keep its bucket does not.
     pub(crate) fn charge(
         &mut self,
         now: Timestamp,
@@ -167,6 +184,9 @@
         let Some(account) = table.as_ref().and_then(|table| table.account(&charge.account)) else {
             return gateway::ChargeReply::Unknown;
         };
+        if !self.mesh.keeps(&charge.account) || !self.mesh.is_listed(now) {
+            return gateway::ChargeReply::Unknown;
+        }
         let part = self.mesh.quota_part(now, &charge.account);
         match self.quota.take(now, account, charge.cost, part) {
             Ok(()) => gateway::ChargeReply::Granted,
@@ -193,6 +213,9 @@
         if news.is_over {
             self.forget(now, from);
         }
+        if digest.starting {
+            self.note_hubs(now);
+        }
     }
 
     /// Takes in another daemon's work at a service.
@@ -265,6 +288,7 @@
             leaving: kind.last,
             is_young: now.since(self.started) < YOUNG,
             unanswered: self.mesh.is_unanswered(),
+            hub_mark: self.mesh.told_hub_mark(now),
             clients: self.mesh.clients(now),
             quarantine: self.quarantine.mark(),
             spend: if kind.starting { Vec::new() } else { self.quota.used(kind.full) },
