decide, gateway, platform: services move to new versions as operators order it

Nothing knew a version: on the first order a bad version would have got its full share, and nobody was told how the move went.

- Who may run what: a pool uses the version in force alone.
One that is ordered gets a part once the order is written down with the version before it; all after it was found good; nothing once found bad.
A version that nobody ordered gets nothing.
- Found bad: failures and answers of twice the usual time, against the old version at the same time, by route and in sum, in all and of late, by a sequential test; the worst quarter of the endpoints is left out.
Few endpoints are tried, at the batch of the old ones.
- The stop is a belief told to all; who has heard nothing of the store for 2.5 s tries nothing.
All else is written first, by compare-and-swap with what the operators read.
- The watch covers all that operators write, so no further call is needed while nothing moves.

--- a/crates/decide/src/gateway/config/route.rs
+++ b/crates/decide/src/gateway/config/route.rs
@@ -72,6 +72,11 @@
 }
 
 impl Route {
+    /// Returns a number that stands for the route where its name would be too long.
+    pub fn mark(&self) -> u32 {
+        xxhash_rust::xxh3::xxh3_64(self.name.as_bytes()) as u32
+    }
+
     /// Picks the service of a request; `draw` lies from 0 up to 1 and is drawn evenly.
     pub fn pick(&self, draw: f64) -> Option<&id::PoolName> {
         let total: f64 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -28,6 +28,8 @@
     pub clients: u16,
     /// The mark of what the sender knows of requests that end endpoints.
     pub quarantine: u64,
+    /// The mark of the roll-outs that the sender knows.
+    pub rollouts: u64,
     /// What the accounts have used at the sender that were used of late, from time to time all.
     pub spend: Vec<AccountSpend>,
 }
--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -44,6 +44,21 @@
     pub silent_ms: u32,
     /// What the sender has learned since its last report, if anything.
     pub learned: Option<Learned>,
+    /// The answers since the sender's last report, while another version of the service is tried.
+    pub answers: Vec<RouteAnswers>,
+}
+
+/// Counts the answers to requests of one route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RouteAnswers {
+    /// Stands for the route.
+    pub route: u32,
+    /// All answers.
+    pub count: u16,
+    /// Those that were failures or broke off.
+    pub failed: u16,
+    /// Those that came far too late.
+    pub slow: u16,
 }
 
 /// Holds what was seen of an endpoint.
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -14,7 +14,7 @@
 pub use charge::{Charge, ChargeReply};
 pub use crash::Crash;
 pub use digest::{AccountSpend, Digest};
-pub use load::{EndpointLoad, Firsts, Learned, LoadReport};
+pub use load::{EndpointLoad, Firsts, Learned, LoadReport, RouteAnswers};
 pub use placing::{Ask, PlaceReply, Placed};
 pub use store_view::StoreView;
 
@@ -67,6 +67,8 @@
         hub_mark: u64,
         /// The mark of what the sender knows of requests that end endpoints.
         quarantine: u64,
+        /// The mark of the roll-outs that the sender knows.
+        rollouts: u64,
     },
     /// Answers [`Message::Query`].
     Reply {
@@ -79,6 +81,13 @@
         /// What leads from the list of the query to the one of `view`, if the sender knows that.
         changes: Option<Vec<gateway::RosterChange>>,
     },
+    /// Tells of moves of services to other versions.
+    Rollouts {
+        /// The moves.
+        rollouts: Vec<gateway::Rollout>,
+        /// Whether the sender wants to know what else the receiver knows.
+        asks: bool,
+    },
     /// Tells under which requests endpoints have ended.
     Crashes {
         /// The ends.
--- a/crates/decide/src/gateway/message/placing.rs
+++ b/crates/decide/src/gateway/message/placing.rs
@@ -15,6 +15,7 @@
     /// Names the request among those of the sender; the same whenever it asks again.
     pub number: u64,
     rank: u8,
+    route: u32,
     zone: id::ZoneName,
     prompt: u32,
     parts: Vec<gateway::PromptPart>,
@@ -86,6 +87,7 @@
             service,
             number,
             rank: demand.rank,
+            route: demand.route,
             zone: demand.zone.clone(),
             prompt: demand.prompt,
             parts: demand.parts.clone(),
@@ -105,6 +107,7 @@
         let after = |ms: u32| now + time::Duration::from_millis(u64::from(ms));
         gateway::Demand {
             rank: self.rank,
+            route: self.route,
             zone: self.zone.clone(),
             prompt: self.prompt,
             parts: self.parts.clone(),
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod prompt;
 mod quarantine;
 mod quota;
+mod rollout;
 mod roster;
 mod strength;
 
@@ -33,7 +34,7 @@
 pub use mesh::{Mesh, News, Peer, Placing};
 pub use message::{
     AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
-    LoadReport, Message, PlaceReply, Placed, StoreView,
+    LoadReport, Message, PlaceReply, Placed, RouteAnswers, StoreView,
 };
 pub use pool::{
     Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
@@ -41,5 +42,8 @@
 pub use prompt::{PromptPart, prompt_parts};
 pub use quarantine::{Quarantine, QuarantineChange, QuarantineParams};
 pub use quota::{Quota, QuotaParams, QuotaPart};
+pub use rollout::{
+    Access, Answers, Canary, Comparison, Exposure, Finding, Gate, Judge, Rollout, Rollouts, Stage,
+};
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/pool/demand.rs
+++ b/crates/decide/src/gateway/pool/demand.rs
@@ -11,6 +11,8 @@
 pub struct Demand {
     /// The rank; 0 is served first.
     pub rank: u8,
+    /// Stands for the route.
+    pub route: u32,
     /// The availability zone of the daemon that has the request.
     pub zone: id::ZoneName,
     /// The length of the prompt in tokens; 0 where no model is asked.
@@ -53,6 +55,8 @@
     pub endpoint: id::EndpointName,
     /// Which start of the endpoint; what becomes of the request says nothing of later ones.
     pub start: u64,
+    /// Stands for the request's route.
+    pub route: u32,
     /// Where it listens.
     pub address: std::net::SocketAddr,
     /// The prompt's tokens that the endpoint is assumed not to have kept.
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{
     self,
-    pool::{assumed, kept, line, load::Load, mean, state},
+    pool::{assumed, kept, line, load::Load, mean, state, versions},
 };
 
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     pub(super) zone: id::ZoneName,
     /// Which start of the endpoint this is.
     pub(super) start: u64,
+    /// The version of its software.
+    pub(super) version: id::VersionName,
     /// At least 1.
     pub(super) slots: u32,
     pub(super) draining: bool,
@@ -38,6 +40,8 @@
     failures: mean::Mean,
     /// What was seen here and the others have not been told.
     learned: gateway::Learned,
+    /// The answers that the others have not been told of, by route.
+    pub(super) answers: versions::Untold,
     /// When anything came from the endpoint, or work was sent to it after it had none.
     heard: Timestamp,
     /// When anything came from the endpoint.
@@ -75,6 +79,7 @@
             address: entry.address,
             zone: entry.zone.clone(),
             start: entry.start,
+            version: entry.version.clone(),
             slots: entry.slots.max(1),
             draining: entry.draining,
             own: Load::default(),
@@ -87,6 +92,7 @@
             first: line::Line::new(assumed.begin, assumed.prompt * KILO),
             failures: mean::Mean::new(0.0, FAILURE_WINDOW),
             learned: gateway::Learned::default(),
+            answers: versions::Untold::default(),
             heard: now,
             spoke: None,
             paused_until: Timestamp::ZERO,
@@ -97,6 +103,7 @@
     pub(super) fn update(&mut self, entry: &gateway::RosterEntry) {
         self.address = entry.address;
         self.zone = entry.zone.clone();
+        self.version = entry.version.clone();
         self.slots = entry.slots.max(1);
         self.draining = entry.draining;
     }
@@ -178,8 +185,10 @@
         let has_changed = std::mem::replace(&mut self.told, self.own) != self.own;
         let learned = std::mem::take(&mut self.learned);
         let learned = (!learned.is_empty()).then_some(learned);
-        let is_told = has_changed || learned.is_some() || (all && self.own.running > 0);
-        is_told.then(|| gateway::EndpointLoad { learned, ..self.report(now, name) })
+        let answers = self.answers.take();
+        let has_news = has_changed || learned.is_some() || !answers.is_empty();
+        let is_told = has_news || (all && self.own.running > 0);
+        is_told.then(|| gateway::EndpointLoad { learned, answers, ..self.report(now, name) })
     }
 
     pub(super) fn first(&mut self, now: Timestamp, grant: &gateway::Grant, prompt: u32) {
@@ -299,6 +308,7 @@
             prefill: self.own.prefill,
             silent_ms: self.silence(now, self.own).as_millis() as u32,
             learned: None,
+            answers: Vec::new(),
         }
     }
 
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -16,6 +16,7 @@
 mod ranks;
 mod state;
 mod usual;
+mod versions;
 mod view;
 mod wait;
 
@@ -49,6 +50,8 @@
     ranks: ranks::Ranks,
     /// By daemon, the places that it was given, the oldest first.
     promises: collections::HashMap<net::SocketAddr, collections::VecDeque<promises::Promise>>,
+    /// Which versions may run requests, and what is seen of them.
+    versions: versions::Versions,
     /// What is usual among the endpoints.
     usual: usual::Usual,
     /// Whether endpoints were listed or removed since that was worked out.
@@ -68,6 +71,7 @@
             flow: flow::Flow::default(),
             ranks: ranks::Ranks::default(),
             promises: collections::HashMap::new(),
+            versions: versions::Versions::default(),
             usual: usual::Usual::default(),
             has_listed: true,
         }
@@ -133,6 +137,7 @@
 
     /// Notes that the first event or the answer of a request has come.
     pub fn first(&mut self, now: Timestamp, grant: &Grant, prompt: u32) {
+        self.note_answer(now, grant);
         if let Some(endpoint) = self.granted(grant) {
             endpoint.first(now, grant, prompt);
         }
@@ -149,6 +154,9 @@
     /// Notes how a granted request ended; `prompt` is 0 if its first event had come.
     pub fn end(&mut self, now: Timestamp, grant: &Grant, prompt: u32, outcome: Outcome) {
         let params = self.params.clone();
+        if matches!(outcome, Outcome::Failed | Outcome::Lost) {
+            self.note_failure(now, grant);
+        }
         if let Some(endpoint) = self.granted(grant) {
             endpoint.end(now, prompt, outcome, &params);
         }
@@ -169,6 +177,7 @@
             let known = self.endpoints.get_mut(&load.endpoint);
             if let Some(endpoint) = known.filter(|known| known.start == load.start) {
                 endpoint.learn(now, load, &self.params);
+                self.versions.note_told(now, &endpoint.version, load);
             }
         }
         self.redeem(peer, report.placed);
@@ -179,6 +188,7 @@
     pub fn expire_peers(&mut self, now: Timestamp) {
         self.peers.expire(now, &mut self.endpoints);
         self.lapse(now);
+        self.note_busy(now);
     }
 
     /// Forgets a daemon that is gone, leaves or says nothing more.
--- a/crates/decide/src/gateway/pool/place.rs
+++ b/crates/decide/src/gateway/pool/place.rs
@@ -3,7 +3,7 @@
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::gateway::{
-    Demand, Grant, Pool, Ticket,
+    self, Demand, Grant, Pool, Ticket,
     pool::{endpoint, load, usual, view},
 };
 
@@ -31,6 +31,7 @@
         let view = self.view(now);
         let name = self.pick(now, &view, class, demand)?.clone();
         let unread = self.endpoints.get(&name)?.unread(demand);
+        self.note_placed(&name, demand);
         self.start(now, name, demand, unread)
     }
 
@@ -43,7 +44,7 @@
             return None;
         }
         let view = self.view(now);
-        if view.open.is_empty() {
+        if view.open.is_empty() && view.tried.is_empty() {
             return None;
         }
         let candidates = self.queue.iter().take(CANDIDATES);
@@ -53,6 +54,7 @@
         };
         let (ticket, name, demand) = candidates.filter_map(fitting).next()?;
         let unread = self.endpoints.get(&name)?.unread(&demand);
+        self.note_placed(&name, &demand);
         let grant = self.start(now, name, &demand, unread)?;
         Some((ticket, grant))
     }
@@ -65,25 +67,32 @@
         class: usize,
         demand: &Demand,
     ) -> Option<&'a id::EndpointName> {
+        let is_tried = !view.tried.is_empty() && self.versions.allows(demand.route);
+        let tried = is_tried
+            .then(|| self.best(now, &view.tried, view, class, demand, |room| room.slots > 0));
+        if let Some(tried) = tried.flatten() {
+            return Some(tried);
+        }
         let probes = view.open.iter().any(|open| open.room.is_probe && demand.repeatable);
         let is_kept = view.free <= self.reserve(now, demand.rank) && !probes;
         let has_slot = |room: view::Room| !is_kept && room.slots > 0;
-        let free = self.best(now, view, class, demand, has_slot);
-        free.or_else(|| self.best(now, view, class, demand, |room| room.is_next))
+        let free = self.best(now, &view.open, view, class, demand, has_slot);
+        free.or_else(|| self.best(now, &view.open, view, class, demand, |room| room.is_next))
     }
 
-    /// Returns the endpoint that is the best for a request among those with room as `has_room` says, or that
+    /// Returns the endpoint that is the best for a request among the `open` ones with room as `has_room` says, or that
     /// may be tried with it.
     fn best<'a>(
         &self,
         now: Timestamp,
+        open: &[view::Open<'a>],
         view: &view::View<'a>,
         class: usize,
         demand: &Demand,
         has_room: impl Fn(view::Room) -> bool,
     ) -> Option<&'a id::EndpointName> {
         let mut best: Option<(f64, &id::EndpointName)> = None;
-        for open in &view.open {
+        for open in open {
             let is_open = has_room(open.room) || (open.room.is_probe && demand.repeatable);
             if !is_open || demand.tried.contains(open.name) {
                 continue;
@@ -119,6 +128,7 @@
         Some(Grant {
             endpoint: name,
             start: endpoint.start,
+            route: demand.route,
             address: endpoint.address,
             prompt: unread,
             at: now,
@@ -140,7 +150,11 @@
         demand: &Demand,
         unread: u32,
     ) -> Option<Grant> {
-        self.endpoints.get(name).filter(|endpoint| endpoint.is_usable(now))?;
+        let may_run = |endpoint: &&endpoint::Endpoint| {
+            let access = self.versions.access(&endpoint.version);
+            endpoint.is_usable(now) && access != gateway::Access::None
+        };
+        self.endpoints.get(name).filter(may_run)?;
         self.start(now, name.clone(), demand, unread.min(demand.prompt))
     }
 
--- a/crates/decide/src/gateway/pool/usual.rs
+++ b/crates/decide/src/gateway/pool/usual.rs
@@ -47,10 +47,14 @@
 
     fn work_out(&self, now: Timestamp) -> Usual {
         let mut sum = Usual { at: now, ..Usual::default() };
-        for endpoint in self.endpoints.values() {
+        // What is tried, or not used at all, is no measure.
+        let is_full = |endpoint: &&endpoint::Endpoint| self.versions.is_full(&endpoint.version);
+        let mut count = 0.0;
+        for endpoint in self.endpoints.values().filter(is_full) {
             sum.add(endpoint);
+            count += 1.0;
         }
-        let count = self.endpoints.len().max(1) as f64;
+        let count = f64::max(count, 1.0);
         Usual {
             failures: sum.failures / count,
             pace_ms: sum.pace_ms / count,
--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -3,7 +3,7 @@
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::gateway::{
-    Pool,
+    self, Pool,
     pool::{endpoint, load, usual},
 };
 
@@ -44,17 +44,39 @@
     /// How long the fastest endpoint takes for a prompt token, in milliseconds.
     pub(super) least_prompt_ms: f64,
     pub(super) open: Vec<Open<'a>>,
+    /// Those of the version that is tried.
+    pub(super) tried: Vec<Open<'a>>,
 }
 
 impl Pool {
     /// Returns the endpoints with free slots as of now.
     pub(super) fn view(&self, now: Timestamp) -> View<'_> {
         let usual = self.usual;
-        let mut view = View { usual, free: 0, least_prompt_ms: f64::INFINITY, open: Vec::new() };
+        let mut view = View {
+            usual,
+            free: 0,
+            least_prompt_ms: f64::INFINITY,
+            open: Vec::new(),
+            tried: Vec::new(),
+        };
+        let mut tried = self.tried_count(now);
         for (name, endpoint) in &self.endpoints {
             if !endpoint.is_usable(now) {
                 continue;
             }
+            match self.versions.access(&endpoint.version) {
+                gateway::Access::Full => {}
+                gateway::Access::Canary if tried > 0 => {
+                    tried -= 1;
+                    let load = endpoint.load();
+                    let room = self.room(now, endpoint, load, usual);
+                    if room.slots > 0 || room.is_probe {
+                        view.tried.push(Open { name, endpoint, load, room });
+                    }
+                    continue;
+                }
+                gateway::Access::Canary | gateway::Access::None => continue,
+            }
             view.least_prompt_ms = view.least_prompt_ms.min(endpoint.prompt_ms());
             let load = endpoint.load();
             let room = self.room(now, endpoint, load, usual);
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -14,6 +14,8 @@
     pub start: u64,
     /// The service that it belongs to.
     pub service: id::PoolName,
+    /// The version of its software.
+    pub version: id::VersionName,
     /// Where it listens; used again by others after its end.
     pub address: net::SocketAddr,
     /// Its availability zone.
--- a/crates/decide/tests/testsuite/gateway/loads.rs
+++ b/crates/decide/tests/testsuite/gateway/loads.rs
@@ -54,6 +54,7 @@
         let mut pool = Pool::new(PoolParams::default(), 4);
         for (index, speed) in SPEEDS.iter().enumerate() {
             let entry = RosterEntry {
+                version: "v1".into(),
                 endpoint: index.to_string().as_str().into(),
                 start: 0,
                 service: "assistant".into(),
@@ -85,6 +86,7 @@
         self.arrivals.push(ms);
         self.lengths.push((prompt, length));
         let demand = Demand {
+            route: 0,
             parts: Vec::new(),
             rank,
             zone: "a".into(),
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod quota;
 mod reports;
+mod rollouts;
 mod roster;
 mod support;
 mod table;
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -13,6 +13,7 @@
         endpoint: name.into(),
         start: 0,
         service: "assistant".into(),
+        version: "v1".into(),
         address: ([127, 0, 0, 1], 7_420).into(),
         zone: "a".into(),
         slots: 2,
@@ -46,6 +47,7 @@
 pub(super) fn demand(ms: u64, rank: u8) -> Demand {
     Demand {
         rank,
+        route: 0,
         zone: "a".into(),
         prompt: 300,
         parts: Vec::new(),
@@ -65,6 +67,7 @@
     Grant {
         endpoint: name.into(),
         start: 0,
+        route: 0,
         address: ([127, 0, 0, 1], 7_420).into(),
         prompt: 0,
         at: Timestamp::ZERO,
@@ -121,6 +124,7 @@
         prefill: 0,
         silent_ms: 0,
         learned: None,
+        answers: Vec::new(),
     };
     let endpoints = running.iter().map(load).collect();
     LoadReport { incarnation: 1, number, service: service(), is_full: true, placed, endpoints }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -48,6 +48,7 @@
             }
             _ = tick.tick() => {
                 shared.decide(|core| core.tick(shared.now()));
+                shared.follow_rollouts();
                 teller.tell(&shared);
             }
         }
@@ -105,6 +106,7 @@
             // Who starts or leaves says so to all; all of them must not answer.
             if !digest.starting && !digest.leaving && shared.core().mesh.is_member(from) {
                 shared.compare_crashes(from, digest.quarantine);
+                shared.compare_rollouts(from, digest.rollouts);
             }
         }
         Ok(message) if !shared.core().mesh.is_member(from) => {
@@ -144,8 +146,12 @@
         Ok(gateway::Message::Hubs { hub_mark }) => {
             shared.core().mesh.note_hub_mark(from, hub_mark);
         }
-        Ok(gateway::Message::Query { stamp, roster, hub_mark, quarantine }) => {
+        Ok(gateway::Message::Rollouts { rollouts, asks }) => {
+            shared.learn_rollouts(from, &rollouts, asks);
+        }
+        Ok(gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts }) => {
             shared.compare_crashes(from, quarantine);
+            shared.compare_rollouts(from, rollouts);
             shared.core().mesh.note_client(shared.now(), from, hub_mark);
             let reply = shared.core().reply(shared.now(), stamp, roster);
             if let Some(reply) = reply {
--- a/crates/gateway/src/face/call.rs
+++ b/crates/gateway/src/face/call.rs
@@ -32,6 +32,8 @@
     pub(crate) attempts: u32,
     pub(crate) gap: time::Duration,
     pub(crate) rank: u8,
+    /// Stands for the route.
+    pub(crate) route: u32,
     /// Until when the first event is of full use.
     pub(crate) objective: Timestamp,
     /// When the caller leaves if nothing has come.
@@ -118,6 +120,7 @@
             attempts: route.attempts,
             gap: time::Duration::from_millis(route.gap_ms),
             rank,
+            route: route.mark(),
             objective: arrived
                 + time::Duration::from_millis(route.objective_ms).saturating_sub(spent),
             leaves: arrived
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -183,6 +183,7 @@
     fn demand(&self) -> gateway::Demand {
         gateway::Demand {
             rank: self.call.rank,
+            route: self.call.route,
             zone: self.shared.settings.zone.clone(),
             prompt: self.call.prompt,
             parts: self.call.parts.clone(),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -167,6 +167,7 @@
                 self.shared.journal.write(&record::Event::EndpointListed {
                     endpoint: entry.endpoint,
                     service: entry.service,
+                    version: entry.version,
                     draining: entry.draining,
                 });
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::{KeyValue, metrics, metrics::MeterProvider as _};
 use opentelemetry_sdk::metrics as sdk;
 use prometheus::Encoder as _;
+use trefoildyke_decide::gateway;
 
 use crate::record;
 
@@ -14,6 +15,7 @@
     failures: metrics::Counter<u64>,
     charges_alone: metrics::Counter<u64>,
     quarantines: metrics::Counter<u64>,
+    rollouts: metrics::Counter<u64>,
     first: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
     registry: prometheus::Registry,
@@ -48,6 +50,10 @@
                 "gateway_quarantines",
                 "Requests that are sent nowhere any more since endpoints end under them.",
             ),
+            rollouts: counter(
+                "gateway_rollouts",
+                "Stages of moves to other versions, as heard of.",
+            ),
             first: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
             registry,
@@ -77,6 +83,12 @@
         self.quarantines.add(1, &[]);
     }
 
+    pub(crate) fn rollout(&self, service: &str, stage: gateway::Stage) {
+        let stage = format!("{stage:?}").to_lowercase();
+        let labels = [KeyValue::new("service", service.to_owned()), KeyValue::new("stage", stage)];
+        self.rollouts.add(1, &labels);
+    }
+
     pub(crate) fn first_byte(&self, ms: u64) {
         self.first.record(ms as f64, &[]);
     }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -75,12 +75,13 @@
             let asked = self.now();
             let roster = self.shared.core().roster.mark();
             let quarantine = self.shared.core().quarantine.mark();
+            let rollouts = self.shared.core().rollouts.mark();
             // One of them counts this daemon.
             let is_first = place == 0;
             let hub_mark =
                 if is_first { self.shared.core().mesh.told_hub_mark(asked) } else { UNCOUNTED };
             let stamp = asked.as_micros();
-            let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine };
+            let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts };
             let Some(reply) = query_one(&self.shared, reader, stamp, &query).await else {
                 continue;
             };
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -22,6 +22,29 @@
     pub objective_ms: u64,
 }
 
+/// Describes what was seen of a version that is tried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Tried {
+    /// Requests that were placed since.
+    pub placed: u64,
+    /// Those of them that went to the new version.
+    pub tried: u64,
+    /// Answers of the version in force.
+    pub usual_answers: u32,
+    /// The failures among them.
+    pub usual_failed: u32,
+    /// Those among them that came far too late.
+    pub usual_slow: u32,
+    /// Answers of the new version.
+    pub tried_answers: u32,
+    /// The failures among them.
+    pub tried_failed: u32,
+    /// Those among them that came far too late.
+    pub tried_slow: u32,
+    /// The evidence that the new version is worse; the logarithm of a likelihood ratio.
+    pub evidence: Option<f64>,
+}
+
 /// Describes a decision that touches a request, or a change of what the daemon believes.
 #[derive(Clone, Debug, serde::Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -81,6 +104,8 @@
         endpoint: id::EndpointName,
         /// Its service.
         service: id::PoolName,
+        /// The version of its software.
+        version: id::VersionName,
         /// Whether it gets no new work.
         draining: bool,
     },
@@ -164,6 +189,17 @@
         /// What it asks.
         fingerprint: gateway::Fingerprint,
     },
+    /// A service moves to another version of its endpoints: the stage is new to this daemon.
+    Rollout {
+        /// The move.
+        #[serde(flatten)]
+        rollout: gateway::Rollout,
+        /// Whether this daemon has decided it.
+        decided: bool,
+        /// What it was decided by.
+        #[serde(flatten)]
+        seen: Option<Tried>,
+    },
     /// A stream goes on at another endpoint.
     Resumed {
         /// The request.
--- a/crates/gateway/src/record/mod.rs
+++ b/crates/gateway/src/record/mod.rs
@@ -3,5 +3,5 @@
 mod event;
 mod journal;
 
-pub use event::{Asked, Event};
+pub use event::{Asked, Event, Tried};
 pub use journal::{Dropped, Journal};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub retry_window: time::Duration,
     /// How quotas are kept.
     pub quota: gateway::QuotaParams,
+    /// The part of a service's requests that a bad version may get; 0.1.
+    pub exposure: f64,
     /// How requests are recognised that end endpoints.
     pub quarantine: gateway::QuarantineParams,
     /// How long a planned stop may take before it is cut short; 8 s.
@@ -83,6 +85,7 @@
             retry_fixed: 50.0,
             retry_window: time::Duration::from_secs(10),
             quota: gateway::QuotaParams::default(),
+            exposure: 0.1,
             quarantine: gateway::QuarantineParams::default(),
             grace: time::Duration::from_secs(8),
             connect: time::Duration::from_millis(400),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -25,6 +25,9 @@
     homes: collections::HashMap<id::EndpointName, id::PoolName>,
     pub(crate) deadlines: gateway::Deadlines,
     pub(crate) quarantine: gateway::Quarantine,
+    pub(crate) rollouts: gateway::Rollouts,
+    /// The part of a service's requests that a bad version may get.
+    exposure: f64,
     started: Timestamp,
     incarnation: u64,
     digests: u64,
@@ -49,6 +52,10 @@
 /// For how long after its start a daemon's picture of the quotas is not taken over by others.
 const YOUNG: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// For how long after the last word of the store a version is tried: others may have found that it is bad. Each hears of
+/// that within half a second while it hears others.
+const TRIES: std::time::Duration = std::time::Duration::from_millis(2_500);
+
 /// How long the store must have answered before members that are missing in it count as gone: two renewals, and a pause after
 /// a call that failed.
 const MEMBERS_BACK: std::time::Duration = std::time::Duration::from_secs(4);
@@ -68,6 +75,8 @@
             homes: collections::HashMap::new(),
             deadlines: gateway::Deadlines::default(),
             quarantine: gateway::Quarantine::new(settings.quarantine),
+            rollouts: gateway::Rollouts::default(),
+            exposure: settings.exposure,
             started: Timestamp::ZERO,
             incarnation,
             digests: 0,
@@ -130,6 +139,11 @@
 
     /// Takes in the changes of the list of endpoints.
     pub(crate) fn list(&mut self, now: Timestamp, changes: &[gateway::RosterChange]) {
+        let listed = changes.iter().filter_map(|change| match change {
+            gateway::RosterChange::Listed(entry) => Some(entry),
+            gateway::RosterChange::Gone(_) => None,
+        });
+        self.rollouts.note_listed(&listed.collect::<Vec<_>>());
         for change in changes {
             match change {
                 gateway::RosterChange::Listed(entry) => {
@@ -144,6 +158,7 @@
             }
         }
         if !changes.is_empty() {
+            self.set_gates(now);
             self.hand_out_all(now);
         }
     }
@@ -291,6 +306,7 @@
             hub_mark: self.mesh.told_hub_mark(now),
             clients: self.mesh.clients(now),
             quarantine: self.quarantine.mark(),
+            rollouts: self.rollouts.mark(),
             spend: if kind.starting { Vec::new() } else { self.quota.used(kind.full) },
         }
     }
@@ -300,9 +316,41 @@
         for service in self.services.values_mut() {
             service.expire(now);
         }
+        if self.rollouts.mark() != 0 {
+            self.set_gates(now);
+        }
         self.hand_out_all(now);
     }
 
+    /// Tells the pools which versions may run requests.
+    pub(crate) fn set_gates(&mut self, now: Timestamp) {
+        let is_fresh = self.freshness.is_within(now, TRIES);
+        for (name, service) in &mut self.services {
+            let gate = self.rollouts.gate(name, self.exposure, is_fresh);
+            service.pool.set_gate(now, gate);
+        }
+    }
+
+    /// Returns what is found of a roll-out of which this daemon places the requests, and what follows.
+    pub(crate) fn judge(
+        &self,
+        now: Timestamp,
+        service: &id::PoolName,
+    ) -> Option<(gateway::Finding, gateway::Rollout)> {
+        if self.placer(now, service).is_some() {
+            return None;
+        }
+        let rollout = self.rollouts.get(now, service)?;
+        let pool = &self.services.get(service)?.pool;
+        let finding = pool.finding(now, &rollout.to);
+        Some((finding, self.rollouts.next(now, service, finding)?))
+    }
+
+    /// Returns the pool of a service that is known.
+    pub(crate) fn pool(&self, service: &id::PoolName) -> Option<&gateway::Pool> {
+        self.services.get(service).map(|service| &service.pool)
+    }
+
     fn forget(&mut self, now: Timestamp, peer: net::SocketAddr) {
         for service in self.services.values_mut() {
             service.forget(now, peer);
--- a/crates/gateway/tests/testsuite/harness/stack.rs
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -102,6 +102,7 @@
         endpoint: format!("e{number}").as_str().into(),
         start: 0,
         service: "svc".into(),
+        version: "v1".into(),
         address: endpoint.address,
         zone: "a".into(),
         slots: 4,
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -200,6 +200,7 @@
     stack.feed.members(&[peer(own), peer(socket.local_addr().unwrap())]);
     let now = Timestamp::ZERO;
     let demand = Demand {
+        route: 0,
         rank: 0,
         zone: "a".into(),
         prompt: 0,
--- a/crates/types/src/id/name.rs
+++ b/crates/types/src/id/name.rs
@@ -62,6 +62,8 @@
     PoolName,
     /// Names a tier.
     TierName,
+    /// Names a version of an endpoint's software.
+    VersionName,
     /// Names an availability zone.
     ZoneName,
 }
