testbed: moves to new versions played in virtual time through the gateway's decisions

Good versions, and such that fail a part or are slow, from the start, later, under load or on one route, beside bursts and ill endpoints; table and plot by `testbed rollouts`.

--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod measure;
 mod plot;
+mod rollouts;
 mod service;
 mod stop;
 
@@ -33,6 +34,8 @@
     Load(load::Options),
     #[options(help = "plot goodput by tier against load")]
     Plot(plot::Options),
+    #[options(help = "play moves of a service to another version in virtual time")]
+    Rollouts(rollouts::Options),
     #[options(help = "run a key-value service")]
     Kv(kv::Options),
     #[options(help = "run a host list")]
@@ -53,6 +56,7 @@
         Some(Command::Goals(options)) => goals::run(options),
         Some(Command::Load(options)) => load::run(options).await,
         Some(Command::Plot(options)) => plot::run(&options),
+        Some(Command::Rollouts(options)) => rollouts::run(&options),
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
         Some(Command::Engine(options)) => engine::run(options).await,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod model;
 pub mod operators;
 pub mod relay;
+pub mod rollout;
 pub mod service;
 pub mod switch;
