decide: what was seen of a version outlasts a pause of its trial

A daemon that hears nothing of the store for 2.5 s tries nothing; when it heard again, it began to measure anew, so on a bad link a bad version would never have been found. Seen by reading; the test is red without the mend by construction of the gate (order kept).

--- a/crates/decide/src/gateway/pool/versions.rs
+++ b/crates/decide/src/gateway/pool/versions.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Versions {
     gate: Gate,
+    /// The order for which a version was tried last.
+    order: Option<u64>,
     exposure: Exposure,
     /// Compares how often answers are failures.
     failures: Judge,
@@ -125,13 +127,14 @@
 }
 
 impl Pool {
-    /// Takes in which versions may run requests. A version that is tried anew is measured anew.
+    /// Takes in which versions may run requests. A version that is tried for another order is measured anew.
     pub fn set_gate(&mut self, now: Timestamp, gate: Gate) {
         if self.versions.gate == gate {
             return;
         }
-        let order = |gate: &Gate| gate.canary.as_ref().map(|canary| canary.order);
-        if order(&gate).is_some() && order(&gate) != order(&self.versions.gate) {
+        let order = gate.canary.as_ref().map(|canary| canary.order);
+        if order.is_some() && order != self.versions.order {
+            self.versions.order = order;
             self.versions.exposure = Exposure::default();
             self.versions.failures = Judge::default();
             self.versions.delays = Judge::default();
--- a/crates/decide/tests/testsuite/gateway/rollouts.rs
+++ b/crates/decide/tests/testsuite/gateway/rollouts.rs
@@ -168,10 +168,10 @@
     let mut played = Vec::new();
     for number in 0..800_u64 {
         let ms = number * 25;
-        let (ended, left) = running.into_iter().partition(|(end, _)| *end <= ms);
+        let (ended, left): (Vec<_>, _) = running.into_iter().partition(|(end, _)| *end <= ms);
         running = left;
-        let ended: Vec<(u64, Grant)> = ended;
         for (_, grant) in ended {
+            pool.first(at(ms), &grant, grant.prompt);
             pool.end(at(ms), &grant, grant.prompt, Outcome::Served);
         }
         let route = if number % 50 == 0 { 4 } else { (number % 4) as u32 };
@@ -208,6 +208,23 @@
     }
 }
 
+/// A daemon that hears nothing for some seconds tries nothing meanwhile; what it has seen still speaks against the version.
+#[test]
+fn what_was_seen_outlasts_a_pause_of_the_trial() {
+    let mut pool = pool_at(Some(Stage::Canary));
+    let played = play(&mut pool);
+    let rollouts = known(&[rollout(5, Stage::Canary)]);
+    for is_fresh in [false, true] {
+        pool.set_gate(at(20_000), rollouts.gate(&"assistant".into(), SHARE, is_fresh));
+    }
+    let ((placed, _), [(_, new), _]) = pool.tried();
+    assert_eq!(placed, played.len() as u64);
+    assert!(new.count > 0);
+    let again = known(&[rollout(6, Stage::Canary)]);
+    pool.set_gate(at(20_000), again.gate(&"assistant".into(), SHARE, true));
+    assert_eq!(pool.tried().0, (0, 0));
+}
+
 /// What a hand-over of the placing role forgets is no more than the part of what is placed after it.
 #[test]
 fn the_part_holds_though_daemons_place_one_after_the_other() {
