--- a/crates/spec/src/invariant.rs
+++ b/crates/spec/src/invariant.rs
@@ -1,4 +1,4 @@
-//! The invariants by name: the nine of the design, and one each for keys and orders to engines.
+//! The invariants by name: the nine of the design, and those for keys, orders to engines and moves to other versions.
 
 use std::fmt;
 
@@ -27,6 +27,10 @@
     KeysFailClosed,
     /// No order of a former lease holder takes effect after one of a later holder.
     FencedOrders,
+    /// A move to another version is complete or reverted, never one after the other.
+    OneEnd,
+    /// A move is complete only when nothing runs at the old version.
+    CompleteCutsNothing,
 }
 
 impl fmt::Display for Invariant {
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod orders;
 pub mod passed_keys;
 pub mod requests;
+pub mod rollouts;
 pub mod stops;
--- /dev/null
+++ b/crates/spec/src/rollouts.rs
@@ -0,0 +1,268 @@
+//! Roll-outs: daemons that decide how far a service has moved, and a store that loses answers.
+//!
+//! Every daemon may take itself for the one that decides. Writes may be carried out late or never, answers may be lost, daemons
+//! restart and hear of each other in any order. What follows from what is known is decided by the daemon's own functions.
+
+use std::fmt;
+
+use trefoildyke_decide::gateway::{
+    Access, Comparison, Finding, Rollout, Rollouts, RosterEntry, Stage,
+};
+use trefoildyke_types::{id, time::Timestamp};
+
+use crate::{explore, invariant::Invariant};
+
+/// States the size of the model and the guards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// How many daemons there are.
+    pub daemons: usize,
+    /// How often the record may change.
+    pub changes: u8,
+    /// How many daemons may restart.
+    pub restarts: u8,
+    /// Whether a write is carried out only if the record is as its writer knows it.
+    pub compares: bool,
+    /// Whether requests are sent.
+    pub sends: bool,
+    /// Whether the new version turns bad only while no last step is on its way.
+    pub calm_end: bool,
+    /// Whether the last step waits until all daemons have heard that the old version gets nothing more.
+    pub waits: bool,
+}
+
+/// Names one step, most by the place of the daemon that takes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Reads the order.
+    Order(usize),
+    /// Reads the record.
+    Read(usize),
+    /// Hears from another one.
+    Hear(usize, usize),
+    /// Writes what follows; the write is on its way.
+    Write(usize),
+    /// The write on its way is carried out.
+    Carry(usize),
+    /// Its writer gets no answer.
+    Lose(usize),
+    /// Stops the move at once.
+    Stop(usize),
+    /// Sends a request to the old version.
+    Send(usize),
+    /// That request ends.
+    End,
+    /// Forgets everything.
+    Restart(usize),
+    /// The new version turns bad.
+    TurnBad,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Order(daemon) => write!(f, "{daemon} reads the order"),
+            Self::Read(daemon) => write!(f, "{daemon} reads the record"),
+            Self::Hear(daemon, from) => write!(f, "{daemon} hears from {from}"),
+            Self::Write(daemon) => write!(f, "{daemon} writes what follows"),
+            Self::Carry(daemon) => write!(f, "the write of {daemon} is carried out"),
+            Self::Lose(daemon) => write!(f, "{daemon} gets no answer"),
+            Self::Stop(daemon) => write!(f, "{daemon} stops the move"),
+            Self::Send(daemon) => write!(f, "{daemon} sends a request to the old version"),
+            Self::End => f.write_str("the request ends"),
+            Self::Restart(daemon) => write!(f, "{daemon} restarts"),
+            Self::TurnBad => f.write_str("the new version turns bad"),
+        }
+    }
+}
+
+/// Holds what one daemon knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Daemon {
+    /// How far the move is; `None` before it has read the order.
+    stage: Option<Stage>,
+    /// The record's revision; `None` before it was read.
+    revision: Option<u8>,
+    /// A write on its way: the stage, and the revision that it needs.
+    write: Option<(Stage, u8)>,
+}
+
+/// Holds the state of everything.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct World {
+    daemons: Vec<Daemon>,
+    /// What the record holds, and its revision.
+    record: Option<Stage>,
+    revision: u8,
+    is_bad: bool,
+    /// Whether a request runs at the old version.
+    runs: bool,
+    restarts: u8,
+    /// Whether a final stage was followed by the other one.
+    both: bool,
+    /// Whether a request ran at the old version when the move was complete.
+    cut: bool,
+}
+
+/// Explores every state within the bounds.
+pub fn explore(bounds: &Bounds) -> explore::Report {
+    explore::explore(&first(bounds), |world| next(bounds, world), check)
+}
+
+/// Returns the shortest steps to a record with this stage.
+pub fn reach(bounds: &Bounds, stage: Stage) -> Option<Vec<String>> {
+    let is_there = |world: &World| world.record == Some(stage);
+    explore::reach(&first(bounds), |world| next(bounds, world), is_there)
+}
+
+fn first(bounds: &Bounds) -> World {
+    World {
+        daemons: vec![Daemon::default(); bounds.daemons],
+        record: None,
+        revision: 0,
+        is_bad: false,
+        runs: false,
+        restarts: 0,
+        both: false,
+        cut: false,
+    }
+}
+
+const fn check(world: &World) -> Option<Invariant> {
+    if world.both {
+        return Some(Invariant::OneEnd);
+    }
+    if world.cut { Some(Invariant::CompleteCutsNothing) } else { None }
+}
+
+fn service() -> id::PoolName {
+    "service".into()
+}
+
+fn rollout(stage: Stage) -> Rollout {
+    let from = (stage != Stage::Ordered).then(|| "old".into());
+    Rollout { service: service(), order: 1, from, to: "new".into(), within_ms: 1, age_ms: 0, stage }
+}
+
+/// Returns what a daemon knows as its own functions hold it.
+fn known(stage: Option<Stage>) -> Rollouts {
+    let mut known = Rollouts::default();
+    known.note_listed(&[&RosterEntry {
+        endpoint: "endpoint".into(),
+        start: 0,
+        service: service(),
+        version: "old".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "zone".into(),
+        slots: 1,
+        draining: false,
+    }]);
+    let rollouts: Vec<_> = stage.map(rollout).into_iter().collect();
+    known.learn(Timestamp::ZERO, &rollouts);
+    known
+}
+
+/// Returns what a daemon knows after it has learned a stage.
+fn learned(stage: Option<Stage>, new: Option<Stage>) -> Option<Stage> {
+    let mut known = known(stage);
+    let new: Vec<_> = new.map(rollout).into_iter().collect();
+    known.learn(Timestamp::ZERO, &new);
+    known.get(Timestamp::ZERO, &service()).map(|rollout| rollout.stage)
+}
+
+/// Returns what follows for a daemon that decides.
+fn follows(bounds: &Bounds, world: &World, stage: Option<Stage>) -> Option<Stage> {
+    let comparison =
+        if world.is_bad { Comparison::Bad { evidence: 10.0 } } else { Comparison::Good };
+    let has_heard = |daemon: &Daemon| daemon.stage.is_some_and(|stage| stage >= Stage::Moving);
+    let is_heard = !bounds.waits || world.daemons.iter().all(has_heard);
+    let finding = Finding { comparison, is_idle: !world.runs && is_heard, is_alone: false };
+    let late = Timestamp::from_millis(1_000);
+    known(stage).next(late, &service(), finding).map(|next| next.stage)
+}
+
+fn next(bounds: &Bounds, world: &World) -> Vec<(Step, World)> {
+    let mut found = vec![];
+    for place in 0..world.daemons.len() {
+        steps_of(bounds, world, place, &mut found);
+    }
+    if world.runs {
+        found.push((Step::End, World { runs: false, ..world.clone() }));
+    }
+    let is_ending = |daemon: &Daemon| matches!(daemon.write, Some((Stage::Complete, _)));
+    let is_ending = world.daemons.iter().any(is_ending);
+    if !world.is_bad && !(bounds.calm_end && is_ending) {
+        found.push((Step::TurnBad, World { is_bad: true, ..world.clone() }));
+    }
+    found
+}
+
+fn steps_of(bounds: &Bounds, world: &World, place: usize, found: &mut Vec<(Step, World)>) {
+    let daemon = world.daemons[place];
+    let mut add = |step, change: &dyn Fn(&mut World)| {
+        let mut world = world.clone();
+        change(&mut world);
+        found.push((step, world));
+    };
+    if daemon.stage.is_none() {
+        add(Step::Order(place), &|world| world.daemons[place].stage = Some(Stage::Ordered));
+    }
+    for from in (0..world.daemons.len()).filter(|from| *from != place) {
+        let stage = learned(daemon.stage, world.daemons[from].stage);
+        if stage != daemon.stage {
+            add(Step::Hear(place, from), &|world| world.daemons[place].stage = stage);
+        }
+    }
+    if daemon.stage.is_some() && daemon.revision.is_none() {
+        let stage = learned(daemon.stage, world.record);
+        add(Step::Read(place), &|world| {
+            world.daemons[place].stage = stage;
+            world.daemons[place].revision = Some(world.revision);
+        });
+    }
+    let follows = follows(bounds, world, daemon.stage);
+    match (follows, daemon.revision, daemon.write) {
+        (Some(Stage::Stopped), ..) => {
+            add(Step::Stop(place), &|world| world.daemons[place].stage = Some(Stage::Stopped));
+        }
+        (Some(stage), Some(revision), None) if revision < bounds.changes => {
+            add(Step::Write(place), &|world| {
+                world.daemons[place].write = Some((stage, revision));
+            });
+        }
+        _ => {}
+    }
+    if let Some(write) = daemon.write {
+        add(Step::Carry(place), &|world| carry(bounds, world, place, write));
+        add(Step::Lose(place), &|world| {
+            world.daemons[place].write = None;
+            world.daemons[place].revision = None;
+        });
+    }
+    let gate = known(daemon.stage).gate(&service(), 0.1, true);
+    let is_open = bounds.sends && !world.runs && world.record != Some(Stage::Complete);
+    if is_open && gate.access(&"old".into()) == Access::Full {
+        add(Step::Send(place), &|world| world.runs = true);
+    }
+    if world.restarts < bounds.restarts && daemon != Daemon::default() {
+        add(Step::Restart(place), &|world| {
+            world.daemons[place] = Daemon { write: daemon.write, ..Daemon::default() };
+            world.restarts += 1;
+        });
+    }
+}
+
+fn carry(bounds: &Bounds, world: &mut World, place: usize, (stage, revision): (Stage, u8)) {
+    world.daemons[place].write = None;
+    if bounds.compares && world.revision != revision {
+        world.daemons[place].revision = None;
+        return;
+    }
+    let is_other = |record: Stage| record.is_final() && record != stage;
+    world.both |= world.record.is_some_and(is_other);
+    world.cut |= stage == Stage::Complete && world.runs;
+    world.record = Some(stage);
+    world.revision += 1;
+    world.daemons[place].revision = Some(world.revision);
+    world.daemons[place].stage = learned(world.daemons[place].stage, Some(stage));
+}
--- a/crates/spec/tests/testsuite/main.rs
+++ b/crates/spec/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod orders;
 mod passed_keys;
 mod requests;
+mod rollouts;
 mod stops;
 mod verdict;
