decide, testbed: a version is stopped soon after its fiftieth bad answer also where it is only twice as slow

Cause: the quarter of the endpoints with the most evidence is left out, and of a version that is slow the fast endpoints speak little against it. From 15 bad answers more than usual on all endpoints count.

--- a/crates/decide/src/gateway/rollout/judge.rs
+++ b/crates/decide/src/gateway/rollout/judge.rs
@@ -78,6 +78,10 @@
 /// How much time one slice of them holds.
 const SLICE: time::Duration = time::Duration::from_millis(500);
 
+/// How many bad answers more than usual are borne before endpoints that may be ill by themselves count as well: a bad version must
+/// be stopped soon after its fiftieth bad answer, of either kind.
+const MOST_BAD: f64 = 15.0;
+
 /// From how many endpoints on those with the most evidence are left out.
 const LEAST_ENDPOINTS: usize = 2;
 
@@ -120,6 +124,9 @@
         let lately = self.lately(now);
         let windows = [&self.total, &lately];
         let most = windows.iter().map(|seen| seen.most_evidence()).fold(f64::MIN, f64::max);
+        let in_sum = EXCESSES.map(|excess| self.total.evidence(excess, None, 0));
+        let in_sum = in_sum.into_iter().fold(f64::MIN, f64::max);
+        let most = if self.total.excess() >= MOST_BAD { most.max(in_sum) } else { most };
         if most >= BAD {
             return Comparison::Bad { evidence: most };
         }
@@ -190,6 +197,16 @@
         found.iter().sum()
     }
 
+    /// Returns how many more answers are bad than there would be of the version in force.
+    fn excess(&self) -> f64 {
+        let routes = self.tried.values().flatten();
+        let of_route = |(route, answers): (&u32, &Answers)| {
+            let usual = self.usual_part(*route)?;
+            Some(f64::from(answers.bad) - usual * f64::from(answers.count))
+        };
+        routes.filter_map(of_route).sum()
+    }
+
     /// Returns how many endpoints are left out.
     fn left_out(&self) -> usize {
         let count = self.tried.len();
--- a/testbed/src/command/rollouts.rs
+++ b/testbed/src/command/rollouts.rs
@@ -14,12 +14,20 @@
     runs: u64,
     #[options(no_short, help = "how many runs are played at once", meta = "COUNT", default = "2")]
     jobs: usize,
+    #[options(no_short, help = "play only kinds whose names hold this", meta = "TEXT")]
+    only: Option<String>,
     #[options(no_short, help = "where to draw the plot", meta = "FILE")]
     plot: Option<path::PathBuf>,
 }
 
 pub(crate) fn run(options: &Options) -> anyhow::Result<()> {
-    let cells = rollout::cells();
+    let only = options.only.as_deref().unwrap_or_default();
+    let mut cells = rollout::cells();
+    cells.retain(|cell| cell.to_string().contains(only));
+    anyhow::ensure!(
+        !cells.is_empty(),
+        "no kind's name holds {only:?}; without --only all are played"
+    );
     let size = cells.len().div_ceil(options.jobs.max(1));
     let rows: Vec<_> = thread::scope(|scope| {
         let part = |cells: &[rollout::Cell]| {
--- a/testbed/src/rollout/cell.rs
+++ b/testbed/src/rollout/cell.rs
@@ -1,5 +1,7 @@
 //! What is played.
 
+use std::fmt;
+
 /// Describes a kind of run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cell {
@@ -9,6 +11,20 @@
     pub beside: Beside,
 }
 
+impl fmt::Display for Cell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let beside = format!("{:?}", self.beside).to_lowercase();
+        let Some(Fault { part, kind, onset }) = self.fault else {
+            return write!(f, "good, {beside}");
+        };
+        match kind {
+            Kind::Fails => write!(f, "{part} fail")?,
+            Kind::Slow(times) => write!(f, "{part} take {times} times as long")?,
+        }
+        write!(f, ", {}, {beside}", format!("{onset:?}").to_lowercase())
+    }
+}
+
 /// Describes what is wrong with a version.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fault {
--- a/testbed/src/rollout/table.rs
+++ b/testbed/src/rollout/table.rs
@@ -43,7 +43,7 @@
 /// Plays a kind of run with the seeds from 1 on.
 pub fn row(cell: Cell, runs: u64) -> Row {
     let mut row = Row {
-        name: name(cell),
+        name: cell.to_string(),
         runs,
         reverted: 0,
         complete: 0,
@@ -63,18 +63,6 @@
     row
 }
 
-fn name(cell: Cell) -> String {
-    let beside = format!("{:?}", cell.beside).to_lowercase();
-    let Some(Fault { part, kind, onset }) = cell.fault else {
-        return format!("good, {beside}");
-    };
-    let what = match kind {
-        Kind::Fails => format!("{part} fail"),
-        Kind::Slow(times) => format!("{part} take {times} times as long"),
-    };
-    format!("{what}, {}, {beside}", format!("{onset:?}").to_lowercase())
-}
-
 /// The size of a bar in the plot, and the room for names, in pixels.
 const BAR: (i32, i32) = (300, 14);
 const NAMES: i32 = 330;
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -12,5 +12,6 @@
 mod load;
 mod model;
 mod relay;
+mod rollouts;
 mod scenario;
 mod service;
