--- a/crates/spec/src/rollouts.rs
+++ b/crates/spec/src/rollouts.rs
@@ -190,8 +190,8 @@
         found.push((Step::End, World { runs: false, ..world.clone() }));
     }
     let is_ending = |daemon: &Daemon| matches!(daemon.write, Some((Stage::Complete, _)));
-    let is_ending = world.daemons.iter().any(is_ending);
-    if !world.is_bad && !(bounds.calm_end && is_ending) {
+    let stays_good = bounds.calm_end && world.daemons.iter().any(is_ending);
+    if !(world.is_bad || stays_good) {
         found.push((Step::TurnBad, World { is_bad: true, ..world.clone() }));
     }
     found
