--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod events;
 mod fingerprint;
+mod flood;
 mod freshness;
 mod hubs;
 mod loads;
