--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -112,6 +112,7 @@
 
     /// Says to all known daemons that this one is a member again: its entry had lapsed, and most read the list later.
     pub fn rejoined(&self) {
+        self.shared.core().rejoined = Some(self.now());
         self.shared.announce(state::DigestKind { starting: true, ..Default::default() });
     }
 
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -29,6 +29,8 @@
     /// The part of a service's requests that a bad version may get.
     exposure: f64,
     started: Timestamp,
+    /// When this daemon wrote its entry among the members again, since it had lapsed.
+    pub(crate) rejoined: Option<Timestamp>,
     incarnation: u64,
     digests: u64,
     reports: u64,
@@ -56,8 +58,8 @@
 /// that within half a second while it hears others.
 const TRIES: std::time::Duration = std::time::Duration::from_millis(2_500);
 
-/// How long the store must have answered before members that are missing in it count as gone: two renewals, and a pause after
-/// a call that failed.
+/// For how long after this daemon has written its lapsed entry again members that are missing in the list do not count as gone:
+/// two renewals, and a pause after a call that failed.
 const MEMBERS_BACK: std::time::Duration = std::time::Duration::from_secs(4);
 
 impl Core {
@@ -78,6 +80,7 @@
             rollouts: gateway::Rollouts::default(),
             exposure: settings.exposure,
             started: Timestamp::ZERO,
+            rejoined: None,
             incarnation,
             digests: 0,
             reports: 0,
@@ -165,9 +168,8 @@
 
     /// Takes in the list of members; says whether this daemon has others to announce itself to for the first time.
     pub(crate) fn members(&mut self, now: Timestamp, list: &[gateway::Peer]) -> bool {
-        // Entries lapse while the store is away, and are written again after it is back.
-        let steady = self.roster.steady();
-        if steady.is_some_and(|steady| now.since(steady) >= MEMBERS_BACK) {
+        // Where this daemon's entry had lapsed, others' may have as well, and are written again.
+        if self.rejoined.is_none_or(|rejoined| now.since(rejoined) >= MEMBERS_BACK) {
             for peer in self.mesh.replace(now, list) {
                 self.forget(now, peer);
             }
