gateway: log retry budget usage when a send fails

Cause: the log did not show how many repeats a daemon counted, or how many it allowed, when it decided whether to send a request again. A restart that loses the counts and an incorrect member count could not be told apart. Change: `send_failed` lines carry `repeats` and `repeat_limit`. `RetryBudget::usage` returns both values, and `take` bases its decision on them. Result: retry behaviour is unchanged. The test `budget::usage_reports_counted_repeats_and_limit` passes, as do the three earlier budget tests.

--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -4,6 +4,8 @@
 
 use trefoildyke_types::time::Timestamp;
 
+use crate::gateway;
+
 /// Bounds how many sends beyond each request's first a daemon makes to one service.
 ///
 /// The bound that all daemons share is a ratio of the requests plus a fixed number in any window.
@@ -36,16 +38,22 @@
 
     /// Takes one repeat from the budget of one of `members` daemons; says whether there was one.
     pub fn take(&mut self, now: Timestamp, members: usize) -> bool {
-        self.forget(now);
-        let fixed = self.fixed / members.max(1) as f64;
-        let limit = USED_PART * (self.ratio * self.requests.len() as f64 + fixed);
-        let fits = (self.repeats.len() as f64) + 1.0 <= limit;
+        let usage = self.usage(now, members);
+        let fits = usage.repeats < usage.limit;
         if fits {
             self.repeats.push_back(now);
         }
         fits
     }
 
+    /// Returns the repeats in the window and their limit for one of `members` daemons.
+    pub fn usage(&mut self, now: Timestamp, members: usize) -> gateway::RetryUsage {
+        self.forget(now);
+        let fixed = self.fixed / members.max(1) as f64;
+        let limit = USED_PART * (self.ratio * self.requests.len() as f64 + fixed);
+        gateway::RetryUsage { repeats: self.repeats.len(), limit: limit as usize }
+    }
+
     fn forget(&mut self, now: Timestamp) {
         for times in [&mut self.requests, &mut self.repeats] {
             while times.front().is_some_and(|first| now.since(*first) > self.window) {
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod prompt;
 mod quarantine;
 mod quota;
+mod retry_usage;
 mod rollout;
 mod roster;
 mod strength;
@@ -42,6 +43,7 @@
 pub use prompt::{PromptPart, prompt_parts};
 pub use quarantine::{Quarantine, QuarantineChange, QuarantineParams};
 pub use quota::{Quota, QuotaParams, QuotaPart};
+pub use retry_usage::RetryUsage;
 pub use rollout::{
     Access, Answers, Canary, Comparison, Exposure, Finding, Gate, Judge, Rollout, Rollouts, Stage,
 };
--- /dev/null
+++ b/crates/decide/src/gateway/retry_usage.rs
@@ -0,0 +1,10 @@
+//! The usage of a retry budget.
+
+/// Snapshot of one daemon's retry budget for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryUsage {
+    /// Repeats counted in the current window.
+    pub repeats: usize,
+    /// Maximum number of repeats allowed in the current window, rounded down.
+    pub limit: usize,
+}
--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use trefoildyke_decide::gateway::RetryBudget;
+use trefoildyke_decide::gateway::{RetryBudget, RetryUsage};
 use trefoildyke_types::time::Timestamp;
 
 use super::mesh::{mesh_of, peers};
@@ -70,3 +70,15 @@
     let later = Timestamp::from_millis(16_000);
     assert_eq!(daemons[0].0.count_lately(later), 3);
 }
+
+#[test]
+fn usage_reports_counted_repeats_and_limit() {
+    let mut budget = RetryBudget::new(Duration::from_secs(10), 0.5, 20.0);
+    let now = Timestamp::ZERO;
+    (0..10).for_each(|_| budget.request(now));
+    assert!(budget.take(now, 4));
+    // 0.8 * (0.5 * 10 requests + 20 / 4 members) = 8
+    assert_eq!(budget.usage(now, 4), RetryUsage { repeats: 1, limit: 8 });
+    let later = Timestamp::from_millis(10_001);
+    assert_eq!(budget.usage(later, 4), RetryUsage { repeats: 0, limit: 4 });
+}
--- a/crates/gateway/src/face/driver/end.rs
+++ b/crates/gateway/src/face/driver/end.rs
@@ -40,6 +40,7 @@
             gateway::Failure::Failed => "failed",
         };
         self.shared.metrics.failed(kind);
+        let usage = self.retry_usage();
         self.shared.journal.write(&record::Event::SendFailed {
             id: self.call.id.clone(),
             fingerprint: self.call.fingerprint,
@@ -49,6 +50,8 @@
             ends: self.shared.core().quarantine.ends(self.shared.now(), self.call.fingerprint),
             detail: failed.detail.clone(),
             next,
+            repeats: usage.repeats,
+            repeat_limit: usage.limit,
         });
         next
     }
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -235,4 +235,11 @@
         let members = core.mesh.count_lately(now);
         core.service(&self.call.service).budget.take(now, members)
     }
+
+    pub(super) fn retry_usage(&self) -> gateway::RetryUsage {
+        let now = self.shared.now();
+        let mut core = self.shared.core();
+        let members = core.mesh.count_lately(now);
+        core.service(&self.call.service).budget.usage(now, members)
+    }
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -175,6 +175,11 @@
         detail: String,
         /// What is done next.
         next: gateway::Next,
+        /// Repeats this daemon counts for the service in the current retry budget window, including
+        /// any granted for this failure.
+        repeats: usize,
+        /// Maximum number of repeats the retry budget allows this daemon in that window.
+        repeat_limit: usize,
     },
     /// A request is sent nowhere any more, since endpoints end under it.
     Quarantined {
