decide: give a daemon that may not be listed no share of the fixed number of repeats

Callers saw: nothing; endpoints received more repeats of requests than the shared retry budget allows, after restarts of all daemons while the store was slow. Cause: each daemon divided the fixed number by the number of members it knew. A daemon that had started but not yet read the list of members knew only itself and used the whole fixed number (`repeat_limit` 43 and 44 in its `send_failed` lines, 7 to 12 once it had read the list 0.4 to 0.8 s later). A daemon whose own entry had lapsed kept its share while the others divided the whole number among themselves. Ruled out: the ratio, which each daemon applies to its own requests only. Change: `Mesh::equal_share` returns 0 for a daemon that has read no list of members or whose entry may have lapsed, and otherwise 1 divided by the recent number of members (`count_lately`). `RetryBudget::take` and `RetryBudget::usage` take this share instead of the number of members. Result: the two new tests fail without the change (560 and 102 repeats of 100 allowed).

--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -36,9 +36,11 @@
         self.forget(now);
     }
 
-    /// Takes one repeat from the budget of one of `members` daemons; says whether there was one.
-    pub fn take(&mut self, now: Timestamp, members: usize) -> bool {
-        let usage = self.usage(now, members);
+    /// Takes one repeat from the budget of a daemon that holds `share` of the fixed number.
+    ///
+    /// Returns whether a repeat was available.
+    pub fn take(&mut self, now: Timestamp, share: f64) -> bool {
+        let usage = self.usage(now, share);
         let fits = usage.repeats < usage.limit;
         if fits {
             self.repeats.push_back(now);
@@ -46,10 +48,11 @@
         fits
     }
 
-    /// Returns the repeats in the window and their limit for one of `members` daemons.
-    pub fn usage(&mut self, now: Timestamp, members: usize) -> gateway::RetryUsage {
+    /// Returns the repeats in the window and their limit, for a daemon that holds `share` of the
+    /// fixed number.
+    pub fn usage(&mut self, now: Timestamp, share: f64) -> gateway::RetryUsage {
         self.forget(now);
-        let fixed = self.fixed / members.max(1) as f64;
+        let fixed = self.fixed * share;
         let limit = USED_PART * (self.ratio * self.requests.len() as f64 + fixed);
         gateway::RetryUsage { repeats: self.repeats.len(), limit: limit as usize }
     }
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -326,6 +326,18 @@
         fallen.map_or(0, |(_, before)| before).max(self.count())
     }
 
+    /// Returns the fraction of an equally divided limit that this daemon may use.
+    ///
+    /// The fraction is 0 if the daemon has read no list of members, because it would count only
+    /// itself and use the whole limit. It is also 0 if the daemon's entry may have lapsed, because
+    /// the other members may have divided its share among themselves.
+    pub fn equal_share(&self, now: Timestamp) -> f64 {
+        if self.listed.is_none() || !self.is_listed(now) {
+            return 0.0;
+        }
+        1.0 / self.count_lately(now) as f64
+    }
+
     /// Says whether messages from `address` are taken in.
     pub fn is_member(&self, address: net::SocketAddr) -> bool {
         self.members.contains_key(&address)
--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use trefoildyke_decide::gateway::{RetryBudget, RetryUsage};
+use trefoildyke_decide::gateway::{Mesh, RetryBudget, RetryUsage};
 use trefoildyke_types::time::Timestamp;
 
 use super::mesh::{mesh_of, peers};
@@ -22,7 +22,7 @@
         budgets[daemon].request(now);
         requests.push(now);
         for _ in 0..3 {
-            if budgets[daemon].take(now, members) {
+            if budgets[daemon].take(now, 1.0 / members as f64) {
                 repeats.push(now);
             }
         }
@@ -37,10 +37,10 @@
 #[test]
 fn a_budget_is_there_again_after_the_window() {
     let mut budget = RetryBudget::new(Duration::from_secs(10), 0.0, 10.0);
-    let taken = (0..20).filter(|_| budget.take(Timestamp::ZERO, 1)).count();
+    let taken = (0..20).filter(|_| budget.take(Timestamp::ZERO, 1.0)).count();
     assert_eq!(taken, 8);
-    assert!(!budget.take(Timestamp::from_millis(9_000), 1));
-    assert!(budget.take(Timestamp::from_millis(10_001), 1));
+    assert!(!budget.take(Timestamp::from_millis(9_000), 1.0));
+    assert!(budget.take(Timestamp::from_millis(10_001), 1.0));
 }
 
 // The fixed number was divided by the members of the moment. When four of seven were not listed any more, the other three
@@ -61,7 +61,7 @@
         let now = Timestamp::from_millis(ms);
         for (mesh, budget) in daemons.iter_mut().take(left) {
             mesh.replace(now, &members[..left]);
-            while budget.take(now, mesh.count_lately(now)) {
+            while budget.take(now, mesh.equal_share(now)) {
                 repeats += 1;
             }
         }
@@ -69,6 +69,7 @@
     assert!(repeats <= 100, "{repeats}");
     let later = Timestamp::from_millis(16_000);
     assert_eq!(daemons[0].0.count_lately(later), 3);
+    assert_eq!(daemons[0].0.equal_share(later), 1.0 / 3.0);
 }
 
 #[test]
@@ -76,9 +77,47 @@
     let mut budget = RetryBudget::new(Duration::from_secs(10), 0.5, 20.0);
     let now = Timestamp::ZERO;
     (0..10).for_each(|_| budget.request(now));
-    assert!(budget.take(now, 4));
+    assert!(budget.take(now, 0.25));
     // 0.8 * (0.5 * 10 requests + 20 / 4 members) = 8
-    assert_eq!(budget.usage(now, 4), RetryUsage { repeats: 1, limit: 8 });
+    assert_eq!(budget.usage(now, 0.25), RetryUsage { repeats: 1, limit: 8 });
     let later = Timestamp::from_millis(10_001);
-    assert_eq!(budget.usage(later, 4), RetryUsage { repeats: 0, limit: 4 });
+    assert_eq!(budget.usage(later, 0.25), RetryUsage { repeats: 0, limit: 4 });
+}
+
+// Guards against each daemon using the whole fixed number before it has read the list of members.
+#[test]
+fn the_fixed_number_holds_while_no_daemon_has_read_the_list_of_members() {
+    let mut repeats = 0;
+    for own in peers(7) {
+        let mesh = Mesh::new(own.address, Duration::from_millis(650));
+        let mut budget = RetryBudget::new(Duration::from_secs(10), 0.0, 100.0);
+        while budget.take(Timestamp::ZERO, mesh.equal_share(Timestamp::ZERO)) {
+            repeats += 1;
+        }
+    }
+    assert!(repeats <= 100, "{repeats}");
+}
+
+// Guards against daemons with lapsed entries keeping shares that the listed members have divided
+// among themselves.
+#[test]
+fn the_fixed_number_holds_while_daemons_are_cut_off_from_the_store() {
+    let members = peers(7);
+    let listed_until = Timestamp::from_millis(5_000);
+    let mut repeats = 0;
+    let now = Timestamp::from_millis(30_000);
+    for (index, own) in members.iter().enumerate() {
+        let mut mesh = mesh_of(own.address, &members);
+        if index < 2 {
+            mesh.note_entry(listed_until);
+        } else {
+            mesh.replace(listed_until, &members[2..]);
+            mesh.note_entry(now + Duration::from_millis(5_000));
+        }
+        let mut budget = RetryBudget::new(Duration::from_secs(10), 0.0, 100.0);
+        while budget.take(now, mesh.equal_share(now)) {
+            repeats += 1;
+        }
+    }
+    assert!(repeats <= 100, "{repeats}");
 }
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -232,14 +232,14 @@
     pub(super) fn take_budget(&self) -> bool {
         let now = self.shared.now();
         let mut core = self.shared.core();
-        let members = core.mesh.count_lately(now);
-        core.service(&self.call.service).budget.take(now, members)
+        let share = core.mesh.equal_share(now);
+        core.service(&self.call.service).budget.take(now, share)
     }
 
     pub(super) fn retry_usage(&self) -> gateway::RetryUsage {
         let now = self.shared.now();
         let mut core = self.shared.core();
-        let members = core.mesh.count_lately(now);
-        core.service(&self.call.service).budget.usage(now, members)
+        let share = core.mesh.equal_share(now);
+        core.service(&self.call.service).budget.usage(now, share)
     }
 }
