decide: give a daemon no share of the fixed number of repeats in its first window

Callers saw: nothing; endpoints received more repeats of requests than the shared retry budget allows while daemons were restarted repeatedly. Cause: a daemon counts its repeats in memory. After each restart it granted its full share of the fixed number again, although the previous process had used the same share within the window. Ruled out: the ratio, since a restart loses the counts of requests and of repeats together. Alternatives considered: sending the counts to other daemons, which may be killed at the same moment; writing the counts to the store, which needs a call for each repeat. Change: `RetryBudget` takes the start time of its daemon and applies only the ratio until one window has passed since then. The gateway test harness allows repeats by the ratio, since its gateways have just started. Cost: in the first window after a start, one repeat needs seven requests at the default ratio of 0.2 (by arithmetic).

--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -10,9 +10,13 @@
 ///
 /// The bound that all daemons share is a ratio of the requests plus a fixed number in any window.
 /// The ratio holds for the sum if it holds for each daemon's own requests; the fixed number is
-/// divided by the members, so no word between daemons is needed.
+/// divided by the members, so daemons need not exchange messages. A restart loses the
+/// counts, which are kept in memory, so a daemon has no share of the fixed number in the first
+/// window after its start.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    /// The start of the daemon, which may be earlier than the creation of the budget.
+    started: Timestamp,
     window: time::Duration,
     ratio: f64,
     fixed: f64,
@@ -24,10 +28,11 @@
 const USED_PART: f64 = 0.8;
 
 impl RetryBudget {
-    /// Creates a budget of `ratio` of the requests in `window` plus `fixed` over all daemons.
-    pub fn new(window: time::Duration, ratio: f64, fixed: f64) -> Self {
+    /// Creates a budget of `ratio` of the requests in `window` plus `fixed` over all daemons, for a
+    /// daemon that started at `started`.
+    pub fn new(started: Timestamp, window: time::Duration, ratio: f64, fixed: f64) -> Self {
         let (requests, repeats) = Default::default();
-        Self { window, ratio, fixed, requests, repeats }
+        Self { started, window, ratio, fixed, requests, repeats }
     }
 
     /// Counts a request's first send.
@@ -52,7 +57,8 @@
     /// fixed number.
     pub fn usage(&mut self, now: Timestamp, share: f64) -> gateway::RetryUsage {
         self.forget(now);
-        let fixed = self.fixed * share;
+        let in_first_window = now.since(self.started) < self.window;
+        let fixed = if in_first_window { 0.0 } else { self.fixed * share };
         let limit = USED_PART * (self.ratio * self.requests.len() as f64 + fixed);
         gateway::RetryUsage { repeats: self.repeats.len(), limit: limit as usize }
     }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -112,7 +112,7 @@
         let new = || {
             let pool = gateway::Pool::new(self.pool_params.clone(), 0);
             let (window, ratio, fixed) = self.retry;
-            let budget = gateway::RetryBudget::new(window, ratio, fixed);
+            let budget = gateway::RetryBudget::new(self.started, window, ratio, fixed);
             state::Service::new(name.clone(), pool, budget)
         };
         self.services.entry(name.clone()).or_insert_with(new)
--- a/crates/gateway/tests/testsuite/harness/stack.rs
+++ b/crates/gateway/tests/testsuite/harness/stack.rs
@@ -27,6 +27,9 @@
         let mut settings = Settings::new("host-1".into(), "a".into(), listen);
         settings.key_age = time::Duration::from_secs(60);
         settings.ready_age = time::Duration::from_secs(60);
+        // A gateway has no share of the fixed number of repeats in its first window, so the ratio
+        // alone must allow the repeats of the tests.
+        settings.retry_ratio = 5.0;
         change(&mut settings);
         let kernel = kernel::Kernel::builder().with_traffic_threads(1).start().unwrap();
         let (journal, _) = Journal::start("host-1".into()).unwrap();
