decide, gateway: count a repeat from its decision until one window after its send

Visible to callers: nothing. Endpoints could receive more repeats than the shared retry budget allows.

Cause: a repeat was counted at the time it was decided. It may then wait for a slot at an endpoint for seconds, so that the repeats of two windows arrive within one.

Found by code review during the search for the cause of the reported excess.

Change: a repeat taken from the budget is reserved until it is sent, and counts in the window from then on. A repeat that is not sent (no slot, or the caller has left) is given back; previously it was lost. The budget's side of that has a test; that the gateway gives back what it drops was checked by reading only.

Result: the test of repeats that wait fails without the change (16 in a window of 8), and so does the test of repeats that are not sent. The other seven tests of the budget pass as before; they send each repeat at once.

--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -17,6 +17,15 @@
     RetryBudget::new(Timestamp::ZERO, WINDOW, ratio, fixed)
 }
 
+/// Takes a repeat and sends it at once. Returns whether one was available.
+fn take_and_send(budget: &mut RetryBudget, now: Timestamp, share: f64) -> bool {
+    let is_taken = budget.take(now, share);
+    if is_taken {
+        budget.repeat_sent(now);
+    }
+    is_taken
+}
+
 #[test]
 fn the_sum_over_daemons_stays_within_the_shared_bound_in_every_window() {
     let window = Duration::from_secs(10);
@@ -32,7 +41,7 @@
         budgets[daemon].request(now);
         requests.push(now);
         for _ in 0..3 {
-            if budgets[daemon].take(now, 1.0 / members as f64) {
+            if take_and_send(&mut budgets[daemon], now, 1.0 / members as f64) {
                 repeats.push(now);
             }
         }
@@ -47,10 +56,10 @@
 #[test]
 fn a_budget_is_there_again_after_the_window() {
     let mut budget = budget_started_at_zero(0.0, 10.0);
-    let taken = (0..20).filter(|_| budget.take(AFTER_FIRST_WINDOW, 1.0)).count();
+    let taken = (0..20).filter(|_| take_and_send(&mut budget, AFTER_FIRST_WINDOW, 1.0)).count();
     assert_eq!(taken, 8);
-    assert!(!budget.take(AFTER_FIRST_WINDOW + Duration::from_millis(9_000), 1.0));
-    assert!(budget.take(AFTER_FIRST_WINDOW + Duration::from_millis(10_001), 1.0));
+    assert!(!take_and_send(&mut budget, AFTER_FIRST_WINDOW + Duration::from_millis(9_000), 1.0));
+    assert!(take_and_send(&mut budget, AFTER_FIRST_WINDOW + Duration::from_millis(10_001), 1.0));
 }
 
 // The fixed number was divided by the members of the moment. When four of seven were not listed any more, the other three
@@ -68,7 +77,7 @@
         let now = Timestamp::from_millis(ms);
         for (mesh, budget) in daemons.iter_mut().take(left) {
             mesh.replace(now, &members[..left]);
-            while budget.take(now, mesh.equal_share(now)) {
+            while take_and_send(budget, now, mesh.equal_share(now)) {
                 repeats += 1;
             }
         }
@@ -84,7 +93,7 @@
     let mut budget = budget_started_at_zero(0.5, 20.0);
     let now = AFTER_FIRST_WINDOW;
     (0..10).for_each(|_| budget.request(now));
-    assert!(budget.take(now, 0.25));
+    assert!(take_and_send(&mut budget, now, 0.25));
     // 0.8 * (0.5 * 10 requests + 20 / 4 members) = 8
     assert_eq!(budget.usage(now, 0.25), RetryUsage { repeats: 1, limit: 8 });
     let later = now + Duration::from_millis(10_001);
@@ -98,7 +107,7 @@
     for own in peers(7) {
         let mesh = Mesh::new(own.address, Duration::from_millis(650));
         let mut budget = budget_started_at_zero(0.0, 100.0);
-        while budget.take(AFTER_FIRST_WINDOW, mesh.equal_share(AFTER_FIRST_WINDOW)) {
+        while take_and_send(&mut budget, AFTER_FIRST_WINDOW, mesh.equal_share(AFTER_FIRST_WINDOW)) {
             repeats += 1;
         }
     }
@@ -122,7 +131,7 @@
             mesh.note_entry(now + Duration::from_millis(5_000));
         }
         let mut budget = budget_started_at_zero(0.0, 100.0);
-        while budget.take(now, mesh.equal_share(now)) {
+        while take_and_send(&mut budget, now, mesh.equal_share(now)) {
             repeats += 1;
         }
     }
@@ -140,7 +149,7 @@
             daemons.fill(RetryBudget::new(now, WINDOW, 0.0, 100.0));
         }
         for budget in &mut daemons {
-            while budget.take(now, 1.0 / 7.0) {
+            while take_and_send(budget, now, 1.0 / 7.0) {
                 repeats.push(now);
             }
         }
@@ -150,3 +159,35 @@
     // The fixed number is available again one window after the last restart.
     assert!(repeats.iter().any(|at| *at >= Timestamp::from_millis(37_500)));
 }
+
+// Guards against exceeding the limit when repeats that waited are sent along with later ones.
+#[test]
+fn repeats_that_wait_for_a_slot_count_until_a_window_after_they_are_sent() {
+    let mut budget = budget_started_at_zero(0.0, 10.0);
+    let mut sent = Vec::new();
+    for (ms, wait_ms) in [(10_000, 3_000), (20_001, 0), (23_001, 0)] {
+        let now = Timestamp::from_millis(ms);
+        let taken = (0..20).filter(|_| budget.take(now, 1.0)).count();
+        for _ in 0..taken {
+            let sent_at = now + Duration::from_millis(wait_ms);
+            budget.repeat_sent(sent_at);
+            sent.push(sent_at);
+        }
+    }
+    let in_window =
+        |end: Timestamp| sent.iter().filter(|at| **at <= end && end.since(**at) <= WINDOW).count();
+    let max_in_window = sent.iter().map(|end| in_window(*end)).max();
+    assert_eq!(max_in_window, Some(8));
+    assert_eq!(sent.len(), 16);
+}
+
+// Guards against losing budget to repeats that are taken but not sent.
+#[test]
+fn a_repeat_that_is_given_back_is_available_again() {
+    let mut budget = budget_started_at_zero(0.0, 10.0);
+    let now = AFTER_FIRST_WINDOW;
+    while budget.take(now, 1.0) {}
+    budget.give_back();
+    assert!(budget.take(now, 1.0));
+    assert!(!budget.take(now, 1.0));
+}
--- a/crates/gateway/src/face/driver/mod.rs
+++ b/crates/gateway/src/face/driver/mod.rs
@@ -38,6 +38,8 @@
     grant: Option<gateway::Grant>,
     /// When it was sent last.
     sent: Timestamp,
+    /// The repeat that was taken from the retry budget and is not sent yet.
+    paid_repeat: Option<state::PaidRepeat>,
     /// Holds up the end of a graceful stop.
     _pass: kernel::Pass,
 }
@@ -108,7 +110,17 @@
             if is_idempotent { gateway::Repeat::Idempotent } else { gateway::Repeat::Never };
         let attempt = gateway::Attempt::new(repeat, call.attempts);
         let sent = shared.now();
-        Self { shared, call, access, attempt, tried: Vec::new(), grant: None, sent, _pass: pass }
+        Self {
+            shared,
+            call,
+            access,
+            attempt,
+            tried: Vec::new(),
+            grant: None,
+            sent,
+            paid_repeat: None,
+            _pass: pass,
+        }
     }
 
     async fn run(mut self) -> hyper::Response<face::Body> {
@@ -206,6 +218,9 @@
     fn note_sent(&mut self, slot: &state::Slot, asked: Timestamp) {
         let grant = slot.grant();
         self.attempt.sent();
+        if let Some(paid_repeat) = self.paid_repeat.take() {
+            paid_repeat.sent();
+        }
         self.sent = self.shared.now();
         self.access.sent(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
@@ -225,15 +240,13 @@
     }
 
     /// Says whether the request may be sent once more, and takes that from the retry budget.
-    pub(crate) fn pay_repeat(&self) -> bool {
+    pub(crate) fn pay_repeat(&mut self) -> bool {
         self.may_send_again() && self.take_budget()
     }
 
-    pub(super) fn take_budget(&self) -> bool {
-        let now = self.shared.now();
-        let mut core = self.shared.core();
-        let share = core.mesh.equal_share(now);
-        core.service(&self.call.service).budget.take(now, share)
+    pub(super) fn take_budget(&mut self) -> bool {
+        self.paid_repeat = state::PaidRepeat::take(&self.shared, &self.call.service);
+        self.paid_repeat.is_some()
     }
 
     pub(super) fn retry_usage(&self) -> gateway::RetryUsage {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod asking;
 mod asks;
 mod core;
+mod paid_repeat;
 mod service;
 mod shared;
 mod slot;
@@ -11,6 +12,7 @@
 
 pub(crate) use asking::Asking;
 pub(crate) use core::{Core, DigestKind};
+pub(crate) use paid_repeat::PaidRepeat;
 pub(crate) use service::{Letter, Reply, Service, Verdict};
 pub(crate) use shared::Shared;
 pub(crate) use slot::Slot;
--- /dev/null
+++ b/crates/gateway/src/state/paid_repeat.rs
@@ -0,0 +1,45 @@
+//! A repeat that is reserved in the retry budget.
+
+use std::sync;
+
+use trefoildyke_types::id;
+
+use crate::state;
+
+/// Reserves one repeat in a service's retry budget; gives it back if dropped before the send.
+pub(crate) struct PaidRepeat {
+    shared: sync::Arc<state::Shared>,
+    service: id::PoolName,
+    is_sent: bool,
+}
+
+impl PaidRepeat {
+    /// Takes a repeat from the budget of `service`. Returns `None` if none is available.
+    pub(crate) fn take(shared: &sync::Arc<state::Shared>, service: &id::PoolName) -> Option<Self> {
+        let now = shared.now();
+        let mut core = shared.core();
+        let share = core.mesh.equal_share(now);
+        let is_taken = core.service(service).budget.take(now, share);
+        drop(core);
+        is_taken.then(|| Self {
+            shared: sync::Arc::clone(shared),
+            service: service.clone(),
+            is_sent: false,
+        })
+    }
+
+    /// Records that the repeat is sent now.
+    pub(crate) fn sent(mut self) {
+        self.is_sent = true;
+        let now = self.shared.now();
+        self.shared.core().service(&self.service).budget.repeat_sent(now);
+    }
+}
+
+impl Drop for PaidRepeat {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            self.shared.core().service(&self.service).budget.give_back();
+        }
+    }
+}
