gateway: read and log the request rate limit set by an endpoint

Cause: endpoints may state in their answers how many requests per second they accept from all hosts combined. Nothing read this value and no log line reported it, so it could not be seen which daemon knew of a limit, and when. A sealed answer without the header withdraws the limit. A value that is not a finite, non-negative number is ignored, with a warning that contains it. Result: no decision uses the limit yet.

--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{
     self,
-    pool::{assumed, kept, line, load::Load, mean, state, versions},
+    pool::{assumed, kept, line, load::Load, mean, rate_limit, state, versions},
 };
 
 #[derive(Clone, Debug)]
@@ -38,6 +38,8 @@
     first: line::Line,
     /// The part of the answers that were failures or broken.
     failures: mean::Mean,
+    /// The request rate limit that the endpoint reports in its answers.
+    pub(super) rate_limit: rate_limit::RateLimit,
     /// What was seen here and the others have not been told.
     learned: gateway::Learned,
     /// The answers that the others have not been told of, by route.
@@ -91,6 +93,7 @@
             pace: mean::Low(assumed.step_ms),
             first: line::Line::new(assumed.begin, assumed.prompt * KILO),
             failures: mean::Mean::new(0.0, FAILURE_WINDOW),
+            rate_limit: rate_limit::RateLimit::default(),
             learned: gateway::Learned::default(),
             answers: versions::Untold::default(),
             heard: now,
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -14,6 +14,7 @@
 mod promises;
 mod queue;
 mod ranks;
+mod rate_limit;
 mod state;
 mod usual;
 mod versions;
@@ -143,6 +144,13 @@
         }
     }
 
+    /// Records the rate limit from an endpoint's answer, in requests per second; `None` if the endpoint
+    /// sets no limit. Returns whether the limit has changed.
+    pub fn note_rate_limit(&mut self, now: Timestamp, grant: &Grant, per_s: Option<f64>) -> bool {
+        let endpoint = self.granted(grant);
+        endpoint.is_some_and(|endpoint| endpoint.rate_limit.note(now, per_s))
+    }
+
     /// Notes an event of a stream that came `gap` seconds after the one before.
     pub fn event(&mut self, now: Timestamp, grant: &Grant, gap: f64) {
         let tokens = f64::from(self.event_tokens.max(1));
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod prompts;
 mod quarantine;
 mod quota;
+mod rate_limits;
 mod reports;
 mod rollouts;
 mod roster;
--- a/crates/gateway/src/face/driver/send.rs
+++ b/crates/gateway/src/face/driver/send.rs
@@ -26,9 +26,11 @@
         let shared = sync::Arc::clone(&self.shared);
         let id = self.call.id.clone();
         let grant = slot.grant().clone();
+        let service = self.call.service.clone();
         let sending = async {
             let names = &shared.settings.names;
-            upstream::send(&shared.links, names, &grant, &id, &request).await
+            let on_rate_limit = |limit| shared.note_rate_limit(&service, &grant, limit);
+            upstream::send(&shared.links, names, &grant, &id, &request, on_rate_limit).await
         };
         let mut sending = std::pin::pin!(sending);
         let left = self.call.give_up.since(self.shared.now());
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -19,6 +19,9 @@
     pub seal: HeaderName,
     /// Says that the endpoint did not and will not run the request.
     pub not_run: HeaderName,
+    /// The endpoint's limit on requests per second from all hosts combined; a sealed answer without it
+    /// withdraws the limit.
+    pub rate_limit: HeaderName,
     /// The prompt's tokens and the most tokens to generate, separated by a comma.
     pub tokens: HeaderName,
     /// The model that is asked.
@@ -43,6 +46,7 @@
             expected_endpoint: HeaderName::from_static("trefoildyke-endpoint"),
             seal: HeaderName::from_static("trefoildyke-seal"),
             not_run: HeaderName::from_static("trefoildyke-not-run"),
+            rate_limit: HeaderName::from_static("trefoildyke-rate-limit"),
             tokens: HeaderName::from_static("trefoildyke-tokens"),
             model: HeaderName::from_static("trefoildyke-model"),
             parts: HeaderName::from_static("trefoildyke-prompt-parts"),
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -109,6 +109,13 @@
         /// Whether it gets no new work.
         draining: bool,
     },
+    /// The rate limit that an endpoint reports has changed.
+    EndpointRateLimit {
+        /// The endpoint.
+        endpoint: id::EndpointName,
+        /// The limit in requests per second from all hosts combined; `None` if it was withdrawn.
+        per_s: Option<f64>,
+    },
     /// An endpoint is gone.
     EndpointGone {
         /// The endpoint.
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -147,6 +147,21 @@
         });
     }
 
+    /// Records an endpoint's rate limit in requests per second, `None` if it sets none, and logs a change.
+    pub(crate) fn note_rate_limit(
+        &self,
+        service: &id::PoolName,
+        grant: &gateway::Grant,
+        per_s: Option<f64>,
+    ) {
+        let now = self.now();
+        let has_changed = self.core().service(service).pool.note_rate_limit(now, grant, per_s);
+        if has_changed {
+            let endpoint = grant.endpoint.clone();
+            self.journal.write(&record::Event::EndpointRateLimit { endpoint, per_s });
+        }
+    }
+
     /// Changes the beliefs and sends the messages that follow.
     pub(crate) fn decide<T>(&self, change: impl FnOnce(&mut state::Core) -> T) -> T {
         let (result, mail) = {
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -46,12 +46,16 @@
 /// Sends `request` to the endpoint of `grant`.
 ///
 /// An idle connection that turns out to be closed before a byte was written is replaced.
+///
+/// Calls `on_rate_limit` with the endpoint's rate limit, or with `None` if the answer shows that the
+/// endpoint sets none. It is not called if the answer does not tell or the value is invalid.
 pub(crate) async fn send(
     links: &upstream::Links,
     names: &HeaderNames,
     grant: &gateway::Grant,
     id: &str,
     request: &hyper::Request<Full<Bytes>>,
+    on_rate_limit: impl Fn(Option<f64>),
 ) -> Result<Answer, SendError> {
     loop {
         let idle = links.take(&grant.endpoint);
@@ -64,7 +68,12 @@
             }
         };
         match link.send(request.clone()).await {
-            Ok(response) => return judge(names, id, response, link),
+            Ok(response) => {
+                if let Some(limit) = rate_limit(names, &response) {
+                    on_rate_limit(limit);
+                }
+                return judge(names, id, response, link);
+            }
             Err((_, true)) if !is_new => {}
             Err((error, true)) => return Err(SendError::not_sent(describe(&error))),
             Err((error, false)) => return Err(SendError::broken(&error)),
@@ -110,6 +119,27 @@
     Ok(Answer { response, link })
 }
 
+/// Reads the endpoint's rate limit in requests per second: `Some(None)` if the endpoint sets none, `None`
+/// if the answer does not tell or the value is invalid.
+///
+/// A missing header means that there is no limit only if the answer is sealed: an unsealed answer may
+/// come from an intermediary.
+fn rate_limit<B>(names: &HeaderNames, response: &hyper::Response<B>) -> Option<Option<f64>> {
+    let headers = response.headers();
+    if !headers.contains_key(&names.rate_limit) {
+        return headers.contains_key(&names.seal).then_some(None);
+    }
+    let text = names::text(headers, &names.rate_limit);
+    let limit = text.and_then(|text| text.parse::<f64>().ok());
+    let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
+    if limit.is_none() {
+        log::warn!(
+            "ignoring an endpoint's rate limit {text:?}: expected a finite, non-negative number of requests per second"
+        );
+    }
+    limit.map(Some)
+}
+
 /// Says whether callers take the status as a promise that nothing ran.
 pub(crate) const fn is_promise(status: StatusCode) -> bool {
     matches!(
