decide, gateway: enforce the rate limits that endpoints report

Callers saw: nothing at first. Endpoints in need received more requests than they accept (21 in 4 s where 20 were allowed at 2.5 per second, 25 where 16 were allowed at 1.9 per second). Cause: requests are placed by free slots alone. A limit in an answer was at first not recorded by any daemon, later only by the daemon that received the answer; the daemon that places the requests of all daemons never learned of it. Ruled out: a stop, or a new configuration version that drops a limit; the excess began before either. Change: each endpoint with a limit has a token bucket that refills at that rate and holds two tokens. The endpoint counts as full while its bucket is empty. A daemon reports a changed limit at once to the daemons that place requests, and repeats the report with its age for 5 s, since a message may be lost; the latest report applies. An endpoint with a limit below 0.25 requests per second still receives requests at that rate, so that it can withdraw the limit. Weighed, by arithmetic: dividing the limit among the daemons, each enforcing its own share (with 8 daemons and 2 requests per second, each would place one request in 4 s, and daemons with few callers would leave their share unused).

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -44,10 +44,21 @@
     pub silent_ms: u32,
     /// What the sender has learned since its last report, if anything.
     pub learned: Option<Learned>,
+    /// The endpoint's rate limit, if the sender has recently received it in an answer.
+    pub rate_limit: Option<RateLimitReport>,
     /// The answers since the sender's last report, while another version of the service is tried.
     pub answers: Vec<RouteAnswers>,
 }
 
+/// Reports the rate limit that the sender received from an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct RateLimitReport {
+    /// The limit in requests per second; `None` if the endpoint has withdrawn it.
+    pub per_s: Option<f64>,
+    /// The time since the sender received it, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Counts the answers to requests of one route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RouteAnswers {
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -14,7 +14,7 @@
 pub use charge::{Charge, ChargeReply};
 pub use crash::Crash;
 pub use digest::{AccountSpend, Digest};
-pub use load::{EndpointLoad, Firsts, Learned, LoadReport, RouteAnswers};
+pub use load::{EndpointLoad, Firsts, Learned, LoadReport, RateLimitReport, RouteAnswers};
 pub use placing::{Ask, PlaceReply, Placed};
 pub use store_view::StoreView;
 
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -35,10 +35,11 @@
 pub use mesh::{Mesh, News, Peer, Placing};
 pub use message::{
     AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
-    LoadReport, Message, PlaceReply, Placed, RouteAnswers, StoreView,
+    LoadReport, Message, PlaceReply, Placed, RateLimitReport, RouteAnswers, StoreView,
 };
 pub use pool::{
-    Demand, EndpointState, Grant, Outcome, Pool, PoolParams, Refused, Settled, Ticket, Verdict,
+    Demand, EndpointState, Grant, Outcome, Pool, PoolParams, RateLimitChange, Refused, Settled,
+    Ticket, Verdict,
 };
 pub use prompt::{PromptPart, prompt_parts};
 pub use quarantine::{Quarantine, QuarantineChange, QuarantineParams};
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -124,6 +124,7 @@
             self.heard = now;
         }
         self.own.add(unread);
+        self.rate_limit.count_request(now);
         self.kept.note(now, &demand.parts);
     }
 
@@ -189,9 +190,16 @@
         let learned = std::mem::take(&mut self.learned);
         let learned = (!learned.is_empty()).then_some(learned);
         let answers = self.answers.take();
-        let has_news = has_changed || learned.is_some() || !answers.is_empty();
-        let is_told = has_news || (all && self.own.running > 0);
-        is_told.then(|| gateway::EndpointLoad { learned, answers, ..self.report(now, name) })
+        let rate_limit = self.rate_limit.report(now);
+        let has_limit_change = self.rate_limit.take_unreported_change();
+        let has_news = has_changed || has_limit_change || learned.is_some() || !answers.is_empty();
+        let is_told = has_news || (all && (self.own.running > 0 || rate_limit.is_some()));
+        is_told.then(|| gateway::EndpointLoad {
+            learned,
+            rate_limit,
+            answers,
+            ..self.report(now, name)
+        })
     }
 
     pub(super) fn first(&mut self, now: Timestamp, grant: &gateway::Grant, prompt: u32) {
@@ -311,6 +319,7 @@
             prefill: self.own.prefill,
             silent_ms: self.silence(now, self.own).as_millis() as u32,
             learned: None,
+            rate_limit: None,
             answers: Vec::new(),
         }
     }
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -15,7 +15,9 @@
 mod queue;
 mod ranks;
 mod rate_limit;
+mod rate_limit_change;
 mod state;
+mod token_bucket;
 mod usual;
 mod versions;
 mod view;
@@ -29,6 +31,7 @@
 
 pub use demand::{Demand, Grant, Outcome, Refused, Settled, Ticket, Verdict};
 pub use params::PoolParams;
+pub use rate_limit_change::RateLimitChange;
 pub use state::EndpointState;
 
 /// Decides which requests go to which endpoint of a service, and when.
@@ -57,6 +60,8 @@
     usual: usual::Usual,
     /// Whether endpoints were listed or removed since that was worked out.
     has_listed: bool,
+    /// The rate limit changes since the last call of `take_rate_limit_changes`.
+    rate_limit_changes: Vec<RateLimitChange>,
 }
 
 impl Pool {
@@ -75,6 +80,7 @@
             versions: versions::Versions::default(),
             usual: usual::Usual::default(),
             has_listed: true,
+            rate_limit_changes: Vec::new(),
         }
     }
 
@@ -148,7 +154,17 @@
     /// sets no limit. Returns whether the limit has changed.
     pub fn note_rate_limit(&mut self, now: Timestamp, grant: &Grant, per_s: Option<f64>) -> bool {
         let endpoint = self.granted(grant);
-        endpoint.is_some_and(|endpoint| endpoint.rate_limit.note(now, per_s))
+        let has_changed = endpoint.is_some_and(|endpoint| endpoint.rate_limit.note(now, per_s));
+        if has_changed {
+            let endpoint = grant.endpoint.clone();
+            self.rate_limit_changes.push(RateLimitChange { endpoint, per_s });
+        }
+        has_changed
+    }
+
+    /// Returns the rate limit changes since the last call.
+    pub fn take_rate_limit_changes(&mut self) -> Vec<RateLimitChange> {
+        std::mem::take(&mut self.rate_limit_changes)
     }
 
     /// Notes an event of a stream that came `gap` seconds after the one before.
@@ -185,6 +201,12 @@
             let known = self.endpoints.get_mut(&load.endpoint);
             if let Some(endpoint) = known.filter(|known| known.start == load.start) {
                 endpoint.learn(now, load, &self.params);
+                if let Some(report) = &load.rate_limit
+                    && endpoint.rate_limit.learn(now, report)
+                {
+                    let (endpoint, per_s) = (load.endpoint.clone(), report.per_s);
+                    self.rate_limit_changes.push(RateLimitChange { endpoint, per_s });
+                }
                 self.versions.note_told(now, &endpoint.version, load);
             }
         }
@@ -212,9 +234,12 @@
         endpoints.filter_map(|(name, endpoint)| endpoint.tell(now, name, all)).collect()
     }
 
-    /// Says whether this daemon has work at an endpoint.
-    pub fn has_work(&self) -> bool {
-        self.endpoints.values().any(|endpoint| endpoint.own.running > 0)
+    /// Says whether this daemon has work at an endpoint, or a rate limit to repeat to the other
+    /// daemons.
+    pub fn has_work(&self, now: Timestamp) -> bool {
+        self.endpoints
+            .values()
+            .any(|endpoint| endpoint.own.running > 0 || endpoint.rate_limit.report(now).is_some())
     }
 
     /// Returns how long a request is expected to run at an endpoint of mean speed.
--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -26,6 +26,10 @@
     pub(super) is_probe: bool,
 }
 
+impl Room {
+    const NONE: Self = Self { slots: 0, is_next: false, is_probe: false };
+}
+
 /// An endpoint at which something is free.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Open<'a> {
@@ -96,10 +100,15 @@
         load: load::Load,
         usual: usual::Usual,
     ) -> Room {
+        let available = endpoint.rate_limit.available(now);
+        if available == Some(0) {
+            return Room::NONE;
+        }
         let is_failing = endpoint.failure_part() > usual.failures + FAILING;
         if !is_failing && !endpoint.is_doubted(now, load, &self.params) {
             let slots = endpoint.slots.saturating_sub(load.running) as usize;
             let is_next = slots == 0 && self.may_queue(endpoint, load);
+            let slots = slots.min(available.unwrap_or(usize::MAX));
             return Room { slots, is_next, is_probe: false };
         }
         Room { slots: 0, is_next: false, is_probe: load.running == 0 }
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -124,6 +124,7 @@
         prefill: 0,
         silent_ms: 0,
         learned: None,
+        rate_limit: None,
         answers: Vec::new(),
     };
     let endpoints = running.iter().map(load).collect();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -115,6 +115,7 @@
         }
         Ok(gateway::Message::Load(report)) => {
             shared.decide(|core| core.load(shared.now(), from, &report));
+            shared.log_rate_limit_changes(&report.service);
         }
         Ok(gateway::Message::Ask(ask)) => {
             shared.decide(|core| core.service(&ask.service).ask_for(shared.now(), from, &ask));
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -278,7 +278,7 @@
     /// Tells all that this daemon has anywhere, since a report may have been lost and others may
     /// place the requests now.
     pub(crate) fn report_all(&mut self, now: Timestamp) {
-        let with_work = self.services.iter().filter(|(_, service)| service.pool.has_work());
+        let with_work = self.services.iter().filter(|(_, service)| service.pool.has_work(now));
         let names: Vec<_> = with_work.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.tell_placers(now, &name, true);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -147,7 +147,8 @@
         });
     }
 
-    /// Records an endpoint's rate limit in requests per second, `None` if it sets none, and logs a change.
+    /// Records an endpoint's rate limit in requests per second, `None` if it sets none. Logs a change
+    /// and reports it to the daemon that places the requests.
     pub(crate) fn note_rate_limit(
         &self,
         service: &id::PoolName,
@@ -155,9 +156,22 @@
         per_s: Option<f64>,
     ) {
         let now = self.now();
-        let has_changed = self.core().service(service).pool.note_rate_limit(now, grant, per_s);
+        let has_changed = self.decide(|core| {
+            let has_changed = core.service(service).pool.note_rate_limit(now, grant, per_s);
+            if has_changed {
+                core.report(now, service);
+            }
+            has_changed
+        });
         if has_changed {
-            let endpoint = grant.endpoint.clone();
+            self.log_rate_limit_changes(service);
+        }
+    }
+
+    /// Logs the rate limit changes of a service's endpoints since the last call.
+    pub(crate) fn log_rate_limit_changes(&self, service: &id::PoolName) {
+        let changes = self.core().service(service).pool.take_rate_limit_changes();
+        for gateway::RateLimitChange { endpoint, per_s } in changes {
             self.journal.write(&record::Event::EndpointRateLimit { endpoint, per_s });
         }
     }
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -265,3 +265,34 @@
     let served = serve(2);
     assert!((15..=45).contains(&served), "{served}");
 }
+
+/// Guards against two gateways together exceeding an endpoint's limit of two requests per second.
+#[test]
+fn gateways_together_keep_to_the_rate_limit_of_an_endpoint() {
+    let limited = Step::Raw(
+        "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+         trefoildyke-rate-limit: 2.0\r\nContent-Length: 1\r\n\r\nx",
+    );
+    let limited = Endpoint::start(vec![vec![limited]]);
+    let other = Endpoint::start(vec![vec![Step::Answer("y")]]);
+    let stacks = [Stack::start(&[&limited, &other]), Stack::start(&[&limited, &other])];
+    meet(&stacks);
+    let send_requests = |duration| {
+        let end = std::time::Instant::now() + duration;
+        let mut number = 0;
+        while std::time::Instant::now() < end {
+            let reply = stacks[number % 2].ask("GET /once/").unwrap();
+            assert_eq!(reply.status, 200);
+            thread::sleep(Duration::from_millis(5));
+            number += 1;
+        }
+    };
+    send_requests(Duration::from_millis(500));
+    let (before, before_other) = (limited.seen().len(), other.seen().len());
+    send_requests(Duration::from_millis(3_000));
+    let count = limited.seen().len() - before;
+    // The upper bound is one and a half times the limit plus five.
+    assert!(count <= 14, "{count} requests in 3 s");
+    assert!(count >= 4, "{count} requests in 3 s: the limit is not used");
+    assert!(other.seen().len() - before_other > 100);
+}
