decide, gateway: re-read an endpoint list that may hold gone entries once the daemon has settled

Cause, from reading the code: a daemon that has just started keeps entries that vanish, since an outage of the source may have ended just before. A daemon that has not settled itself follows such a list, and treated it as current for 1.6 s even after it had settled. From then on it refuses the list of another reader that has not settled, but it keeps the old one. If a reader starts right before an endpoint leaves, and a follower started one second earlier, the endpoint gets requests for up to 2.6 s.

Fix: a list that may hold kept entries counts as outdated 0.6 s after the daemon has settled, unless it has followed the list of a settled reader by then (each daemon queries every 0.45 s), read no earlier than its own. The list is therefore correct three seconds after a start.

--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -51,6 +51,9 @@
     steady: Option<Timestamp>,
     /// When the list was read last.
     read: Option<Timestamp>,
+    /// Whether the list may hold entries that are gone, because its reader had not settled when it
+    /// read the list.
+    may_hold_gone_entries: bool,
     /// Stands for the entries.
     mark: u64,
     /// The latest changes, oldest first.
@@ -66,6 +69,10 @@
     changes: Vec<RosterChange>,
 }
 
+/// How long a daemon that has settled waits for the list of a settled reader before it reads the list
+/// again; longer than the interval between queries to a reader.
+const SETTLED_LIST_WAIT: time::Duration = time::Duration::from_millis(600);
+
 /// How many changes are told another daemon at once: with some 100 bytes each they fit in one datagram.
 const TOLD: usize = 100;
 
@@ -79,6 +86,7 @@
             grace,
             steady: None,
             read: None,
+            may_hold_gone_entries: false,
             mark: EMPTY,
             steps: collections::VecDeque::new(),
             entries: collections::BTreeMap::new(),
@@ -147,6 +155,15 @@
         is_listed && is_later && is_steady
     }
 
+    /// Says whether the list was read less than `max_age` ago. A list that may hold entries that are
+    /// gone is current only until `SETTLED_LIST_WAIT` after this daemon has settled.
+    pub fn is_current(&self, now: Timestamp, max_age: time::Duration) -> bool {
+        let is_recent = self.read.is_some_and(|read| now.since(read) < max_age);
+        let wait = self.grace + SETTLED_LIST_WAIT;
+        let has_waited = self.steady.is_some_and(|steady| now.since(steady) >= wait);
+        is_recent && !(self.may_hold_gone_entries && has_waited)
+    }
+
     /// Returns since when the source has answered without a break.
     pub const fn steady(&self) -> Option<Timestamp> {
         self.steady
@@ -190,6 +207,7 @@
             }
             self.entries.insert(entry.endpoint.clone(), entry);
         }
+        self.may_hold_gone_entries = !is_settled && !missing.is_empty();
         for (endpoint, entry) in missing {
             if is_settled {
                 changes.push(RosterChange::Gone(endpoint));
@@ -224,10 +242,12 @@
     /// Takes in what another daemon says has changed since the list with the mark `from`, and returns
     /// what changes here: nothing if the list is another one by now.
     ///
-    /// The other daemon read the list at `read`, and waited before it counted missing entries as gone.
+    /// The other daemon read the list at `read`, and had known the source to be steady since `since`.
+    /// It counts missing entries as gone only once it has settled.
     pub fn follow(
         &mut self,
         read: Timestamp,
+        since: Timestamp,
         from: u64,
         changes: Vec<RosterChange>,
     ) -> Vec<RosterChange> {
@@ -244,6 +264,9 @@
                 }
             }
         }
+        let is_latest = Some(read) >= self.read;
+        let is_settled = self.is_settled(read, since);
+        self.may_hold_gone_entries = !is_settled || (self.may_hold_gone_entries && !is_latest);
         self.read = self.read.max(Some(read));
         self.remember(&changes);
         changes
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -111,7 +111,7 @@
     other.replace(at(9), vec![entry("a"), entry("b")]);
     assert_eq!(other.mark(), first);
     let told = reader.changes_since(first).unwrap();
-    assert_eq!(other.follow(at(4_000), first, told).len(), 3);
+    assert_eq!(other.follow(at(4_000), at(0), first, told).len(), 3);
     assert_eq!(other.mark(), reader.mark());
     assert_eq!(other.read(), Some(at(4_000)));
     assert_eq!(reader.changes_since(second).unwrap(), [RosterChange::Gone("b".into())]);
@@ -123,7 +123,7 @@
     let (reader, ..) = read_twice();
     let mut other = Roster::new(GRACE);
     let told = reader.changes_since(other.mark()).unwrap();
-    other.follow(at(1), other.mark(), told);
+    other.follow(at(1), at(0), other.mark(), told);
     assert_eq!(other.mark(), reader.mark());
     assert_eq!(reader.changes_since(77), None);
 }
@@ -132,7 +132,7 @@
 fn what_is_told_of_another_list_changes_nothing() {
     let (mut roster, first, second) = read_twice();
     let changes = vec![RosterChange::Gone("c".into())];
-    assert_eq!(roster.follow(at(9_000), first, changes), []);
+    assert_eq!(roster.follow(at(9_000), at(0), first, changes), []);
     assert_eq!(roster.mark(), second);
     assert_eq!(roster.read(), Some(at(3_000)));
 }
@@ -190,3 +190,49 @@
     roster.compare(other.mark(), at(26_400));
     assert!(roster.read().is_some());
 }
+
+/// Reader and follower have both just started, and the reader keeps the entry of an endpoint that has left. Without an early
+/// read, the follower would send requests to that endpoint until the list reached its maximum age.
+#[test]
+fn a_list_that_may_hold_gone_entries_is_read_again_after_the_follower_has_settled() {
+    let max_age = Duration::from_millis(1_600);
+    let mut reader = Roster::new(GRACE);
+    reader.replace(at(17_280), vec![entry("a"), entry("b")]);
+    assert_eq!(gone(&reader.replace(at(18_300), vec![entry("a")])), 0);
+    let mut follower = Roster::new(GRACE);
+    follower.replace(at(16_400), vec![entry("a"), entry("b")]);
+    assert!(follower.may_follow(at(18_500), at(18_300), at(17_280)));
+    follower.assume_steady(at(17_280));
+    let told = reader.changes_since(follower.mark()).unwrap();
+    follower.follow(at(18_300), at(17_280), follower.mark(), told);
+    assert!(follower.is_current(at(18_700), max_age));
+    // Three seconds after its start, the follower must read the list again.
+    assert!(!follower.is_current(at(19_400), max_age));
+    assert_eq!(gone(&follower.replace(at(19_400), vec![entry("a")])), 1);
+    assert!(follower.is_current(at(19_500), max_age));
+}
+
+/// Followers must not read the source again while the list of a settled reader is recent.
+#[test]
+fn the_list_of_a_settled_reader_stays_current() {
+    let max_age = Duration::from_millis(1_600);
+    let mut follower = Roster::new(GRACE);
+    follower.replace(at(0), vec![entry("a"), entry("b")]);
+    follower.replace(at(1_000), vec![entry("a")]);
+    let told = vec![RosterChange::Gone("b".into())];
+    follower.follow(at(2_500), at(0), follower.mark(), told);
+    assert!(follower.is_current(at(3_500), max_age));
+}
+
+/// Guards against trusting a kept entry because of an older list of a settled reader.
+#[test]
+fn an_older_list_of_a_settled_reader_does_not_vouch_for_kept_entries() {
+    let max_age = Duration::from_millis(1_600);
+    let mut follower = Roster::new(GRACE);
+    follower.replace(at(10_000), vec![entry("a"), entry("b")]);
+    follower.replace(at(12_000), vec![entry("a")]);
+    follower.follow(at(11_900), at(0), follower.mark(), Vec::new());
+    assert!(!follower.is_current(at(12_900), max_age));
+    follower.follow(at(12_600), at(0), follower.mark(), Vec::new());
+    assert!(follower.is_current(at(12_900), max_age));
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -59,8 +59,14 @@
     }
 
     /// Takes in what changed between the list with the mark `from` and one read at `read`.
-    pub(crate) fn follow(&self, read: Timestamp, from: u64, changes: Vec<gateway::RosterChange>) {
-        self.change_endpoints(self.now(), |roster| roster.follow(read, from, changes));
+    pub(crate) fn follow(
+        &self,
+        read: Timestamp,
+        since: Timestamp,
+        from: u64,
+        changes: Vec<gateway::RosterChange>,
+    ) {
+        self.change_endpoints(self.now(), |roster| roster.follow(read, since, from, changes));
     }
 
     fn change_endpoints(
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -123,10 +123,10 @@
         is_told && !core.mesh.is_reader(now) && !core.freshness.is_within(now, STALE)
     }
 
-    /// Says whether the list of endpoints was read recently enough, here or by the daemon that told of it.
+    /// Says whether the list of endpoints was read recently enough, here or by the daemon that told of it, and need not be
+    /// read again to tell which entries are gone.
     pub fn endpoints_are_current(&self) -> bool {
-        let read = self.shared.core().roster.read();
-        read.is_some_and(|read| self.now().since(read) < self.shared.settings.list_age)
+        self.shared.core().roster.is_current(self.now(), self.shared.settings.list_age)
     }
 
     /// Takes over what another daemon knew when it replied to a query that was sent at `asked`, with
@@ -157,7 +157,7 @@
         }
         drop(core);
         if let Some(changes) = reply.changes {
-            self.follow(before(view.read), roster, changes);
+            self.follow(before(view.read), before(view.steady), roster, changes);
         }
         self.shared.core().roster.compare(view.roster, before(view.read));
         true
