decide: test that a version failing on one route, or only later, is found bad

Cause: with either the per-route evidence or the window of recent answers removed from the comparison, one at a time (trials on a scratch copy), no test of `rollouts` failed, and no test of the emulator in the testbed failed. Change: add one test for each; both test the comparison in isolation. Result: each test fails when only the part it covers is removed (trials: `a_version_that_fails_on_one_route_only_is_found_bad` without the per-route evidence, `a_version_that_turns_bad_later_is_found_bad` without the window of recent answers); 19 tests of `rollouts` pass.

--- a/crates/decide/tests/testsuite/gateway/rollouts.rs
+++ b/crates/decide/tests/testsuite/gateway/rollouts.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use trefoildyke_decide::gateway::{
-    Access, Comparison, Demand, Exposure, Finding, Grant, Outcome, Pool, PoolParams, Rollout,
-    Rollouts, RosterEntry, Settled, Stage, Verdict,
+    Access, Answers, Comparison, Demand, Exposure, Finding, Grant, Judge, Outcome, Pool,
+    PoolParams, Rollout, Rollouts, RosterEntry, Settled, Stage, Verdict,
 };
 
 use super::support::{at, demand, entry, queued};
@@ -327,3 +327,38 @@
         }
     }
 }
+
+/// Records `count` answers per route for the version in force and for each of two endpoints of the canary version; for each of these
+/// endpoints, `bad(route)` of the answers are bad.
+fn note_answers(judge: &mut Judge, ms: u64, routes: u32, count: u32, bad: impl Fn(u32) -> u32) {
+    for route in 0..routes {
+        judge.note_usual(at(ms), route, Answers { count, bad: 0 });
+        for endpoint in ["n1", "n2"] {
+            judge.note_tried(at(ms), &endpoint.into(), route, Answers { count, bad: bad(route) });
+        }
+    }
+}
+
+/// Guards against missing failures on a single route when the total over all routes looks good.
+#[test]
+fn a_version_that_fails_on_one_route_only_is_found_bad() {
+    let mut judge = Judge::default();
+    note_answers(&mut judge, 0, 40, 20, |route| if route == 7 { 8 } else { 0 });
+    assert!(matches!(judge.compare(at(100)), Comparison::Bad { .. }));
+    let mut good = Judge::default();
+    note_answers(&mut good, 0, 40, 20, |_| 0);
+    assert_eq!(good.compare(at(100)), Comparison::Good);
+}
+
+/// Guards against earlier good answers hiding a version that starts to fail.
+#[test]
+fn a_version_that_turns_bad_later_is_found_bad() {
+    let mut judge = Judge::default();
+    for ms in (0..20_000).step_by(500) {
+        note_answers(&mut judge, ms, 1, 50, |_| 0);
+    }
+    for ms in (20_000..22_000).step_by(500) {
+        note_answers(&mut judge, ms, 1, 10, |_| 3);
+    }
+    assert!(matches!(judge.compare(at(22_000)), Comparison::Bad { .. }));
+}
