decide: one maximum age for the tests of endpoint lists

Cause: three tests of the roster each named the same age; a comment told whose bound it was in place of what it is. Change: a constant, and the comment.

--- a/crates/decide/tests/testsuite/gateway/rate_limits.rs
+++ b/crates/decide/tests/testsuite/gateway/rate_limits.rs
@@ -70,7 +70,7 @@
     times.iter().map(window).max().unwrap_or(0)
 }
 
-/// Returns the number of requests that users allow within four seconds at a limit of `per_s`.
+/// Returns the largest number of requests that a limit of `per_s` permits within four seconds.
 fn allowed_requests(per_s: f64) -> usize {
     (per_s * 4.0 * 1.5 + 5.0) as usize
 }
--- a/crates/decide/tests/testsuite/gateway/roster.rs
+++ b/crates/decide/tests/testsuite/gateway/roster.rs
@@ -9,6 +9,9 @@
 
 const GRACE: Duration = Duration::from_millis(2_200);
 
+/// The age from which a list is read again.
+const MAX_AGE: Duration = Duration::from_millis(1_600);
+
 fn gone(changes: &[RosterChange]) -> usize {
     changes.iter().filter(|change| matches!(change, RosterChange::Gone(_))).count()
 }
@@ -195,7 +198,6 @@
 /// read, the follower would send requests to that endpoint until the list reached its maximum age.
 #[test]
 fn a_list_that_may_hold_gone_entries_is_read_again_after_the_follower_has_settled() {
-    let max_age = Duration::from_millis(1_600);
     let mut reader = Roster::new(GRACE);
     reader.replace(at(17_280), vec![entry("a"), entry("b")]);
     assert_eq!(gone(&reader.replace(at(18_300), vec![entry("a")])), 0);
@@ -205,34 +207,32 @@
     follower.assume_steady(at(17_280));
     let told = reader.changes_since(follower.mark()).unwrap();
     follower.follow(at(18_300), at(17_280), follower.mark(), told);
-    assert!(follower.is_current(at(18_700), max_age));
+    assert!(follower.is_current(at(18_700), MAX_AGE));
     // Three seconds after its start, the follower must read the list again.
-    assert!(!follower.is_current(at(19_400), max_age));
+    assert!(!follower.is_current(at(19_400), MAX_AGE));
     assert_eq!(gone(&follower.replace(at(19_400), vec![entry("a")])), 1);
-    assert!(follower.is_current(at(19_500), max_age));
+    assert!(follower.is_current(at(19_500), MAX_AGE));
 }
 
 /// Followers must not read the source again while the list of a settled reader is recent.
 #[test]
 fn the_list_of_a_settled_reader_stays_current() {
-    let max_age = Duration::from_millis(1_600);
     let mut follower = Roster::new(GRACE);
     follower.replace(at(0), vec![entry("a"), entry("b")]);
     follower.replace(at(1_000), vec![entry("a")]);
     let told = vec![RosterChange::Gone("b".into())];
     follower.follow(at(2_500), at(0), follower.mark(), told);
-    assert!(follower.is_current(at(3_500), max_age));
+    assert!(follower.is_current(at(3_500), MAX_AGE));
 }
 
 /// Guards against trusting a kept entry because of an older list of a settled reader.
 #[test]
 fn an_older_list_of_a_settled_reader_does_not_vouch_for_kept_entries() {
-    let max_age = Duration::from_millis(1_600);
     let mut follower = Roster::new(GRACE);
     follower.replace(at(10_000), vec![entry("a"), entry("b")]);
     follower.replace(at(12_000), vec![entry("a")]);
     follower.follow(at(11_900), at(0), follower.mark(), Vec::new());
-    assert!(!follower.is_current(at(12_900), max_age));
+    assert!(!follower.is_current(at(12_900), MAX_AGE));
     follower.follow(at(12_600), at(0), follower.mark(), Vec::new());
-    assert!(follower.is_current(at(12_900), max_age));
+    assert!(follower.is_current(at(12_900), MAX_AGE));
 }
