gateway, platform: log lines and metrics of each read of the configuration

Cause: the lines told that a call to the store had failed, but not how much of the answer had come, how long a read took, or what decoding cost; a failed stale read wrote nothing. Change: config_read (source, version, bytes, read_ms, decode_ms) and config_read_failed lines, three metrics, and the number of bytes in the error of a call that exceeds its deadline.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -48,6 +48,20 @@
         }
     }
 
+    /// Logs a completed read of the configuration and adds it to the metrics.
+    pub fn log_config_read(&self, read: record::ConfigRead) {
+        self.shared.metrics.config_read(&read);
+        self.shared.journal.write(&record::Event::ConfigRead { read });
+    }
+
+    /// Logs that a read of the configuration from `source` has failed after a time of length `after`.
+    pub fn log_config_failure(&self, source: &'static str, after: time::Duration, reason: String) {
+        let after_ms = after.as_millis() as u64;
+        self.shared.metrics.config_read_failed(source);
+        let event = record::Event::ConfigReadFailed { source, after_ms, reason };
+        self.shared.journal.write(&event);
+    }
+
     /// Records that the configuration was still in force at `as_of`.
     pub fn confirm(&self, as_of: Timestamp) {
         self.shared.core().freshness.confirm(as_of);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,5 +30,5 @@
 pub use gateway::Gateway;
 pub use names::HeaderNames;
 pub use query::ReaderStatus;
-pub use record::{DropCounter, Event, Journal, RequestInputs, TrialStats};
+pub use record::{ConfigRead, DropCounter, Event, Journal, RequestInputs, TrialStats};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,9 @@
     rollouts: metrics::Counter<u64>,
     first_byte: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
+    config_reads: metrics::Histogram<f64>,
+    config_bytes: metrics::Counter<u64>,
+    config_failures: metrics::Counter<u64>,
     registry: prometheus::Registry,
     /// Kept alive because the instruments stop working when it is dropped.
     _provider: sdk::SdkMeterProvider,
@@ -56,6 +59,18 @@
             ),
             first_byte: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
+            config_reads: histogram(
+                "gateway_config_read_ms",
+                "Duration of reads of the configuration by source.",
+            ),
+            config_bytes: counter(
+                "gateway_config_read_bytes",
+                "Bytes of configurations read by source.",
+            ),
+            config_failures: counter(
+                "gateway_config_read_failures",
+                "Failed reads of the configuration by source.",
+            ),
             registry,
             _provider: provider,
         })
@@ -93,6 +108,16 @@
         self.first_byte.record(ms as f64, &[]);
     }
 
+    pub(crate) fn config_read(&self, read: &record::ConfigRead) {
+        let source = [KeyValue::new("source", read.source)];
+        self.config_reads.record(read.read_ms as f64, &source);
+        self.config_bytes.add(read.bytes as u64, &source);
+    }
+
+    pub(crate) fn config_read_failed(&self, source: &'static str) {
+        self.config_failures.add(1, &[KeyValue::new("source", source)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Result<String, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -45,6 +45,21 @@
     pub evidence: Option<f64>,
 }
 
+/// A completed read of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct ConfigRead {
+    /// The source.
+    pub source: &'static str,
+    /// The version that was read.
+    pub version: u64,
+    /// The size of the encoded configuration, in bytes.
+    pub bytes: usize,
+    /// The time from the call to the complete answer, in milliseconds.
+    pub read_ms: u64,
+    /// The time for decoding, in milliseconds.
+    pub decode_ms: u64,
+}
+
 /// A decision about a request, or a change of the daemon's state.
 #[derive(Clone, Debug, serde::Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -98,6 +113,21 @@
         /// The age of the version's confirmation, in milliseconds; `None` if it came without one.
         age_ms: Option<u64>,
     },
+    /// A version of the configuration was read.
+    ConfigRead {
+        /// What was read, and how long it took.
+        #[serde(flatten)]
+        read: ConfigRead,
+    },
+    /// A version of the configuration that is known to be in force could not be read.
+    ConfigReadFailed {
+        /// The source.
+        source: &'static str,
+        /// The time since the read began, in milliseconds.
+        after_ms: u64,
+        /// The reason.
+        reason: String,
+    },
     /// An endpoint is listed, or its entry has changed.
     EndpointListed {
         /// The endpoint.
--- a/crates/gateway/src/record/mod.rs
+++ b/crates/gateway/src/record/mod.rs
@@ -3,5 +3,5 @@
 mod event;
 mod journal;
 
-pub use event::{Event, RequestInputs, TrialStats};
+pub use event::{ConfigRead, Event, RequestInputs, TrialStats};
 pub use journal::{DropCounter, Journal};
--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -1,5 +1,6 @@
 //! An HTTP client with a connection pool and a deadline on every call.
 
+use std::sync::atomic;
 use std::{sync, time};
 
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -52,8 +53,9 @@
         deadline: time::Duration,
     ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
         let generation = self.generation();
-        let exchange = self.exchange(&generation, request);
-        self.with_deadline(&generation, deadline, exchange).await
+        let received = atomic::AtomicUsize::new(0);
+        let exchange = self.exchange(&generation, request, &received);
+        self.with_deadline(&generation, deadline, &received, exchange).await
     }
 
     /// Sends a request and returns when the head of the answer has arrived, within `deadline`.
@@ -66,7 +68,7 @@
     ) -> Result<hyper::Response<body::Incoming>, http::CallError> {
         let generation = self.generation();
         let head = send(&generation, request);
-        self.with_deadline(&generation, deadline, head).await
+        self.with_deadline(&generation, deadline, &atomic::AtomicUsize::new(0), head).await
     }
 
     /// Replaces the connection pool, so that the next calls open new connections.
@@ -86,8 +88,14 @@
         &self,
         generation: &Generation,
         request: hyper::Request<bytes::Bytes>,
+        received: &atomic::AtomicUsize,
     ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
         let (head, body) = send(generation, request).await?.into_parts();
+        let body = body.map_frame(|frame| {
+            let length = frame.data_ref().map_or(0, bytes::Bytes::len);
+            received.fetch_add(length, atomic::Ordering::Relaxed);
+            frame
+        });
         let body = Limited::new(body, self.shared.limits.body)
             .collect()
             .await
@@ -99,13 +107,20 @@
         &self,
         generation: &Generation,
         deadline: time::Duration,
+        received: &atomic::AtomicUsize,
         call: impl Future<Output = Result<T, http::CallError>>,
     ) -> Result<T, http::CallError> {
         match tokio::time::timeout(deadline, call).await {
             Ok(result) => result,
             Err(_) => {
                 self.replace(generation.number);
-                let detail = format!("nothing came within {} ms", deadline.as_millis());
+                let deadline_ms = deadline.as_millis();
+                let detail = match received.load(atomic::Ordering::Relaxed) {
+                    0 => format!("nothing came within {deadline_ms} ms"),
+                    bytes => {
+                        format!("incomplete after {deadline_ms} ms: {bytes} bytes of the body came")
+                    }
+                };
                 Err(http::CallError::Lost(detail))
             }
         }
