--- a/testbed/src/relay/copy.rs
+++ b/testbed/src/relay/copy.rs
@@ -14,11 +14,13 @@
 
 const PIECE: usize = 16 << 10;
 
-/// Counts what has passed through a relay.
+/// Counts what has passed through a relay, and paces what passes at a limited rate.
 #[derive(Debug, Default)]
 pub(crate) struct Passed {
     pub(crate) bytes: atomic::AtomicU64,
     pub(crate) pieces: atomic::AtomicU64,
+    up_busy: sync::Mutex<Option<time::Instant>>,
+    down_busy: sync::Mutex<Option<time::Instant>>,
 }
 
 impl Passed {
@@ -26,6 +28,21 @@
         self.bytes.fetch_add(length as u64, atomic::Ordering::Relaxed);
         self.pieces.fetch_add(1, atomic::Ordering::Relaxed);
     }
+
+    /// Returns when the last byte of a piece has passed at `rate` bytes per second, behind all earlier pieces
+    /// in the same direction.
+    fn end_of_transfer(&self, direction: Direction, length: usize, rate: u64) -> time::Instant {
+        let busy_until = match direction {
+            Direction::Up => &self.up_busy,
+            Direction::Down => &self.down_busy,
+        };
+        let mut busy_until = busy_until.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let now = time::Instant::now();
+        let start = busy_until.map_or(now, |busy_until| busy_until.max(now));
+        let end = start + time::Duration::from_secs_f64(length as f64 / rate as f64);
+        *busy_until = Some(end);
+        end
+    }
 }
 
 /// Passes data between `near` and a new connection to `target` until either side closes.
@@ -74,6 +91,9 @@
             Ok(0) => return Ok(()),
             Ok(_) if silent => {}
             Ok(length) => {
+                if let Some(rate) = now.rate {
+                    time::sleep_until(passed.end_of_transfer(direction, length, rate)).await;
+                }
                 time::sleep(now.delay).await;
                 to.write_all(&piece[..length]).await?;
                 passed.count(length);
--- a/testbed/src/relay/running.rs
+++ b/testbed/src/relay/running.rs
@@ -99,6 +99,11 @@
         self.flow.send_modify(|flow| flow.delay = delay);
     }
 
+    /// Limits the bytes that pass per second in each direction, over all connections, as a slow link does.
+    pub fn limit_rate(&self, bytes_per_s: u64) {
+        self.flow.send_modify(|flow| flow.rate = Some(bytes_per_s));
+    }
+
     /// Lets everything pass again, except on connections that are closed or have lost data.
     pub fn restore(&self) {
         self.flow.send_modify(|flow| {
