wire, platform: a read of the store may take as long as its answer arrives

What callers saw: after the configuration had grown, 73 of 81 hosts refused requests as unconfirmed and sent those of public routes by a version that was seconds old (CONFIG). The deadline bounded the size of a value, not the silence of a connection. Change: reads (get, list, watch) wait 600 ms for the head of the answer and for each further part. A silent connection is still given up after 600 ms. Writes keep their deadline: their answers are short. The daemon's clients of the key-value service and of the host list had the same fault and use the same fetch. New tests of the client: an answer that arrives steadily is read, one that stops is given up.

--- a/crates/wire/src/http/client.rs
+++ b/crates/wire/src/http/client.rs
@@ -58,6 +58,34 @@
         self.with_deadline(&generation, deadline, &received, exchange).await
     }
 
+    /// Sends a request and reads the complete answer, however long the link takes to transfer it, as long
+    /// as it arrives without longer pauses than `timeouts` allow.
+    pub async fn fetch(
+        &self,
+        request: hyper::Request<bytes::Bytes>,
+        timeouts: http::FetchTimeouts,
+    ) -> Result<hyper::Response<bytes::Bytes>, http::CallError> {
+        let generation = self.generation();
+        let received = atomic::AtomicUsize::new(0);
+        let head = send(&generation, request);
+        let response = self.with_deadline(&generation, timeouts.head, &received, head).await?;
+        let (head, body) = response.into_parts();
+        let mut body = Limited::new(body, self.shared.limits.body);
+        let mut content = bytes::BytesMut::new();
+        loop {
+            let part = async { body.frame().await.transpose().map_err(lost) };
+            let Some(part) =
+                self.with_deadline(&generation, timeouts.pause, &received, part).await?
+            else {
+                return Ok(hyper::Response::from_parts(head, content.freeze()));
+            };
+            if let Some(data) = part.data_ref() {
+                content.extend_from_slice(data);
+                received.store(content.len(), atomic::Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Sends a request and returns when the head of the answer has arrived, within `deadline`.
     ///
     /// The deadline does not cover the body; [`http::EventReader`] has its own timeout for each read.
@@ -96,10 +124,7 @@
             received.fetch_add(length, atomic::Ordering::Relaxed);
             frame
         });
-        let body = Limited::new(body, self.shared.limits.body)
-            .collect()
-            .await
-            .map_err(|error| http::CallError::Lost(error.to_string()))?;
+        let body = Limited::new(body, self.shared.limits.body).collect().await.map_err(lost)?;
         Ok(hyper::Response::from_parts(head, body.to_bytes()))
     }
 
@@ -118,7 +143,9 @@
                 let detail = match received.load(atomic::Ordering::Relaxed) {
                     0 => format!("nothing came within {deadline_ms} ms"),
                     bytes => {
-                        format!("incomplete after {deadline_ms} ms: {bytes} bytes of the body came")
+                        format!(
+                            "incomplete: {bytes} bytes came, then the {deadline_ms} ms were over"
+                        )
                     }
                 };
                 Err(http::CallError::Lost(detail))
@@ -161,6 +188,10 @@
     })
 }
 
+fn lost(error: impl std::fmt::Display) -> http::CallError {
+    http::CallError::Lost(error.to_string())
+}
+
 fn error_chain(error: &dyn std::error::Error) -> String {
     match error.source() {
         Some(source) => format!("{error}: {}", error_chain(source)),
--- a/crates/wire/src/platform/hosts_client.rs
+++ b/crates/wire/src/platform/hosts_client.rs
@@ -17,7 +17,8 @@
 }
 
 impl HostsClient {
-    /// Creates a client without connections; each call takes at most `deadline`.
+    /// Creates a client without connections; the head of an answer and each part of its body may take
+    /// `deadline`.
     pub fn new(address: net::SocketAddr, deadline: time::Duration) -> Self {
         Self {
             http: http::Client::default(),
@@ -56,7 +57,7 @@
             hyper::Request::get(&self.uri).body(bytes::Bytes::new()).map_err(|error| {
                 error::Error::new(error::ErrorKind::Invalid, error.to_string()).at("hosts.address")
             })?;
-        let reply = self.http.call(request, self.deadline).await;
+        let reply = self.http.fetch(request, http::FetchTimeouts::new(self.deadline)).await;
         let reply = reply.map_err(|error| error.as_read_error())?;
         if reply.status() != StatusCode::OK {
             let message = format!("answered {}", reply.status());
--- a/crates/wire/src/platform/kv_client.rs
+++ b/crates/wire/src/platform/kv_client.rs
@@ -12,7 +12,7 @@
 
 /// A client for the key-value service. Clones share connections and health.
 ///
-/// Every call has a deadline. The error of a failed write says whether the write can have taken
+/// Every write has a deadline; a read may take as long as its answer arrives without longer pauses. The error of a failed write says whether the write can have taken
 /// effect: [`platform::WriteError::Unavailable`] means that it cannot.
 #[derive(Clone, Debug)]
 pub struct KvClient {
@@ -126,7 +126,8 @@
         watch: &message::Watch,
     ) -> Result<message::WatchReply, platform::WatchError> {
         let deadline = self.settings.deadline + time::Duration::from_millis(watch.wait_ms);
-        let reply = self.call("/v1/watch", watch, deadline).await;
+        let timeouts = http::FetchTimeouts { head: deadline, pause: self.settings.deadline };
+        let reply = self.fetch("/v1/watch", watch, timeouts).await;
         let reply = reply.map_err(|error| platform::WatchError::Failed(error.as_read_error()))?;
         if reply.status() == StatusCode::GONE {
             return Err(platform::WatchError::TooOld);
@@ -144,7 +145,8 @@
         path: &str,
         body: &impl serde::Serialize,
     ) -> Result<T, error::Error> {
-        let reply = self.call(path, body, self.settings.deadline).await;
+        let timeouts = http::FetchTimeouts::new(self.settings.deadline);
+        let reply = self.fetch(path, body, timeouts).await;
         parse_read(&reply.map_err(|error| error.as_read_error())?)
     }
 
@@ -153,7 +155,9 @@
         path: &str,
         body: &impl serde::Serialize,
     ) -> Result<Reply, platform::WriteError> {
-        match self.call(path, body, self.settings.deadline).await {
+        let deadline = self.settings.deadline;
+        let reply = self.send(path, body, |request| self.http.call(request, deadline)).await;
+        match reply {
             Ok(reply) => check_write(reply),
             Err(http::CallError::NotSent(detail)) => Err(platform::WriteError::Unavailable(detail)),
             Err(http::CallError::Lost(detail) | http::CallError::Unusable(detail)) => {
@@ -162,17 +166,30 @@
         }
     }
 
-    async fn call(
+    async fn fetch(
         &self,
         path: &str,
         body: &impl serde::Serialize,
-        deadline: time::Duration,
+        timeouts: http::FetchTimeouts,
     ) -> Result<Reply, http::CallError> {
+        self.send(path, body, |request| self.http.fetch(request, timeouts)).await
+    }
+
+    /// Sends a request by `send` and records whether the service has answered.
+    async fn send<F>(
+        &self,
+        path: &str,
+        body: &impl serde::Serialize,
+        send: impl FnOnce(hyper::Request<bytes::Bytes>) -> F,
+    ) -> Result<Reply, http::CallError>
+    where
+        F: Future<Output = Result<Reply, http::CallError>>,
+    {
         let started = time::Instant::now();
         let uri = format!("http://{}{path}", self.settings.address);
         let request = http::json_request(Method::POST, &uri, body)
             .map_err(|error| http::CallError::NotSent(error.to_string()))?;
-        let result = self.http.call(request, deadline).await;
+        let result = send(request).await;
         match &result {
             Ok(reply) if !reply.status().is_server_error() => self.health.record_answer(),
             _ => self.health.record_failure(started),
--- a/crates/wire/tests/testsuite/http.rs
+++ b/crates/wire/tests/testsuite/http.rs
@@ -228,3 +228,48 @@
     let mut reader = http::EventReader::new(response.into_body(), 1024);
     assert!(matches!(reader.next(SHORT_TIMEOUT).await.unwrap_err(), http::CallError::Lost(_)));
 }
+
+/// Sends the parts of a body with a pause before each.
+async fn paced_server(pauses: &'static [time::Duration]) -> http::Server {
+    http::Server::start(listener().await, http::ServerLimits::default(), move |_| async move {
+        let (sender, body) = http::Body::chunked(1);
+        tokio::spawn(async move {
+            for pause in pauses {
+                tokio::time::sleep(*pause).await;
+                if sender.send("part").await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(hyper::Response::new(body))
+    })
+    .unwrap()
+}
+
+/// A read of a large value from a slow link ended at its deadline however steadily the value arrived.
+#[tokio::test]
+async fn an_answer_that_arrives_steadily_is_read_however_long_it_takes() {
+    const PAUSES: [time::Duration; 8] = [time::Duration::from_millis(50); 8];
+    let server = paced_server(&PAUSES).await;
+    let client = http::Client::default();
+    let timeouts = http::FetchTimeouts::new(SHORT_TIMEOUT);
+    let reply = client.fetch(get(&server, "/"), timeouts).await.unwrap();
+    assert_eq!(reply.body().len(), 8 * "part".len());
+    let cut = client.call(get(&server, "/"), SHORT_TIMEOUT).await;
+    assert!(matches!(&cut, Err(http::CallError::Lost(detail)) if detail.contains("bytes came")));
+    client.close().await;
+    server.stop(TIMEOUT).await;
+}
+
+#[tokio::test]
+async fn an_answer_that_stops_arriving_is_given_up() {
+    const PAUSES: [time::Duration; 2] = [time::Duration::ZERO, TIMEOUT];
+    let server = paced_server(&PAUSES).await;
+    let client = http::Client::default();
+    let start = time::Instant::now();
+    let reply = client.fetch(get(&server, "/"), http::FetchTimeouts::new(SHORT_TIMEOUT)).await;
+    assert!(matches!(&reply, Err(http::CallError::Lost(detail)) if detail.contains("4 bytes")));
+    assert!(start.elapsed() < TIMEOUT / 2);
+    client.close().await;
+    server.stop(time::Duration::ZERO).await;
+}
