gateway, platform: daemons fetch what has changed of the configuration from each other

Change: a daemon that hears of a newer version from a reader fetches the difference from its own version over TCP, at the port of the messages: from a reader, or from daemons to which a busy reader refers. A patch keeps runs of unchanged items and ends with a hash of the result; without a usable base it contains all. Only members are answered, as the configuration contains keys. If no daemon provides the version, the store is read as before. follow::a_version_that_a_reader_reports_is_read_stale asserted that every daemon reads the store, which is the fault. Two tests replace it: the store is not read by followers (0 reads; 4 without the change), and a version that no daemon passes on is read stale (4 and no regular read, as before).

--- a/crates/decide/src/gateway/config/mod.rs
+++ b/crates/decide/src/gateway/config/mod.rs
@@ -2,12 +2,14 @@
 
 mod account;
 mod limits;
+mod patch;
 mod route;
 mod service;
 mod table;
 
 pub use account::{Account, AccountUnit};
 pub use limits::Limits;
+pub use patch::{ConfigPatch, PatchError};
 pub use route::{Route, RouteKind, Target};
 pub use service::Service;
 pub use table::{Admitted, Denied, Table};
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -26,8 +26,8 @@
 pub use attempt::{Attempt, Failure, RetryAction, RetryPolicy};
 pub use budget::RetryBudget;
 pub use config::{
-    Account, AccountUnit, Admitted, Config, Denied, Limits, Route, RouteKind, Service, Table,
-    Target,
+    Account, AccountUnit, Admitted, Config, ConfigPatch, Denied, Limits, PatchError, Route,
+    RouteKind, Service, Table, Target,
 };
 pub use deadlines::Deadlines;
 pub use events::{EventSplitter, EventTooLong};
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod hubs;
 mod loads;
 mod mesh;
+mod patches;
 mod pool;
 mod prompts;
 mod quarantine;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync as tokio_sync;
 use trefoildyke_kernel as kernel;
 
-use crate::{feed, gossip, ingress, metrics, monitoring, record, settings, state};
+use crate::{config_transfer, feed, gossip, ingress, metrics, monitoring, record, settings, state};
 
 /// How long a stopping gateway still serves new requests: until the load balancer, which probes once a second
 /// and gives up after two missed probes, has noticed the stop.
@@ -62,6 +62,8 @@
                 monitoring::serve(shared(), metrics, monitoring::Page::Metrics, shutdown.clone());
             traffic.spawn("metrics", served);
         }
+        let transfers = config_transfer::serve(shared(), sockets.transfers, shutdown.clone());
+        traffic.spawn("configuration", transfers);
         let socket = sync::Arc::new(sockets.peers);
         self.shared.set_socket(sync::Arc::clone(&socket));
         traffic.spawn("exchange", gossip::run(shared(), socket, shutdown));
@@ -118,6 +120,8 @@
     ready: net::TcpListener,
     metrics: Option<net::TcpListener>,
     peers: net::UdpSocket,
+    /// Listens at the same address as `peers`, for what does not fit in a datagram.
+    transfers: net::TcpListener,
 }
 
 impl Sockets {
@@ -128,15 +132,32 @@
             Some(address) => Some(bind("metrics", address).await?),
             None => None,
         };
-        let peers = net::UdpSocket::bind(at.peers).await;
-        let peers = peers.with_context(|| format!("peers: cannot use {}", at.peers))?;
+        let (peers, transfers) = bind_peers(at.peers).await?;
         let addresses = settings::Listen {
             callers: callers.local_addr()?,
             ready: ready.local_addr()?,
             metrics: metrics.as_ref().map(net::TcpListener::local_addr).transpose()?,
             peers: peers.local_addr()?,
         };
-        Ok(Self { addresses, callers, ready, metrics, peers })
+        Ok(Self { addresses, callers, ready, metrics, peers, transfers })
+    }
+}
+
+/// The number of ports to try if the system chooses the port and another process uses it over TCP.
+const PORT_ATTEMPTS: usize = 16;
+
+/// Binds one port over both UDP and TCP.
+async fn bind_peers(
+    at: std::net::SocketAddr,
+) -> anyhow::Result<(net::UdpSocket, net::TcpListener)> {
+    let mut attempt = 1;
+    loop {
+        let peers = net::UdpSocket::bind(at).await;
+        let peers = peers.with_context(|| format!("peers: cannot use {at}"))?;
+        match bind("peers", peers.local_addr()?).await {
+            Err(_) if at.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
+            transfers => return Ok((peers, transfers?)),
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod charging;
 mod clock;
+mod config_transfer;
 mod feed;
 mod gateway;
 mod gossip;
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -16,6 +16,8 @@
     pool_params: gateway::PoolParams,
     retry: (std::time::Duration, f64, f64),
     pub(crate) table: Option<sync::Arc<gateway::Table>>,
+    /// The previous versions, newest first, with the times at which they were replaced.
+    previous: collections::VecDeque<(Timestamp, sync::Arc<gateway::Table>)>,
     pub(crate) freshness: gateway::Freshness,
     pub(crate) quota: gateway::Quota,
     pub(crate) mesh: gateway::Mesh,
@@ -63,12 +65,18 @@
 /// again: the time of two renewals, and of a pause after a failed call.
 const REJOIN_GRACE: std::time::Duration = std::time::Duration::from_secs(4);
 
+/// How long and how many previous versions of the configuration are kept, so that daemons which have one of
+/// them can be sent what has changed since. A daemon queries a reader every 450 ms.
+const PREVIOUS_RETENTION: std::time::Duration = std::time::Duration::from_secs(5);
+const MAX_PREVIOUS: usize = 4;
+
 impl Core {
     pub(crate) fn new(settings: &settings::Settings, incarnation: u64) -> Self {
         Self {
             pool_params: settings.pool.clone(),
             retry: (settings.retry_window, settings.retry_ratio, settings.retry_allowance),
             table: None,
+            previous: collections::VecDeque::new(),
             freshness: gateway::Freshness::new(settings.max_key_age),
             quota: gateway::Quota::new(settings.quota),
             mesh: gateway::Mesh::new(settings.listen.peers, PEER_SILENCE)
@@ -104,10 +112,21 @@
         for service in &config.services {
             self.service(&service.name).pool.set_event_tokens(service.event_tokens);
         }
-        self.table = Some(sync::Arc::new(gateway::Table::new(config)));
+        let replaced = self.table.replace(sync::Arc::new(gateway::Table::new(config)));
+        if let Some(replaced) = replaced {
+            self.previous.push_front((now, replaced));
+            self.previous.truncate(MAX_PREVIOUS);
+        }
         true
     }
 
+    /// Returns the current or a previous version of the configuration, if it is still known.
+    pub(crate) fn table_of_version(&self, version: u64) -> Option<sync::Arc<gateway::Table>> {
+        let previous = self.previous.iter().map(|(_, table)| table);
+        let mut known = self.table.iter().chain(previous);
+        known.find(|table| table.config().version == version).cloned()
+    }
+
     /// Returns a service, which is created at its first mention.
     pub(crate) fn service(&mut self, name: &id::PoolName) -> &mut state::Service {
         let new = || {
@@ -324,6 +343,7 @@
 
     /// Expires the queued requests and the reports of other daemons, and grants free slots.
     pub(crate) fn tick(&mut self, now: Timestamp) {
+        self.previous.retain(|(replaced_at, _)| now.since(*replaced_at) < PREVIOUS_RETENTION);
         for service in self.services.values_mut() {
             service.expire(now);
         }
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -8,7 +8,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{charging, clock, metrics, query, record, settings, state, upstream};
+use crate::{charging, clock, config_transfer, metrics, query, record, settings, state, upstream};
 
 /// The share of an endpoint's permitted connections that may be idle; the rest is needed for requests.
 const IDLE_SHARE: f64 = 0.5;
@@ -27,6 +27,8 @@
     pub(crate) connections: upstream::ConnectionPool,
     /// Queries to other daemons about the store.
     pub(crate) queries: query::Queries,
+    /// Transfers of the configuration to other daemons.
+    pub(crate) transfers: config_transfer::Transfers,
     /// Charges sent to other daemons.
     pub(crate) charges: charging::PendingCharges,
     socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
@@ -55,6 +57,7 @@
             gate: kernel::Gate::default(),
             connections,
             queries: query::Queries::default(),
+            transfers: config_transfer::Transfers::default(),
             charges: charging::PendingCharges::default(),
             socket: sync::OnceLock::new(),
             core,
