--- a/testbed/src/relay/running.rs
+++ b/testbed/src/relay/running.rs
@@ -104,10 +104,16 @@
         self.flow.send_modify(|flow| flow.rate = Some(bytes_per_s));
     }
 
-    /// Lets everything pass again, except on connections that are closed or have lost data.
+    /// Lets everything pass again at the limited rate, except on connections that are closed or have lost
+    /// data.
     pub fn restore(&self) {
         self.flow.send_modify(|flow| {
-            *flow = Flow { cut_below: flow.cut_below, target: flow.target, ..Flow::default() };
+            *flow = Flow {
+                cut_below: flow.cut_below,
+                target: flow.target,
+                rate: flow.rate,
+                ..Flow::default()
+            };
         });
     }
 
