gateway: a daemon that cannot get a newer version stops applying the older one

With a bound of 2 s, requests with keys were late as well. Cause: only the age of the confirmation was checked, and only for keys. That a reader had a newer version was known and not used. Change: half of the time in which a version has to be in force after a daemon has learned of a newer one that it cannot get, it refuses all requests (503, outdated; none of them has run) and is not ready. A linearizable read that shows no newer version ends this. Result: follow::a_daemon_that_cannot_get_a_newer_version_stops_applying_the_older_one fails without the check (404 for 503).

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod rollout;
 mod roster;
 mod strength;
+mod version_lag;
 
 pub use attempt::{Attempt, Failure, RetryAction, RetryPolicy};
 pub use budget::RetryBudget;
@@ -51,3 +52,4 @@
 };
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
+pub use version_lag::VersionLag;
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -22,3 +22,4 @@
 mod roster;
 mod support;
 mod table;
+mod version_lag;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -41,6 +41,7 @@
         let is_new = core.configure(now, config);
         if let Some(as_of) = as_of {
             core.freshness.confirm(as_of);
+            core.version_lag.note_confirmed(as_of);
         }
         drop(core);
         if is_new {
@@ -64,7 +65,9 @@
 
     /// Records that the configuration was still in force at `as_of`.
     pub fn confirm(&self, as_of: Timestamp) {
-        self.shared.core().freshness.confirm(as_of);
+        let mut core = self.shared.core();
+        core.freshness.confirm(as_of);
+        core.version_lag.note_confirmed(as_of);
     }
 
     /// Replaces the list of endpoints by one that was read now.
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -153,15 +153,19 @@
     access: &mut ingress::AccessLogEntry,
     head: &http::request::Parts,
 ) -> Result<Admission, ingress::Reply> {
-    let (table, accepts_keys) = {
-        let core = shared.core();
-        (core.table.clone(), core.freshness.accepts_keys(shared.now()))
+    let (table, accepts_keys, is_overdue) = {
+        let (now, core) = (shared.now(), shared.core());
+        let accepts_keys = core.freshness.accepts_keys(now);
+        (core.table.clone(), accepts_keys, core.version_lag.is_overdue(now))
     };
     let Some(table) = table else {
         return Err(ingress::Reply::not_run("starting", STARTUP_RETRY));
     };
     let config = table.config();
     access.set_version(config.version);
+    if is_overdue {
+        return Err(ingress::Reply::not_run("outdated", KEY_RETRY).closing());
+    }
     let admitted = find_route(shared, &table, head, accepts_keys)?;
     access.set_route(admitted.route, admitted.account);
     if admitted.account.is_some() && !accepts_keys {
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -162,6 +162,9 @@
         if own == Some(view.version) {
             core.freshness.confirm(before(view.confirmed));
         }
+        if let Some(own) = own {
+            core.version_lag.note_version(self.now(), own, view.version);
+        }
         if view.steady == 0 {
             core.roster.failed();
         } else if core.roster.may_accept(self.now(), before(view.read), before(view.steady)) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,9 @@
     pub max_key_age: time::Duration,
     /// The age of the last confirmation from which on the gateway reports that it is not ready; 2.5 s.
     pub max_ready_age: time::Duration,
+    /// How long requests are still handled by an older version of the configuration after this daemon has
+    /// learned of a newer one; 1 s.
+    pub max_version_lag: time::Duration,
     /// The age up to which a list of endpoints counts as current, whichever daemon read it, so that this
     /// daemon need not read it itself; 1.6 s.
     pub max_list_age: time::Duration,
@@ -81,6 +84,7 @@
             pool: gateway::PoolParams::default(),
             max_key_age: time::Duration::from_millis(3_500),
             max_ready_age: time::Duration::from_millis(2_500),
+            max_version_lag: time::Duration::from_millis(1_000),
             max_list_age: time::Duration::from_millis(1_600),
             list_grace: time::Duration::from_millis(2_200),
             retry_ratio: 0.2,
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -19,6 +19,7 @@
     /// The previous versions, newest first, with the times at which they were replaced.
     previous: collections::VecDeque<(Timestamp, sync::Arc<gateway::Table>)>,
     pub(crate) freshness: gateway::Freshness,
+    pub(crate) version_lag: gateway::VersionLag,
     pub(crate) quota: gateway::Quota,
     pub(crate) mesh: gateway::Mesh,
     pub(crate) roster: gateway::Roster,
@@ -78,6 +79,7 @@
             table: None,
             previous: collections::VecDeque::new(),
             freshness: gateway::Freshness::new(settings.max_key_age),
+            version_lag: gateway::VersionLag::new(settings.max_version_lag),
             quota: gateway::Quota::new(settings.quota),
             mesh: gateway::Mesh::new(settings.listen.peers, PEER_SILENCE)
                 .with_strength(settings.strength),
@@ -108,6 +110,7 @@
         if before.is_some_and(|before| before >= config.version) {
             return false;
         }
+        self.version_lag.note_applied(config.version);
         self.quota.open(now, &config.accounts);
         for service in &config.services {
             self.service(&service.name).pool.set_event_tokens(service.event_tokens);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -220,7 +220,8 @@
         let now = self.now();
         let core = self.core();
         let is_known = core.table.is_some() && !core.roster.is_empty();
-        let is_fresh = core.freshness.is_within(now, self.settings.max_ready_age);
+        let is_fresh = core.freshness.is_within(now, self.settings.max_ready_age)
+            && !core.version_lag.is_overdue(now);
         (is_known && is_fresh && !self.is_stopping(), core.freshness.age(now))
     }
 }
