gateway: one client for transfers of the configuration

Each fetch created a client and waited until its connections had ended, which could delay the next query of the readers. The client lives as long as the gateway and keeps no idle connections; a stop waits for them for half of the time that is reserved for closing.

--- a/crates/gateway/src/config_transfer/client.rs
+++ b/crates/gateway/src/config_transfer/client.rs
@@ -50,23 +50,21 @@
     Patch(#[from] gateway::PatchError),
 }
 
+/// Creates the client of a daemon. It keeps no connections, as it needs them only when a version is new.
+pub(super) fn new_client() -> http::Client {
+    http::Client::new(http::ClientLimits {
+        connect: CONNECT_TIMEOUT,
+        pooled: 0,
+        ..http::ClientLimits::default()
+    })
+}
+
 impl feed::Feed {
     /// Fetches a version that readers have reported to be in force from the daemons that have it; returns
     /// the version that is then in force here, or `None` if the store has to be read instead.
+    ///
+    /// The readers and the daemons to which busy readers refer are asked until one has the version.
     pub async fn fetch_config(&self, version: u64) -> Option<u64> {
-        let limits = http::ClientLimits {
-            connect: CONNECT_TIMEOUT,
-            pooled: 0,
-            ..http::ClientLimits::default()
-        };
-        let client = http::Client::new(limits);
-        let found = self.search(&client, version).await;
-        client.close().await;
-        found
-    }
-
-    /// Asks the readers and the daemons to which they refer until one of them has provided the version.
-    async fn search(&self, client: &http::Client, version: u64) -> Option<u64> {
         let end = tokio::time::Instant::now() + SEARCH_TIME;
         let own = self.shared.settings.listen.peers;
         let mut holders: Vec<net::SocketAddr> = Vec::new();
@@ -76,7 +74,7 @@
             sources.extend(self.shared.core().mesh.readers_to_ask(self.now()));
             let mut is_busy = false;
             for source in sources {
-                match self.fetch_from(client, source).await {
+                match self.fetch_from(source).await {
                     Some(Answer::Applied(applied)) if applied >= version => return Some(applied),
                     Some(Answer::Busy(others)) => {
                         is_busy = true;
@@ -94,14 +92,14 @@
     }
 
     /// Fetches what this daemon lacks from `source`; logs a failure.
-    async fn fetch_from(&self, client: &http::Client, source: net::SocketAddr) -> Option<Answer> {
+    async fn fetch_from(&self, source: net::SocketAddr) -> Option<Answer> {
         let sent_at = self.now();
         let table = self.shared.core().table.clone();
         let base = table.as_ref().map(|table| table.config());
-        let mut answer = self.request(client, source, base).await;
+        let mut answer = self.request(source, base).await;
         if matches!(answer, Err(FetchError::Patch(_))) {
             // The daemon has another configuration of the same version, so all of it is needed.
-            answer = self.request(client, source, None).await;
+            answer = self.request(source, None).await;
         }
         let log_failure = |error: &FetchError| {
             let after = self.now().since(sent_at);
@@ -113,7 +111,6 @@
     /// Requests what leads from `base` to the version that `source` has, and applies it.
     async fn request(
         &self,
-        client: &http::Client,
         source: net::SocketAddr,
         base: Option<&gateway::Config>,
     ) -> Result<Answer, FetchError> {
@@ -124,6 +121,7 @@
         let request = hyper::Request::get(uri)
             .body(Bytes::new())
             .map_err(|error| http::CallError::NotSent(error.to_string()))?;
+        let client = &self.shared.transfers.client;
         let reply = client.fetch(request, http::FetchTimeouts::new(REPLY_TIMEOUT)).await?;
         match reply.status() {
             StatusCode::OK => self.apply(sent_at, reply.body(), base),
--- a/crates/gateway/src/config_transfer/mod.rs
+++ b/crates/gateway/src/config_transfer/mod.rs
@@ -9,15 +9,33 @@
 mod server;
 mod slots;
 
+use trefoildyke_wire::http;
+
 pub(crate) use server::serve;
 
 /// The state of the transfers of one daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Transfers {
+    client: http::Client,
     patches: patch_cache::PatchCache,
     slots: slots::Slots,
 }
 
+impl Transfers {
+    pub(crate) fn new() -> Self {
+        Self {
+            client: client::new_client(),
+            patches: patch_cache::PatchCache::default(),
+            slots: slots::Slots::default(),
+        }
+    }
+
+    /// Waits until the connections to other daemons have ended.
+    pub(crate) async fn close(&self) {
+        self.client.clone().close().await;
+    }
+}
+
 /// The path of the configuration; the query names the version that the client has, if any, and the client's
 /// address for messages.
 const PATH: &str = "/configuration";
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -98,6 +98,8 @@
         tokio::time::sleep(time::Duration::from_millis(20)).await;
         self.shutdown.cancel();
         self.shared.connections.close().await;
+        // A connection to a daemon that has vanished must not delay the end of the stop.
+        let _ = tokio::time::timeout(CLOSE_TIME / 2, self.shared.transfers.close()).await;
         let dropped = self.shared.journal.dropped().count();
         self.shared.journal.write(&record::Event::Stopped { cut, dropped });
         cut
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -57,7 +57,7 @@
             gate: kernel::Gate::default(),
             connections,
             queries: query::Queries::default(),
-            transfers: config_transfer::Transfers::default(),
+            transfers: config_transfer::Transfers::new(),
             charges: charging::PendingCharges::default(),
             socket: sync::OnceLock::new(),
             core,
