--- a/crates/gateway/tests/testsuite/harness/caller.rs
+++ b/crates/gateway/tests/testsuite/harness/caller.rs
@@ -65,6 +65,24 @@
 
     /// Reads one answer; `None` if the connection ended or timed out without one.
     pub(crate) fn read_reply(&mut self) -> Option<Reply> {
+        let mut reply = self.read_head()?;
+        if reply.header("transfer-encoding").is_some() {
+            self.read_chunked(&mut reply);
+        } else {
+            self.read_sized(&mut reply);
+        }
+        Some(reply)
+    }
+
+    /// Reads one answer that states its length; returns the bytes of its body.
+    pub(crate) fn read_body(&mut self) -> Vec<u8> {
+        let reply = self.read_head().unwrap();
+        let length = reply.header("content-length").unwrap().parse().unwrap();
+        while self.unread.len() < length && self.read_more() {}
+        self.unread.drain(..length).collect()
+    }
+
+    fn read_head(&mut self) -> Option<Reply> {
         let end = loop {
             if let Some(end) = find(&self.unread, b"\r\n\r\n") {
                 break end;
@@ -76,13 +94,7 @@
         let head = String::from_utf8_lossy(&self.unread[..end]).into_owned();
         self.unread.drain(..end + 4);
         let status = head.split(' ').nth(1)?.parse().ok()?;
-        let mut reply = Reply { status, head, body: String::new(), is_complete: false };
-        if reply.header("transfer-encoding").is_some() {
-            self.read_chunked(&mut reply);
-        } else {
-            self.read_sized(&mut reply);
-        }
-        Some(reply)
+        Some(Reply { status, head, body: String::new(), is_complete: false })
     }
 
     /// Reads until the first event of a stream is complete; returns what was read.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,3 +15,4 @@
 mod quotas;
 mod stops;
 mod streams;
+mod transfers;
