--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -73,6 +73,11 @@
     /// Replaces the list of endpoints by one that was read now.
     pub fn set_endpoints(&self, list: Vec<gateway::RosterEntry>) {
         let now = self.now();
+        self.shared.update_availability("own read", None, |roster| {
+            if roster.available_since().is_none() {
+                roster.assume_available(now);
+            }
+        });
         self.change_endpoints(now, |roster| roster.replace(now, list));
     }
 
@@ -106,7 +111,7 @@
 
     /// Records that the source of the endpoints did not answer.
     pub fn record_endpoints_failure(&self) {
-        self.shared.core().roster.failed();
+        self.shared.update_availability("own read failed", None, gateway::Roster::failed);
     }
 
     /// Replaces the list of all daemons.
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -55,7 +55,7 @@
 impl feed::Feed {
     /// Returns whether this daemon also reads the store for others.
     pub fn is_reader(&self) -> bool {
-        self.shared.core().mesh.is_reader(self.now())
+        self.shared.is_reader()
     }
 
     /// Returns whether the source of the endpoints has been available for long enough to tell which endpoints
@@ -105,14 +105,14 @@
                     ReaderStatus::Fresh(reply.view.version)
                 }
             };
-            if self.apply_reply(sent_at, roster, reply) {
+            if self.apply_reply(sent_at, reader, roster, reply) {
                 return found;
             }
         }
         if found == ReaderStatus::Silent {
-            let mut core = self.shared.core();
             // While the store is silent, endpoints cannot renew their entries either.
-            core.roster.failed();
+            self.shared.update_availability("readers silent", None, gateway::Roster::failed);
+            let mut core = self.shared.core();
             // While the store is silent, no daemon can read that this daemon's entry has lapsed, so the
             // entry stays valid.
             if core.mesh.is_listed(self.now()) {
@@ -151,7 +151,13 @@
     ///
     /// Returns whether the list of endpoints could be followed as well; if not, the next reader has to be
     /// queried.
-    fn apply_reply(&self, sent_at: Timestamp, roster: u64, reply: Reply) -> bool {
+    fn apply_reply(
+        &self,
+        sent_at: Timestamp,
+        reader: net::SocketAddr,
+        roster: u64,
+        reply: Reply,
+    ) -> bool {
         let view = reply.view;
         let before = |ms: u32| {
             let age = u64::from(ms) * 1_000;
@@ -165,14 +171,22 @@
         if let Some(own) = own {
             core.version_lag.note_version(self.now(), own, view.version);
         }
-        if view.steady == 0 {
-            core.roster.failed();
-        } else if core.roster.may_accept(self.now(), before(view.read), before(view.steady)) {
-            core.roster.assume_available(before(view.steady));
-        } else {
+        drop(core);
+        let now = self.now();
+        let is_accepted = self.shared.update_availability("report", Some(reader), |roster| {
+            if view.steady == 0 {
+                roster.failed();
+                return true;
+            }
+            let is_accepted = roster.may_accept(now, before(view.read), before(view.steady));
+            if is_accepted {
+                roster.assume_available(before(view.steady));
+            }
+            is_accepted
+        });
+        if !is_accepted {
             return false;
         }
-        drop(core);
         if let Some(changes) = reply.changes {
             self.apply_changes(before(view.read), before(view.steady), roster, changes);
         }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -151,6 +151,20 @@
         /// The endpoint.
         endpoint: id::EndpointName,
     },
+    /// What this daemon knows of the availability of the list's source has changed.
+    ListAvailability {
+        /// How long the source has answered, in milliseconds; `None` if it failed.
+        steady_ms: Option<u64>,
+        /// What this is based on.
+        basis: &'static str,
+        /// The reader that reported it; `None` if this daemon called the source itself.
+        reader: Option<std::net::SocketAddr>,
+    },
+    /// Whether this daemon reads the store on behalf of the others has changed.
+    Reader {
+        /// Whether it does.
+        is_reader: bool,
+    },
     /// The list of members has changed.
     Members {
         /// The number of members, this daemon included.
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -39,6 +39,8 @@
     ready: atomic::AtomicBool,
     /// Set if there are changes that the other daemons have not been told.
     changed: atomic::AtomicBool,
+    /// Whether this daemon read the store on behalf of the others when this was last checked.
+    reader: atomic::AtomicBool,
 }
 
 impl Shared {
@@ -64,6 +66,7 @@
             stop_end: sync::OnceLock::new(),
             ready: atomic::AtomicBool::new(false),
             changed: atomic::AtomicBool::new(false),
+            reader: atomic::AtomicBool::new(false),
         }
     }
 
@@ -116,6 +119,36 @@
         self.ready.swap(ready, atomic::Ordering::Relaxed) != ready
     }
 
+    /// Returns whether this daemon reads the store on behalf of the others, and logs a change.
+    pub(crate) fn is_reader(&self) -> bool {
+        let is_reader = self.core().mesh.is_reader(self.now());
+        if self.reader.swap(is_reader, atomic::Ordering::Relaxed) != is_reader {
+            self.journal.write(&record::Event::Reader { is_reader });
+        }
+        is_reader
+    }
+
+    /// Changes what is known of the availability of the list's source, and logs a failure or the first success
+    /// after one. `basis` is what the change is based on, `reader` the daemon that reported it.
+    pub(crate) fn update_availability<T>(
+        &self,
+        basis: &'static str,
+        reader: Option<std::net::SocketAddr>,
+        change: impl FnOnce(&mut gateway::Roster) -> T,
+    ) -> T {
+        let now = self.now();
+        let mut core = self.core();
+        let before = core.roster.available_since();
+        let result = change(&mut core.roster);
+        let after = core.roster.available_since();
+        drop(core);
+        if before.is_some() != after.is_some() {
+            let steady_ms = after.map(|since| now.since(since).as_millis() as u64);
+            self.journal.write(&record::Event::ListAvailability { steady_ms, basis, reader });
+        }
+        result
+    }
+
     /// Begins a graceful stop that cuts off the remaining requests after `left`.
     pub(crate) fn begin_stop(&self, left: std::time::Duration) {
         // A second stop has no effect.
