gateway, platform: readers that receive a large version are not taken for cut off

Cause, from the lines of three failing runs, read one by one: a confirmation counts from the time of its query. A reader that takes 1.3 to 1.9 s to receive a version over 10 Mbit/s has none that is younger than 1.5 s, neither meanwhile nor until its next watch ends. Its followers ignored such a reply altogether: not even the version was taken from it, and the store counted as silent ("answers none of those that read it for all"), so that one in ten queries read the store itself: the third and fourth transfer. With a large version every second the confirmations never got young enough, and keys were refused ("unconfirmed") after 3.5 s.

Ruled out: lost members (all four count 4 throughout) and the transfer between daemons (0.1 to 0.2 s).

Change: a confirmation counts whatever its age, a newer version is fetched from any reader, and a reader whose last call was answered counts as waiting, not as silent, until it is no longer ready itself. Readers that do not reply are queried once more, with 200 ms for 100, before the whole configuration is read.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -165,8 +165,9 @@
             core.mesh.record_reply(from);
             core.mesh.note_member_answer(shared.now(), from, answered);
             drop(core);
+            let reply = query::Reply { view, is_answered: answered, changes };
             // A reply to a query that has timed out is discarded, because its age is unknown.
-            let _ = shared.queries.replies.complete(stamp, query::Reply { view, changes });
+            let _ = shared.queries.replies.complete(stamp, reply);
         }
         Err(error) => log::debug!("{} bytes from {from} are no message: {error}", bytes.len()),
     }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -10,8 +10,12 @@
 /// How long to wait for a reply: about forty round trips.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
-/// The age from which on a confirmation is too old to be passed on. While the store answers, a reader's own
-/// confirmation is no older than one watch interval.
+/// How long to wait for a reply after no reader has replied within `REPLY_TIMEOUT`. The two rounds and a read
+/// of a large configuration over a slow link take less than two seconds.
+const RETRY_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
+/// The age up to which a confirmation shows that the store answers a reader. A reader's own confirmation is
+/// no older than one watch interval, unless it is receiving a large version over a slow link.
 const MAX_CONFIRMATION_AGE: time::Duration = time::Duration::from_millis(1_500);
 
 /// The hash of the hubs that stands for no hubs.
@@ -25,19 +29,37 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Reply {
     pub(crate) view: gateway::StoreView,
+    /// Whether the store has answered the other daemon's last call.
+    pub(crate) is_answered: bool,
     /// The changes from this daemon's list of endpoints to the other daemon's.
     pub(crate) changes: Option<Vec<gateway::RosterChange>>,
 }
 
-/// What the daemons that read the store for others know of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What the daemons that read the store for others know of it, in increasing order of how much it tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReaderStatus {
-    /// A reader knows that this version is in force.
-    Fresh(u64),
-    /// The readers that replied have had no answer from the store for a while.
-    Silent,
     /// No reader replied.
     Unreachable,
+    /// The readers that replied have had no answer from the store for a while.
+    Silent,
+    /// A reader has had no confirmation for a while, but the store has answered its last call: it may be
+    /// receiving a large version over a slow link.
+    Waiting,
+    /// A reader has this version, which is newer than the one in force here, but not confirmed lately.
+    Newer(u64),
+    /// A reader knows that this version is in force.
+    Fresh(u64),
+}
+
+impl ReaderStatus {
+    /// Returns what two readers together know.
+    fn combine(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Fresh(version), Self::Newer(newer))
+            | (Self::Newer(newer), Self::Fresh(version)) => Self::Fresh(version.max(newer)),
+            (one, another) => one.max(another),
+        }
+    }
 }
 
 /// The queries that wait for replies.
@@ -72,7 +94,23 @@
 
     /// Queries the readers of the store, and confirms the configuration if one of them has a fresh
     /// confirmation.
+    ///
+    /// If none of them replies, they are queried once more with a longer timeout: on a busy host, a reply may
+    /// take longer than usual, and a read of the store transfers the whole configuration.
     pub async fn query_readers(&self) -> ReaderStatus {
+        let mut found = self.query_each_reader(REPLY_TIMEOUT).await;
+        if found == ReaderStatus::Unreachable {
+            found = self.query_each_reader(RETRY_TIMEOUT).await;
+        }
+        if found == ReaderStatus::Silent {
+            self.record_silence();
+        }
+        found
+    }
+
+    /// Queries the readers in turn until the list of endpoints could be followed too; each reply may take
+    /// `timeout`.
+    async fn query_each_reader(&self, timeout: time::Duration) -> ReaderStatus {
         let mut found = ReaderStatus::Unreachable;
         let readers = self.shared.core().mesh.readers_to_ask(self.now());
         for (index, reader) in readers.into_iter().enumerate() {
@@ -87,43 +125,34 @@
                 if is_first { self.shared.core().mesh.reported_hub_hash(sent_at) } else { NO_HUBS };
             let stamp = sent_at.as_micros();
             let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts };
-            let Some(reply) = query_one(&self.shared, reader, stamp, &query).await else {
-                continue;
-            };
-            let age = time::Duration::from_millis(u64::from(reply.view.confirmed));
-            if age >= MAX_CONFIRMATION_AGE {
-                if found == ReaderStatus::Unreachable {
-                    found = ReaderStatus::Silent;
-                }
+            let Some(reply) = query_one(&self.shared, reader, stamp, &query, timeout).await else {
                 continue;
-            }
-            found = match found {
-                ReaderStatus::Fresh(version) => {
-                    ReaderStatus::Fresh(version.max(reply.view.version))
-                }
-                ReaderStatus::Silent | ReaderStatus::Unreachable => {
-                    ReaderStatus::Fresh(reply.view.version)
-                }
             };
-            if self.apply_reply(sent_at, reader, roster, reply) {
+            let status = self.apply_confirmation(sent_at, &reply);
+            found = found.combine(status);
+            if matches!(status, ReaderStatus::Fresh(_))
+                && self.apply_list(sent_at, reader, roster, reply)
+            {
                 return found;
             }
         }
-        if found == ReaderStatus::Silent {
-            // While the store is silent, endpoints cannot renew their entries either.
-            self.shared.update_availability("readers silent", None, gateway::Roster::failed);
-            let mut core = self.shared.core();
-            // While the store is silent, no daemon can read that this daemon's entry has lapsed, so the
-            // entry stays valid.
-            if core.mesh.is_listed(self.now()) {
-                core.mesh.extend_lease(self.now() + SILENCE_VALIDITY);
-            }
-            drop(core);
-            *lock(&self.shared.queries.reported_silent) = Some(self.now());
-        }
         found
     }
 
+    /// Records that the store answers none of the readers.
+    fn record_silence(&self) {
+        // While the store is silent, endpoints cannot renew their entries either.
+        self.shared.update_availability("readers silent", None, gateway::Roster::failed);
+        let mut core = self.shared.core();
+        // While the store is silent, no daemon can read that this daemon's entry has lapsed, so the entry
+        // stays valid.
+        if core.mesh.is_listed(self.now()) {
+            core.mesh.extend_lease(self.now() + SILENCE_VALIDITY);
+        }
+        drop(core);
+        *lock(&self.shared.queries.reported_silent) = Some(self.now());
+    }
+
     /// Returns whether the store is known to answer neither this daemon nor its readers: there is no use in
     /// calling it until a reader reports otherwise.
     pub fn store_is_silent(&self) -> bool {
@@ -142,46 +171,56 @@
         self.shared.core().roster.is_current(self.now(), self.shared.settings.max_list_age)
     }
 
-    /// Applies a reply to a query that was sent at `sent_at` with the hash `roster` of this daemon's list of
-    /// endpoints.
+    /// Applies what a reply to a query that was sent at `sent_at` says of the configuration; returns what it
+    /// says of the reader.
     ///
     /// The daemon replied after `sent_at`, so its knowledge is at most as old as it said, counted from
-    /// `sent_at`. An age that reaches back to before the start of this daemon is cut off there: the version
-    /// in force here was read since then. The model is `passed_keys` in `trefoildyke_spec`.
-    ///
-    /// Returns whether the list of endpoints could be followed as well; if not, the next reader has to be
-    /// queried.
-    fn apply_reply(
-        &self,
-        sent_at: Timestamp,
-        reader: net::SocketAddr,
-        roster: u64,
-        reply: Reply,
-    ) -> bool {
+    /// `sent_at`. The model is `passed_keys` in `trefoildyke_spec`.
+    fn apply_confirmation(&self, sent_at: Timestamp, reply: &Reply) -> ReaderStatus {
         let view = reply.view;
-        let before = |ms: u32| {
-            let age = u64::from(ms) * 1_000;
-            Timestamp::from_micros(sent_at.as_micros().saturating_sub(age))
-        };
+        let age = time::Duration::from_millis(u64::from(view.confirmed));
         let mut core = self.shared.core();
         let own = core.table.as_ref().map(|table| table.config().version);
         if own == Some(view.version) {
-            core.freshness.confirm(before(view.confirmed));
+            core.freshness.confirm(before(sent_at, view.confirmed));
         }
         if let Some(own) = own {
             core.version_lag.note_version(self.now(), own, view.version);
         }
         drop(core);
+        if age < MAX_CONFIRMATION_AGE {
+            ReaderStatus::Fresh(view.version)
+        } else if own < Some(view.version) {
+            ReaderStatus::Newer(view.version)
+        } else if reply.is_answered && age < self.shared.settings.max_ready_age {
+            ReaderStatus::Waiting
+        } else {
+            ReaderStatus::Silent
+        }
+    }
+
+    /// Applies what a reply to a query that was sent at `sent_at` with the hash `roster` of this daemon's
+    /// list of endpoints says of that list. Returns whether the list could be followed; if not, the next
+    /// reader has to be queried.
+    fn apply_list(
+        &self,
+        sent_at: Timestamp,
+        reader: net::SocketAddr,
+        roster: u64,
+        reply: Reply,
+    ) -> bool {
+        let view = reply.view;
+        let (read_at, since) = (before(sent_at, view.read), before(sent_at, view.steady));
         let now = self.now();
-        let is_accepted = self.shared.update_availability("report", Some(reader), |roster| {
+        let is_accepted = self.shared.update_availability("report", Some(reader), |list| {
             if view.steady == 0 {
-                roster.record_unknown(now);
+                list.record_unknown(now);
                 return false;
             }
-            roster.record_answer(sent_at);
-            let is_accepted = roster.may_accept(now, before(view.read), before(view.steady));
+            list.record_answer(sent_at);
+            let is_accepted = list.may_accept(now, read_at, since);
             if is_accepted {
-                roster.assume_available(before(view.steady));
+                list.assume_available(since);
             }
             is_accepted
         });
@@ -189,22 +228,29 @@
             return false;
         }
         if let Some(changes) = reply.changes {
-            self.apply_changes(before(view.read), before(view.steady), roster, changes);
+            self.apply_changes(read_at, since, roster, changes);
         }
-        self.shared.core().roster.record_other_list(view.roster, before(view.read));
+        self.shared.core().roster.record_other_list(view.roster, read_at);
         true
     }
 }
 
+/// Returns the time `ms` milliseconds before `sent_at`, cut off at the start of this daemon: the version in
+/// force here was read since then.
+fn before(sent_at: Timestamp, ms: u32) -> Timestamp {
+    Timestamp::from_micros(sent_at.as_micros().saturating_sub(u64::from(ms) * 1_000))
+}
+
 async fn query_one(
     shared: &state::Shared,
     reader: net::SocketAddr,
     stamp: u64,
     query: &gateway::Message,
+    timeout: time::Duration,
 ) -> Option<Reply> {
     let reply = shared.queries.replies.register(shared.now(), stamp, ());
     shared.send(query, &[reader]);
-    let reply = tokio::time::timeout(REPLY_TIMEOUT, reply).await;
+    let reply = tokio::time::timeout(timeout, reply).await;
     if reply.is_err() {
         shared.suspect_peer(reader, "does not reply to a query");
     }
