gateway: a reader counts as waiting as long as its keys are valid

From 2.5 s on, when a reader is not ready itself, a follower took the store for silent and read it; its own transfer took 1.1 s more, in which its keys expired at 3.5 s, while the version could be had from a member after 0.2 s. The limit is now the age up to which the reader accepts keys.

--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -192,7 +192,7 @@
             ReaderStatus::Fresh(view.version)
         } else if own < Some(view.version) {
             ReaderStatus::Newer(view.version)
-        } else if reply.is_answered && age < self.shared.settings.max_ready_age {
+        } else if reply.is_answered && age < self.shared.settings.max_key_age {
             ReaderStatus::Waiting
         } else {
             ReaderStatus::Silent
