decide, daemon: a request under which three engines were lost is refused

Cause: the scheduler knew a request by its identifier alone, and the coordinator reported an answer that was lost with its engine as cancelled. With several shards, a question without a prefix went to a random one.

Change: an ask carries a hash of the content. The shard's scheduler counts the endpoints that were lost under it with the gateway's quarantine (three within ten minutes, a completion refutes them) and refuses it as not run, waiting repeats too. A lost answer is reported as lost; an endpoint that is gone without having left as planned counts as well, once. A question without a prefix always goes to the same shard.

Not covered: a daemon that takes over a shard starts with no known losses.

--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -6,7 +6,7 @@
 use opentelemetry::KeyValue;
 use tokio::sync::mpsc;
 use trefoildyke_decide::{
-    coordinate::{Action, Input},
+    coordinate::{Action, Input, Reason},
     schedule as decide,
 };
 use trefoildyke_types::{id, request};
@@ -339,6 +339,9 @@
 fn outcome_of(refusal: &request::Refusal) -> decide::Outcome {
     match refusal.kind {
         request::RefusalKind::Failed => decide::Outcome::Failed,
+        request::RefusalKind::OutcomeUnknown if refusal.reason == Reason::AnswerLost.word() => {
+            decide::Outcome::Lost
+        }
         _ => decide::Outcome::Cancelled,
     }
 }
--- a/crates/daemon/src/coordinate/handle.rs
+++ b/crates/daemon/src/coordinate/handle.rs
@@ -174,7 +174,10 @@
         let pool = submission.spec.pool.clone();
         let snapshot = self.config.snapshot();
         let shards = snapshot.pool(&pool).map_or(1, |pool| pool.shards.max(1));
-        let hash = submission.spec.prefix.first().copied().unwrap_or_else(rand::random);
+        // A request that crashes endpoints is recognised by the scheduler that ran it before, so that its
+        // repeats must come to the same shard.
+        let content = || coordinate::fingerprint(&submission.spec);
+        let hash = submission.spec.prefix.first().copied().unwrap_or_else(content);
         let number = u16::try_from(hash % u64::from(shards)).unwrap_or(0);
         endpoints::Shard { pool, number }
     }
--- a/crates/daemon/src/coordinate/job.rs
+++ b/crates/daemon/src/coordinate/job.rs
@@ -30,6 +30,7 @@
             prompt_tokens: submission.prompt_tokens,
             max_tokens: submission.spec.max_tokens,
             prefix: submission.spec.prefix.clone(),
+            fingerprint: Some(coordinate::fingerprint(&submission.spec)),
             left_ms: 0,
         })
     }
--- a/crates/decide/benches/schedule.rs
+++ b/crates/decide/benches/schedule.rs
@@ -71,6 +71,7 @@
             prompt_tokens: 1_200,
             max_tokens: 200,
             prefix: (0..60).map(|block| block * 1_000 + first).collect(),
+            fingerprint: None,
             left_ms: 1_000_000_000_000,
         };
         self.step(schedule::Input::Ask(ask));
--- a/crates/decide/src/gateway/fingerprint.rs
+++ b/crates/decide/src/gateway/fingerprint.rs
@@ -26,6 +26,11 @@
         Self(hash.digest())
     }
 
+    /// Returns the fingerprint of a request whose content has the hash `hash`.
+    pub const fn from_hash(hash: u64) -> Self {
+        Self(hash)
+    }
+
     /// Returns the fingerprint as an integer.
     pub(crate) const fn as_u64(self) -> u64 {
         self.0
--- a/crates/decide/src/schedule/outcome.rs
+++ b/crates/decide/src/schedule/outcome.rs
@@ -8,6 +8,9 @@
     Whole,
     /// The request was cancelled.
     Cancelled,
-    /// The endpoint failed or was lost.
+    /// The endpoint reported a failure, or could not be reached.
     Failed,
+    /// The connection to the endpoint ended before the answer did, and the rest of the answer could
+    /// not be fetched.
+    Lost,
 }
--- a/crates/decide/src/schedule/permitted.rs
+++ b/crates/decide/src/schedule/permitted.rs
@@ -13,6 +13,8 @@
     /// The endpoint's index in the fleet.
     pub(super) endpoint: usize,
     pub(super) rank: u8,
+    /// The hash of the request's content, as asked for.
+    pub(super) fingerprint: Option<u64>,
     pub(super) checkpoints: Vec<prefix::Checkpoint>,
     /// The work that was charged to the account; 0 for requests taken over.
     pub(super) cost: f64,
--- a/crates/decide/src/schedule/queue/waiting_queue.rs
+++ b/crates/decide/src/schedule/queue/waiting_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use trefoildyke_types::{id, time::Timestamp};
+use trefoildyke_types::{id, request, time::Timestamp};
 
 use crate::schedule::queue::{tier_queue, waiting};
 
@@ -41,6 +41,11 @@
         self.entries.get(&number)
     }
 
+    /// Returns the numbers and asks of all waiting requests.
+    pub(in crate::schedule) fn asks(&self) -> impl Iterator<Item = (u64, &request::Ask)> {
+        self.entries.iter().map(|(number, waiting)| (*number, &waiting.ask))
+    }
+
     pub(in crate::schedule) fn get_mut(&mut self, number: u64) -> Option<&mut waiting::Waiting> {
         self.entries.get_mut(&number)
     }
--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -23,6 +23,10 @@
             outputs.push(self.refuse_expired(&ask.key));
             return;
         }
+        if let Some(refusal) = self.refuse_quarantined(now, &ask) {
+            outputs.push(refusal);
+            return;
+        }
         if !self.make_room(now, &ask, outputs) {
             return;
         }
@@ -126,6 +130,7 @@
             coordinator: ask.coordinator,
             endpoint: index,
             rank: ask.rank,
+            fingerprint: ask.fingerprint,
             checkpoints,
             cost: 0.0,
             prefill,
--- a/crates/decide/src/schedule/shard/endpoints.rs
+++ b/crates/decide/src/schedule/shard/endpoints.rs
@@ -26,10 +26,15 @@
         self.may_grant = true;
     }
 
-    pub(super) fn endpoint_gone(&mut self, name: &id::EndpointName) {
-        let Some(index) = self.fleet.remove(name) else { return };
+    pub(super) fn endpoint_gone(&mut self, now: Timestamp, name: &id::EndpointName) {
+        let Some(index) = self.fleet.index_of(name) else { return };
+        let was_leaving = self.fleet.get(index).is_some_and(|endpoint| endpoint.leaving);
+        self.fleet.remove(name);
         self.index.clear(index);
-        self.permitted.retain(|_, permitted| permitted.endpoint != index);
+        let lost = self.permitted.extract_if(|_, permitted| permitted.endpoint == index);
+        for (_, permitted) in lost.filter(|_| !was_leaving).collect::<Vec<_>>() {
+            self.record_crash(now, name.clone(), &permitted);
+        }
         let permitted = &self.permitted;
         self.permit_expiries.retain(|(_, key)| permitted.contains_key(key));
         self.work_rates.update_capacity(&self.fleet);
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -94,6 +94,7 @@
                 coordinator: ask.coordinator,
                 endpoint: choice.endpoint,
                 rank: ask.rank,
+                fingerprint: ask.fingerprint,
                 checkpoints,
                 cost,
                 prefill: choice.uncached,
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod grants;
 mod place;
+mod quarantine;
 mod reports;
 mod shed;
 
@@ -11,7 +12,10 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::schedule::{self, fleet, lengths, permitted, prefix, queue, work_rates};
+use crate::{
+    gateway,
+    schedule::{self, fleet, lengths, permitted, prefix, queue, work_rates},
+};
 
 /// Decides the order and the endpoints of one pool shard's requests.
 ///
@@ -37,6 +41,7 @@
 ///     prompt_tokens: 400,
 ///     max_tokens: 100,
 ///     prefix: vec![],
+///     fingerprint: None,
 ///     left_ms: 20_000,
 /// };
 /// let outputs = shard.step(Timestamp::from_millis(1), schedule::Input::Ask(ask));
@@ -56,6 +61,10 @@
     shares: collections::HashMap<id::AccountName, schedule::AccountShare>,
     lengths: lengths::Lengths,
     work_rates: work_rates::WorkRates,
+    /// The requests under which endpoints have crashed.
+    quarantine: gateway::Quarantine,
+    /// Whether a request was quarantined that may still be waiting.
+    has_new_quarantine: bool,
     /// When the endpoints' health is checked next.
     next_check: Timestamp,
     /// The latest deadline of the requests that were shed, by rank.
@@ -75,6 +84,7 @@
     ///
     /// `scheduler` is the incarnation of the daemon that runs it.
     pub fn new(params: schedule::Params, scheduler: id::Incarnation) -> Self {
+        let quarantine = gateway::Quarantine::new(gateway::QuarantineParams::default());
         Self {
             params,
             scheduler,
@@ -86,6 +96,8 @@
             shares: collections::HashMap::new(),
             lengths: lengths::Lengths::new(),
             work_rates: work_rates::WorkRates::new(),
+            quarantine,
+            has_new_quarantine: false,
             next_check: Timestamp::ZERO,
             shed_until: collections::BTreeMap::new(),
             hold_end: None,
@@ -104,6 +116,7 @@
         self.handle(now, input, &mut outputs);
         self.expire_permits(now);
         self.check_health(now, &mut outputs);
+        self.shed_quarantined(now, &mut outputs);
         self.shed_expired(now, &mut outputs);
         if std::mem::take(&mut self.may_grant) {
             self.grant(now, &mut outputs);
@@ -140,7 +153,7 @@
             schedule::Input::Cache { endpoint, events } => self.cache(&endpoint, &events),
             schedule::Input::EndpointUp(info) => self.endpoint_up(now, &info),
             schedule::Input::EndpointLeaving(name) => self.endpoint_leaving(&name),
-            schedule::Input::EndpointGone(name) => self.endpoint_gone(&name),
+            schedule::Input::EndpointGone(name) => self.endpoint_gone(now, &name),
             schedule::Input::Account(share) => {
                 self.shares.insert(share.account.clone(), share);
             }
--- a/crates/decide/src/schedule/shard/reports.rs
+++ b/crates/decide/src/schedule/shard/reports.rs
@@ -84,8 +84,13 @@
     ) {
         self.progress(now, key, tokens);
         let Some(permitted) = self.release(now, key) else { return };
-        if outcome != schedule::Outcome::Whole {
-            return;
+        match outcome {
+            schedule::Outcome::Whole => self.record_completion(now, &permitted),
+            schedule::Outcome::Lost => {
+                self.record_crash(now, permitted.permit.endpoint.clone(), &permitted);
+                return;
+            }
+            schedule::Outcome::Cancelled | schedule::Outcome::Failed => return,
         }
         let account = &key.account;
         let limit = permitted.max_tokens;
--- a/crates/decide/tests/testsuite/main.rs
+++ b/crates/decide/tests/testsuite/main.rs
@@ -12,5 +12,6 @@
 mod schedule_basics;
 mod schedule_order;
 mod schedule_place;
+mod schedule_quarantine;
 mod schedule_support;
 mod stops;
--- a/crates/decide/tests/testsuite/schedule_order.rs
+++ b/crates/decide/tests/testsuite/schedule_order.rs
@@ -90,6 +90,7 @@
                     prompt_tokens: prompt,
                     max_tokens: tokens,
                     prefix: blocks.map(|block| block * 8 + u64::from(prefix)).collect(),
+                    fingerprint: None,
                     left_ms,
                 };
                 self.driver.ask(ask)
--- a/crates/decide/tests/testsuite/schedule_support.rs
+++ b/crates/decide/tests/testsuite/schedule_support.rs
@@ -23,6 +23,7 @@
         prompt_tokens: 100,
         max_tokens: 10,
         prefix: Vec::new(),
+        fingerprint: None,
         left_ms: 10_000,
     }
 }
--- a/crates/trefoildyked/tests/testsuite/crashes.rs
+++ b/crates/trefoildyked/tests/testsuite/crashes.rs
@@ -1,9 +1,6 @@
 //! A request that crashes every engine that runs it.
 //!
-//! The gateway recognises such a request and stops sending it. The scheduler of the daemon decides by the
-//! request identifier alone: the same input under a new identifier is a new request and is sent to the next
-//! engine. Nothing in the daemon prevents this yet, so the test fails with
-//! `the request was started at a fourth engine: 1`.
+//! Guards against starting the same input at one engine after the other under new identifiers.
 
 use std::collections;
 
--- a/crates/types/src/request/ask.rs
+++ b/crates/types/src/request/ask.rs
@@ -20,6 +20,10 @@
     pub max_tokens: u32,
     /// Hashes of the prompt's blocks in order; each hash covers all blocks before it too.
     pub prefix: Vec<u64>,
+    /// A hash of the request's content, the same when it is sent again under another identifier;
+    /// `None` if unknown.
+    #[serde(default)]
+    pub fingerprint: Option<u64>,
     /// The time that remained until the deadline when the message was sent, in milliseconds.
     pub left_ms: u64,
 }
--- a/testbed/src/experiment/arrivals/arrival.rs
+++ b/testbed/src/experiment/arrivals/arrival.rs
@@ -56,6 +56,7 @@
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
             prefix: self.prefix.to_vec(),
+            fingerprint: None,
             left_ms: left.as_millis() as u64,
         }
     }
--- a/testbed/src/experiment/goals/cost.rs
+++ b/testbed/src/experiment/goals/cost.rs
@@ -93,6 +93,7 @@
             prompt_tokens: 100 + (self.next * 37 % 4_000) as u32,
             max_tokens: 100,
             prefix: Vec::new(),
+            fingerprint: None,
             left_ms: 3_600_000,
         }));
     }
--- a/testbed/src/measure/scheduler.rs
+++ b/testbed/src/measure/scheduler.rs
@@ -104,6 +104,7 @@
             prompt_tokens: 100 + (number * 37 % 900) as u32,
             max_tokens: 100,
             prefix: (0..8).map(|block| number % 50 * 1_000 + block).collect(),
+            fingerprint: None,
             left_ms: LEFT_MS,
         }));
     }
