--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -166,8 +166,7 @@
     /// Records whether the source answered this daemon's last call, which decides which daemons read the
     /// source for others.
     pub fn record_store_answer(&self, is_answered: bool) {
-        let now = self.now();
-        if self.shared.core().record_store_answer(now, is_answered) {
+        if self.shared.core().mesh.note_answer(is_answered) {
             self.shared.set_changed();
         }
     }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -23,8 +23,6 @@
     pub(crate) quota: gateway::Quota,
     pub(crate) mesh: gateway::Mesh,
     pub(crate) roster: gateway::Roster,
-    /// Since when the store has answered this daemon, although it still counts as not answered.
-    answered_since: Option<Timestamp>,
     services: collections::HashMap<id::PoolName, state::Service>,
     /// The service of each endpoint.
     endpoint_services: collections::HashMap<id::EndpointName, id::PoolName>,
@@ -68,10 +66,6 @@
 /// again: the time of two renewals, and of a pause after a failed call.
 const REJOIN_GRACE: std::time::Duration = std::time::Duration::from_secs(4);
 
-/// How long a daemon that the store answers again has to ask the readers which endpoints are gone, before it
-/// reads the store for others even if it cannot tell: two queries, and a pause after a failed call.
-const RETURN_DELAY: std::time::Duration = std::time::Duration::from_millis(1_000);
-
 /// How long and how many previous versions of the configuration are kept, so that daemons which have one of
 /// them can be sent what has changed since. A daemon queries a reader every 450 ms.
 const PREVIOUS_RETENTION: std::time::Duration = std::time::Duration::from_secs(5);
@@ -90,7 +84,6 @@
             mesh: gateway::Mesh::new(settings.listen.peers, PEER_SILENCE)
                 .with_strength(settings.strength),
             roster: gateway::Roster::new(settings.list_grace),
-            answered_since: None,
             services: collections::HashMap::new(),
             endpoint_services: collections::HashMap::new(),
             deadlines: gateway::Deadlines::default(),
@@ -111,23 +104,6 @@
         self.incarnation
     }
 
-    /// Records whether the store has answered this daemon's last call; returns whether that changes which
-    /// daemons read the store for others.
-    ///
-    /// A daemon that the store answers again must not replace a reader before it can tell which endpoints are
-    /// gone: its followers would send requests to these endpoints for as long as it cannot.
-    pub(crate) fn record_store_answer(&mut self, now: Timestamp, is_answered: bool) -> bool {
-        if !is_answered {
-            self.answered_since = None;
-            return self.mesh.note_answer(false);
-        }
-        let since = *self.answered_since.get_or_insert(now);
-        if !self.roster.has_settled(now) && now.since(since) < RETURN_DELAY {
-            return false;
-        }
-        self.mesh.note_answer(true)
-    }
-
     /// Puts a version of the configuration in force; returns whether it is newer than the previous one.
     pub(crate) fn configure(&mut self, now: Timestamp, config: gateway::Config) -> bool {
         let before = self.table.as_ref().map(|table| table.config().version);
