gateway: a late answer that nothing can replace is waited for

What callers saw: 502 for 200 (peers::the_most_urgent_request_of_all_gateways_is_sent_first, once in ten runs of the suite at load 23 to 31).

Cause: an idempotent request without an answer after 0.45 of its time left is sent again, even if it was sent to the only endpoint. Its answer is given up, no other endpoint can take the request, and the caller gets 502. In that test the requests wait 0.5 s for a slot and their answers take another 0.5 s of the 1.4 s left; 0.15 s more, as at load, pass the limit. By reading the code and by a run, not by the lines of the old failure, which were not kept: with one endpoint that takes 1.3 s of 2 s the gateway answered 502 (answer_lost).

Change: such a request is sent again only if the service has a usable endpoint that it was not sent to. The same for a resumable stream that falls silent, which was aborted (found by looking for the same fault elsewhere).

Red without it: both new tests (502 for 200; an incomplete stream).

--- a/crates/decide/src/gateway/pool/versions.rs
+++ b/crates/decide/src/gateway/pool/versions.rs
@@ -149,6 +149,14 @@
         self.refresh_averages(now);
     }
 
+    /// Returns whether an endpoint outside `tried` may run requests.
+    pub fn has_untried(&self, now: Timestamp, tried: &[id::EndpointName]) -> bool {
+        let may_run = |endpoint: &endpoint::Endpoint| {
+            endpoint.is_usable(now) && self.versions.has_full_access(&endpoint.version)
+        };
+        self.endpoints.iter().any(|(name, endpoint)| !tried.contains(name) && may_run(endpoint))
+    }
+
     /// Returns the measurements of a rollout of the version `to`.
     pub fn rollout_status(&self, now: Timestamp, to: &id::VersionName) -> Finding {
         let mut versions = self.endpoints.values().map(|endpoint| &endpoint.version);
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -249,6 +249,14 @@
         self.may_send_again() && self.reserve_retry()
     }
 
+    /// Returns whether there is an endpoint to which the request was not sent yet. If not, a late answer is
+    /// waited for, as nothing could replace it.
+    pub(crate) fn has_untried_endpoint(&self) -> bool {
+        let now = self.shared.now();
+        let mut core = self.shared.core();
+        core.service(&self.call.service).pool.has_untried(now, &self.tried)
+    }
+
     pub(super) fn reserve_retry(&mut self) -> bool {
         self.retry_reservation = state::RetryReservation::take(&self.shared, &self.call.service);
         self.retry_reservation.is_some()
--- a/crates/gateway/src/ingress/driver/send.rs
+++ b/crates/gateway/src/ingress/driver/send.rs
@@ -41,7 +41,7 @@
                 sent = &mut sending => return attach_slot(sent, slot),
                 () = tokio::time::sleep_until(patience) => {}
             }
-            if self.reserve_resend() {
+            if self.has_untried_endpoint() && self.reserve_resend() {
                 slot.set_outcome(gateway::Outcome::Lost);
                 let failed = FailedSend::new(gateway::Failure::Lost, "no answer for too long");
                 return Err(FailedSend { is_reserved: true, ..failed });
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -85,6 +85,7 @@
                 return Some((Err(ingress::Aborted), None));
             }
             // A stream that cannot be resumed elsewhere is not ended for silence alone.
+            Step::Silent if !relay.driver.has_untried_endpoint() => {}
             Step::Silent if !relay.driver.reserve_resend() => relay.ignores_silence = true,
             Step::Silent => {
                 let failed =
--- a/crates/gateway/tests/testsuite/failures.rs
+++ b/crates/gateway/tests/testsuite/failures.rs
@@ -76,6 +76,19 @@
     }
 }
 
+/// An answer that took half of the request's time was given up, although no other endpoint could give it: the
+/// caller got 502.
+#[test]
+fn a_late_answer_that_no_other_endpoint_can_give_is_waited_for() {
+    let slow = Step::Pause(Duration::from_millis(2_000));
+    let endpoint = Endpoint::start(vec![vec![slow, Step::Answer("late")]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    gateway.reconfigure(2, |config| config.routes[1].timeout_ms = 4_000);
+    let reply = gateway.request("GET /again/").unwrap();
+    assert_eq!((reply.status, reply.body.as_str()), (200, "late"));
+    assert_eq!(endpoint.requests().len(), 1);
+}
+
 #[test]
 fn the_last_error_answer_is_forwarded_with_its_seal() {
     let failing = || Endpoint::start(vec![vec![Step::Status(500)]]);
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -96,6 +96,23 @@
     assert!(started.elapsed() < Duration::from_millis(900));
 }
 
+/// A silent stream was aborted although no other endpoint could resume it.
+#[test]
+fn a_silent_stream_that_no_other_endpoint_can_resume_is_not_aborted() {
+    let endpoint = Endpoint::start(vec![vec![
+        Step::Stream,
+        Step::Events("id: 1\n\n"),
+        Step::Pause(Duration::from_millis(1_800)),
+        Step::Events("id: 2\n\n"),
+        Step::EndStream,
+    ]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    gateway.reconfigure(2, |config| config.routes[3].timeout_ms = 4_000);
+    let reply = gateway.request("POST /resume/").unwrap();
+    assert!(reply.is_complete, "{reply:?}");
+    assert_eq!(endpoint.requests().len(), 1);
+}
+
 /// A silent stream is waited for if the retry budget does not allow a resumption.
 #[test]
 fn a_silent_stream_without_retry_budget_is_not_aborted() {
