gateway: the order of urgent requests is tested one free slot at a time

peers::the_most_urgent_request_of_all_gateways_is_sent_first failed by the order in 4 of 78 runs of the suite at load 10 to 26 ([true, false, true, false] for [true, true, false, false]).

Trace, the same in the two runs read: the first urgent request got the first slot. Then two slots became free within 5 ms; the urgent request, which waited at the other gateway, and a lesser one of the placing gateway were both sent in that millisecond (546 and 546 ms; 553 and 554 ms), and the endpoint read the lesser one first. Both had a slot, so no urgent request waited behind a lesser one: the test was wrong to expect an order of arrival.

The endpoint now holds its requests until the test releases them one by one, and the test waits until four requests are queued and until each slot is used, for pauses of 20 and 500 ms before. Same checks, same order. Without the routes' priority it fails. Feed::waiting_count shows the queue.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use trefoildyke_decide::gateway;
-use trefoildyke_types::time::Timestamp;
+use trefoildyke_types::{id, time::Timestamp};
 
 use crate::{record, state};
 
@@ -158,6 +158,12 @@
         self.shared.core().roster.len()
     }
 
+    /// Returns the number of requests for a service that wait for a slot here, those of other daemons
+    /// included.
+    pub fn waiting_count(&self, service: &id::PoolName) -> usize {
+        self.shared.core().service(service).pool.waiting()
+    }
+
     /// Returns whether a message came since the last call from a daemon that is not a member.
     pub fn take_unlisted_heard(&self) -> bool {
         self.shared.core().mesh.take_unlisted_heard()
--- a/crates/gateway/tests/testsuite/harness/endpoint.rs
+++ b/crates/gateway/tests/testsuite/harness/endpoint.rs
@@ -22,6 +22,8 @@
     Raw(&'static str),
     /// Sleeps.
     Pause(time::Duration),
+    /// Waits until the test releases one request, in any order.
+    Hold,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -33,6 +35,27 @@
     pub(crate) address: net::SocketAddr,
     requests: sync::Arc<sync::Mutex<Vec<String>>>,
     closed: sync::Arc<sync::atomic::AtomicUsize>,
+    releases: sync::Arc<Releases>,
+}
+
+/// The number of held requests that may go on.
+#[derive(Default)]
+struct Releases {
+    count: sync::Mutex<usize>,
+    changed: sync::Condvar,
+}
+
+impl Releases {
+    fn add(&self) {
+        *self.count.lock().unwrap() += 1;
+        self.changed.notify_one();
+    }
+
+    fn take(&self) {
+        let count = self.count.lock().unwrap();
+        let mut count = self.changed.wait_while(count, |count| *count == 0).unwrap();
+        *count -= 1;
+    }
 }
 
 impl Endpoint {
@@ -44,14 +67,20 @@
         let requests = sync::Arc::new(sync::Mutex::new(Vec::new()));
         let closed = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
         let scripts = sync::Arc::new(scripts);
-        let endpoint = Self { address, requests: requests.clone(), closed: closed.clone() };
+        let releases = sync::Arc::<Releases>::default();
+        let endpoint = Self {
+            address,
+            requests: requests.clone(),
+            closed: closed.clone(),
+            releases: releases.clone(),
+        };
         // The thread ends with the test process.
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (requests, scripts) = (requests.clone(), scripts.clone());
-                let closed = closed.clone();
+                let (closed, releases) = (closed.clone(), releases.clone());
                 thread::spawn(move || {
-                    serve(stream, &requests, &scripts);
+                    serve(stream, &requests, &scripts, &releases);
                     closed.fetch_add(1, sync::atomic::Ordering::Relaxed);
                 });
             }
@@ -64,13 +93,23 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Lets one held request go on.
+    pub(crate) fn release_one(&self) {
+        self.releases.add();
+    }
+
     /// Returns how many connections have ended.
     pub(crate) fn closed(&self) -> usize {
         self.closed.load(sync::atomic::Ordering::Relaxed)
     }
 }
 
-fn serve(mut stream: net::TcpStream, requests: &sync::Mutex<Vec<String>>, scripts: &[Vec<Step>]) {
+fn serve(
+    mut stream: net::TcpStream,
+    requests: &sync::Mutex<Vec<String>>,
+    scripts: &[Vec<Step>],
+    releases: &Releases,
+) {
     while let Some(request) = read_request(&mut stream) {
         let number = {
             let mut requests = requests.lock().unwrap();
@@ -79,7 +118,9 @@
         };
         let script = scripts.get(number).or(scripts.last()).unwrap();
         for step in script {
-            if !run_step(&mut stream, step, &header(&request, "trefoildyke-request-id")) {
+            if matches!(step, Step::Hold) {
+                releases.take();
+            } else if !run_step(&mut stream, step, &header(&request, "trefoildyke-request-id")) {
                 return;
             }
         }
@@ -111,6 +152,7 @@
             thread::sleep(*length);
             return true;
         }
+        Step::Hold => return true,
         Step::Close => return false,
         Step::Reset => {
             let socket = socket2::SockRef::from(&*stream);
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -49,29 +49,45 @@
 }
 
 /// Four requests run, and more wait at each gateway: the more urgent ones go first, wherever they wait.
+///
+/// The slots become free one after the other. Two that are free at the same time would be granted in order, but
+/// the requests could overtake each other on their way to the endpoint.
 #[test]
 fn the_most_urgent_request_of_all_gateways_is_sent_first() {
-    let script = vec![Step::Pause(Duration::from_millis(500)), Step::Answer("x")];
-    let endpoint = Endpoint::start(vec![script]);
+    let endpoint = Endpoint::start(vec![vec![Step::Hold, Step::Answer("x")]]);
     let gateways = [TestGateway::start(&[&endpoint]), TestGateway::start(&[&endpoint])];
     for gateway in &gateways {
-        gateway.reconfigure(2, |config| config.routes[1].priority = 2);
+        gateway.reconfigure(2, |config| {
+            config.routes[1].priority = 2;
+            for route in &mut config.routes {
+                route.timeout_ms = 20_000;
+            }
+        });
     }
     connect(&gateways);
     let send = |gateway: &TestGateway, line: &str, id: &str| {
         let mut caller = gateway.caller();
         caller.send(line, &[("trefoildyke-request-id", id), ("trefoildyke-key", "k1")], "");
-        thread::sleep(Duration::from_millis(20));
         caller
     };
+    let sent = || endpoint.requests().len();
     let mut callers = Vec::new();
     for number in 0..4 {
         callers.push(send(&gateways[number % 2], "GET /again/", "running"));
+        TestGateway::wait_until("it runs", || sent() > number);
     }
     callers.push(send(&gateways[0], "GET /again/", "lesser"));
     callers.push(send(&gateways[1], "GET /once/", "urgent"));
     callers.push(send(&gateways[1], "GET /again/", "lesser"));
     callers.push(send(&gateways[0], "GET /once/", "urgent"));
+    let waiting = |gateway: &TestGateway| gateway.feed.waiting_count(&"svc".into());
+    TestGateway::wait_until("four wait", || gateways.iter().map(waiting).sum::<usize>() == 4);
+    assert_eq!(sent(), 4);
+    for number in 4..8 {
+        endpoint.release_one();
+        TestGateway::wait_until("a slot is used again", || sent() > number);
+    }
+    (0..4).for_each(|_| endpoint.release_one());
     for caller in &mut callers {
         assert_eq!(caller.read_reply().unwrap().status, 200);
     }
