gateway: the endpoint of the test of urgent requests is not suspected for its silence

From the lines of one: the endpoint answered nothing for 1.3 s, since the test released nothing yet, so that it counted as suspected and got no fourth request within 5 s. A suspected endpoint is probed by repeatable requests first, which also explains one wrong order.

--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// More time than a test takes.
+const TEST_TIME: Duration = Duration::from_secs(60);
+
 /// Four requests run, and more wait at each gateway: the more urgent ones go first, wherever they wait.
 ///
 /// The slots become free one after the other. Two that are free at the same time would be granted in order, but
@@ -55,12 +58,15 @@
 #[test]
 fn the_most_urgent_request_of_all_gateways_is_sent_first() {
     let endpoint = Endpoint::start(vec![vec![Step::Hold, Step::Answer("x")]]);
-    let gateways = [TestGateway::start(&[&endpoint]), TestGateway::start(&[&endpoint])];
+    // An endpoint that answers nothing for a while would get one request at a time.
+    let start = || TestGateway::unconfigured(|settings| settings.pool.silence = TEST_TIME);
+    let gateways = [start(), start()];
     for gateway in &gateways {
+        gateway.configure(&[&endpoint]);
         gateway.reconfigure(2, |config| {
             config.routes[1].priority = 2;
             for route in &mut config.routes {
-                route.timeout_ms = 20_000;
+                route.timeout_ms = TEST_TIME.as_millis() as u64;
             }
         });
     }
