--- a/crates/gateway/tests/testsuite/failures.rs
+++ b/crates/gateway/tests/testsuite/failures.rs
@@ -76,8 +76,7 @@
     }
 }
 
-/// An answer that took half of the request's time was given up, although no other endpoint could give it: the
-/// caller got 502.
+/// Guards against 502 for an answer that takes half of the request's time.
 #[test]
 fn a_late_answer_that_no_other_endpoint_can_give_is_waited_for() {
     let slow = Step::Pause(Duration::from_millis(2_000));
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -96,7 +96,7 @@
     assert!(started.elapsed() < Duration::from_millis(900));
 }
 
-/// A silent stream was aborted although no other endpoint could resume it.
+/// Guards against aborting a silent stream that only its own endpoint can continue.
 #[test]
 fn a_silent_stream_that_no_other_endpoint_can_resume_is_not_aborted() {
     let endpoint = Endpoint::start(vec![vec![
