gateway, platform: log watches of the configuration and what readers report

The lines told that a daemon took itself for a reader of the store and not whether it watched the configuration, nor what its followers were told. 'config_watch' tells the one, 'reader_status' the other.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -63,6 +63,13 @@
         self.shared.journal.write(&event);
     }
 
+    /// Logs that this daemon has begun to watch the configuration in the store, or, with a `reason`, that it
+    /// has ceased to.
+    pub fn log_config_watch(&self, reason: Option<String>) {
+        let event = record::Event::ConfigWatch { watching: reason.is_none(), reason };
+        self.shared.journal.write(&event);
+    }
+
     /// Records that the configuration was still in force at `as_of`.
     pub fn confirm(&self, as_of: Timestamp) {
         let mut core = self.shared.core();
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -5,7 +5,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::time::Timestamp;
 
-use crate::{feed, pending_replies, state};
+use crate::{feed, pending_replies, record, state};
 
 /// How long to wait for a reply: about forty round trips.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -36,7 +36,8 @@
 }
 
 /// What the daemons that read the store for others know of it, in increasing order of how much it tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[serde(tag = "status", content = "version", rename_all = "snake_case")]
 pub enum ReaderStatus {
     /// No reader replied.
     Unreachable,
@@ -68,6 +69,8 @@
     pub(crate) replies: pending_replies::PendingReplies<(), Reply>,
     /// When the readers last reported that the store is silent.
     reported_silent: sync::Mutex<Option<Timestamp>>,
+    /// What the readers last reported.
+    last_status: sync::Mutex<Option<ReaderStatus>>,
 }
 
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
@@ -105,9 +108,21 @@
         if found == ReaderStatus::Silent {
             self.record_silence();
         }
+        self.log_status(found);
         found
     }
 
+    /// Logs what the readers report if its kind has changed.
+    fn log_status(&self, status: ReaderStatus) {
+        let before = lock(&self.shared.queries.last_status).replace(status);
+        if before.as_ref().map(std::mem::discriminant) == Some(std::mem::discriminant(&status)) {
+            return;
+        }
+        let age = self.shared.core().freshness.age(self.now());
+        let age_ms = age.map(|age| age.as_millis() as u64);
+        self.shared.journal.write(&record::Event::ReaderStatus { status, age_ms });
+    }
+
     /// Queries the readers in turn until the list of endpoints could be followed too; each reply may take
     /// `timeout`.
     async fn query_each_reader(&self, timeout: time::Duration) -> ReaderStatus {
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -3,6 +3,8 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::id;
 
+use crate::query;
+
 /// What a request asked for: the inputs of the decisions on its quota, rank and slot.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
 pub struct RequestInputs {
@@ -165,6 +167,21 @@
         /// Whether it does.
         is_reader: bool,
     },
+    /// This daemon has begun or ceased to watch the configuration in the store.
+    ConfigWatch {
+        /// Whether it watches.
+        watching: bool,
+        /// Why it has ceased; `None` if it has begun.
+        reason: Option<String>,
+    },
+    /// What the readers report of the configuration has changed.
+    ReaderStatus {
+        /// What they report.
+        #[serde(flatten)]
+        status: query::ReaderStatus,
+        /// The age of this daemon's own confirmation, in milliseconds.
+        age_ms: Option<u64>,
+    },
     /// The list of members has changed.
     Members {
         /// The number of members, this daemon included.
