gateway, platform: only calls for the configuration make a daemon a reader again

Callers saw requests handled by an older version 2 s and more after a version was acknowledged. A daemon counted as a reader of the store as soon as the store answered any of its calls: the list of members, a lease, the quarantine, even a reply of another reader. Its own follower of the configuration meanwhile waited 3 s on average to try again, and the daemons that did read the configuration resigned in its favour.

A failed call for the configuration now counts until one is answered. If the store answers other calls of a daemon that the others need as a reader, it reads the configuration at once; so the role comes back as soon as before.

--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -81,16 +81,28 @@
     /// there are a few more readers for a while, or a daemon is queried that has to query a reader
     /// itself. Replies state the age of the data in either case.
     pub fn readers(&self, now: Timestamp) -> Vec<net::SocketAddr> {
+        self.readers_if(now, self.is_unanswered())
+    }
+
+    /// Returns whether this daemon would read the store on behalf of all daemons if the store
+    /// answered its calls for the configuration.
+    pub(super) fn is_reader_if_answered(&self, now: Timestamp) -> bool {
+        self.readers_if(now, false).contains(&self.own)
+    }
+
+    /// Returns the readers, given whether this daemon itself lacks an answer of the store.
+    fn readers_if(&self, now: Timestamp, own_lacks_store: bool) -> Vec<net::SocketAddr> {
+        let is_served = |address: net::SocketAddr| match address == self.own {
+            true => !own_lacks_store,
+            false => !self.lacks_store(now, address),
+        };
         let (served, unserved): (Vec<_>, Vec<_>) =
-            self.ranked.iter().partition(|address| !self.lacks_store(now, **address));
+            self.ranked.iter().partition(|address| is_served(**address));
         let count = MIN_READERS.max(self.count() / DAEMONS_PER_READER);
         served.into_iter().chain(unserved).take(count).collect()
     }
 
     fn lacks_store(&self, now: Timestamp, address: net::SocketAddr) -> bool {
-        if address == self.own {
-            return self.unanswered;
-        }
         let until = self.members.get(&address).and_then(|member| member.unanswered_until);
         until.is_some_and(|until| now < until)
     }
--- a/crates/decide/src/gateway/mesh/mod.rs
+++ b/crates/decide/src/gateway/mesh/mod.rs
@@ -29,6 +29,8 @@
     strength: gateway::Strength,
     /// Whether the store left this daemon's last call unanswered.
     unanswered: bool,
+    /// Whether the store left this daemon's last call for the configuration unanswered.
+    config_unanswered: bool,
     /// How long a hub may be silent before it counts as not heard.
     silence_limit: time::Duration,
     /// The time until which this daemon's own entry is certain to exist; `None` if the entry cannot
@@ -158,6 +160,7 @@
             own,
             strength: gateway::Strength::UNKNOWN,
             unanswered: false,
+            config_unanswered: false,
             silence_limit,
             entry_until: None,
             listed_at: None,
@@ -193,15 +196,36 @@
         self.entry_until.is_none_or(|until| now < until)
     }
 
-    /// Records whether the store has answered this daemon's last call, and returns whether that has
-    /// changed.
+    /// Records whether the store has answered this daemon's last call, and returns whether
+    /// [`Self::is_unanswered`] has changed.
     pub const fn note_answer(&mut self, is_answered: bool) -> bool {
-        std::mem::replace(&mut self.unanswered, !is_answered) == is_answered
+        let before = self.is_unanswered();
+        self.unanswered = !is_answered;
+        self.is_unanswered() != before
     }
 
-    /// Returns whether the store left this daemon's last call unanswered.
+    /// Records whether the store has answered this daemon's last call, which was for the
+    /// configuration, and returns whether [`Self::is_unanswered`] has changed.
+    pub const fn note_config_answer(&mut self, is_answered: bool) -> bool {
+        let before = self.is_unanswered();
+        self.unanswered = !is_answered;
+        self.config_unanswered = !is_answered;
+        self.is_unanswered() != before
+    }
+
+    /// Returns whether the store left this daemon's last call, or its last call for the configuration,
+    /// unanswered.
+    ///
+    /// Such a daemon should not read the store for others. Answers to other calls do not show that
+    /// it confirms the configuration.
     pub const fn is_unanswered(&self) -> bool {
-        self.unanswered
+        self.unanswered || self.config_unanswered
+    }
+
+    /// Returns whether only a call for the configuration has to be answered for this daemon to read
+    /// the store on behalf of all daemons.
+    pub fn should_read_config(&self, now: Timestamp) -> bool {
+        self.config_unanswered && !self.unanswered && self.is_reader_if_answered(now)
     }
 
     /// Records whether the store has answered a member's last call, as reported in the member's
--- a/crates/decide/src/gateway/message/digest.rs
+++ b/crates/decide/src/gateway/message/digest.rs
@@ -21,7 +21,8 @@
     pub is_young: bool,
     /// Whether the sender leaves and sends nothing more.
     pub leaving: bool,
-    /// Whether the store left the sender's last call unanswered.
+    /// Whether the store left the sender's last call, or its last call for the configuration,
+    /// unanswered.
     pub unanswered: bool,
     /// The hash of the hubs that the sender uses.
     pub hub_mark: u64,
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -78,7 +78,8 @@
         stamp: u64,
         /// The sender's view of the store.
         view: StoreView,
-        /// Whether the store has answered the sender's last call.
+        /// Whether the store has answered the sender's last call and its last call for the
+        /// configuration.
         answered: bool,
         /// The changes that lead from the list of the query to the list of `view`, if the sender
         /// knows them.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -179,11 +179,28 @@
     /// Records whether the source answered this daemon's last call, which decides which daemons read the
     /// source for others.
     pub fn record_store_answer(&self, is_answered: bool) {
-        if self.shared.core().mesh.note_answer(is_answered) {
+        let mut core = self.shared.core();
+        if core.mesh.note_answer(is_answered) {
+            self.shared.set_changed();
+        }
+        if core.mesh.should_read_config(self.now()) {
+            self.shared.config_needed.notify_one();
+        }
+    }
+
+    /// Records whether the source answered this daemon's last call, which was for the configuration.
+    pub fn record_config_answer(&self, is_answered: bool) {
+        if self.shared.core().mesh.note_config_answer(is_answered) {
             self.shared.set_changed();
         }
     }
 
+    /// Waits until the source answers other calls of this daemon again, while the other daemons need it to
+    /// read the configuration.
+    pub async fn config_needed(&self) {
+        self.shared.config_needed.notified().await;
+    }
+
     /// Logs that a dependency of the daemon does not answer.
     pub fn log_outage(&self, dependency: &'static str, reason: String) {
         self.shared.journal.write(&record::Event::Lost { dependency, reason });
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -41,6 +41,8 @@
     changed: atomic::AtomicBool,
     /// Whether this daemon read the store on behalf of the others when this was last checked.
     reader: atomic::AtomicBool,
+    /// Notified when only a read of the configuration keeps this daemon from reading the store for others.
+    pub(crate) config_needed: tokio::sync::Notify,
 }
 
 impl Shared {
@@ -67,6 +69,7 @@
             ready: atomic::AtomicBool::new(false),
             changed: atomic::AtomicBool::new(false),
             reader: atomic::AtomicBool::new(false),
+            config_needed: tokio::sync::Notify::new(),
         }
     }
 
