gateway, platform: a reader of the store goes on until the next readers watch it

A daemon that read the configuration for the others stopped as soon as it took others for the readers: their rank is higher, and an earlier report that the store does not answer them had lapsed after 2 s. Whether they did read was not asked, and their confirmations may have come from the daemon itself.

Replies to queries tell whether the sender watches the configuration, and a reader leaves the role only to a daemon that does and has its version. All daemons have to be replaced together, as replies have a new field.

--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -81,6 +81,8 @@
         /// Whether the store has answered the sender's last call and its last call for the
         /// configuration.
         answered: bool,
+        /// Whether the sender watches the configuration in the store.
+        watches: bool,
         /// The changes that lead from the list of the query to the list of `view`, if the sender
         /// knows them.
         changes: Option<Vec<gateway::RosterChange>>,
--- a/crates/decide/src/gateway/message/store_view.rs
+++ b/crates/decide/src/gateway/message/store_view.rs
@@ -1,5 +1,7 @@
 //! A daemon's view of the store.
 
+use std::time;
+
 /// A daemon's knowledge of the store and its age. All times are in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StoreView {
@@ -14,3 +16,10 @@
     /// How long the source of the list has answered without a failure.
     pub steady: u32,
 }
+
+impl StoreView {
+    /// Returns the time since the configuration was confirmed.
+    pub const fn confirmed_age(&self) -> time::Duration {
+        time::Duration::from_millis(self.confirmed as u64)
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -63,9 +63,10 @@
         self.shared.journal.write(&event);
     }
 
-    /// Logs that this daemon has begun to watch the configuration in the store, or, with a `reason`, that it
-    /// has ceased to.
-    pub fn log_config_watch(&self, reason: Option<String>) {
+    /// Records that this daemon has begun to watch the configuration in the store, or, with a `reason`, that
+    /// it has ceased to.
+    pub fn record_config_watch(&self, reason: Option<String>) {
+        self.shared.core().watches_config = reason.is_none();
         let event = record::Event::ConfigWatch { watching: reason.is_none(), reason };
         self.shared.journal.write(&event);
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -160,12 +160,12 @@
                 shared.send(&reply, &[from]);
             }
         }
-        Ok(gateway::Message::Reply { stamp, view, answered, changes }) => {
+        Ok(gateway::Message::Reply { stamp, view, answered, watches, changes }) => {
             let mut core = shared.core();
             core.mesh.record_reply(from);
             core.mesh.note_member_answer(shared.now(), from, answered);
             drop(core);
-            let reply = query::Reply { view, is_answered: answered, changes };
+            let reply = query::Reply { view, is_answered: answered, watches, changes };
             // A reply to a query that has timed out is discarded, because its age is unknown.
             let _ = shared.queries.replies.complete(stamp, reply);
         }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -5,7 +5,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::time::Timestamp;
 
-use crate::{feed, pending_replies, record, state};
+use crate::{feed, pending_replies, record};
 
 /// How long to wait for a reply: about forty round trips.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -31,6 +31,8 @@
     pub(crate) view: gateway::StoreView,
     /// Whether the store has answered the other daemon's last call.
     pub(crate) is_answered: bool,
+    /// Whether the other daemon watches the configuration in the store.
+    pub(crate) watches: bool,
     /// The changes from this daemon's list of endpoints to the other daemon's.
     pub(crate) changes: Option<Vec<gateway::RosterChange>>,
 }
@@ -131,18 +133,13 @@
         for (index, reader) in readers.into_iter().enumerate() {
             let sent_at = self.now();
             let roster = self.shared.core().roster.hash();
-            let quarantine = self.shared.core().quarantine.hash();
-            let rollouts = self.shared.core().rollouts.hash();
             // Only the first reader is sent the hub mark, so that only one reader counts this daemon as its
             // client.
             let is_first = index == 0;
             let hub_mark =
                 if is_first { self.shared.core().mesh.reported_hub_hash(sent_at) } else { NO_HUBS };
-            let stamp = sent_at.as_micros();
-            let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts };
-            let Some(reply) = query_one(&self.shared, reader, stamp, &query, timeout).await else {
-                continue;
-            };
+            let reply = self.query_reader(reader, sent_at, roster, hub_mark, timeout).await;
+            let Some(reply) = reply else { continue };
             let status = self.apply_confirmation(sent_at, &reply);
             found = found.combine(status);
             if matches!(status, ReaderStatus::Fresh(_))
@@ -154,6 +151,50 @@
         found
     }
 
+    /// Returns whether another reader watches the configuration in the store and has a version that is not
+    /// older than `version`.
+    ///
+    /// A confirmation of a daemon that does not watch is not enough, because it may come from this daemon.
+    pub async fn has_other_watcher(&self, version: Option<u64>) -> bool {
+        let readers = self.shared.core().mesh.readers_to_ask(self.now());
+        let is_watcher = |reply: Reply| {
+            reply.watches
+                && reply.view.confirmed_age() < MAX_CONFIRMATION_AGE
+                && Some(reply.view.version) >= version
+        };
+        for reader in readers {
+            let sent_at = self.now();
+            let roster = self.shared.core().roster.hash();
+            let reply = self.query_reader(reader, sent_at, roster, NO_HUBS, REPLY_TIMEOUT).await;
+            if reply.is_some_and(is_watcher) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Queries one reader, which counts this daemon as its client if `hub_mark` is its hash of the hubs.
+    async fn query_reader(
+        &self,
+        reader: net::SocketAddr,
+        sent_at: Timestamp,
+        roster: u64,
+        hub_mark: u64,
+        timeout: time::Duration,
+    ) -> Option<Reply> {
+        let stamp = sent_at.as_micros();
+        let quarantine = self.shared.core().quarantine.hash();
+        let rollouts = self.shared.core().rollouts.hash();
+        let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts };
+        let reply = self.shared.queries.replies.register(self.now(), stamp, ());
+        self.shared.send(&query, &[reader]);
+        let reply = tokio::time::timeout(timeout, reply).await;
+        if reply.is_err() {
+            self.shared.suspect_peer(reader, "does not reply to a query");
+        }
+        reply.ok()?.ok()
+    }
+
     /// Records that the store answers none of the readers.
     fn record_silence(&self) {
         // While the store is silent, endpoints cannot renew their entries either.
@@ -193,7 +234,7 @@
     /// `sent_at`. The model is `passed_keys` in `trefoildyke_spec`.
     fn apply_confirmation(&self, sent_at: Timestamp, reply: &Reply) -> ReaderStatus {
         let view = reply.view;
-        let age = time::Duration::from_millis(u64::from(view.confirmed));
+        let age = view.confirmed_age();
         let mut core = self.shared.core();
         let own = core.table.as_ref().map(|table| table.config().version);
         if own == Some(view.version) {
@@ -255,19 +296,3 @@
 fn before(sent_at: Timestamp, ms: u32) -> Timestamp {
     Timestamp::from_micros(sent_at.as_micros().saturating_sub(u64::from(ms) * 1_000))
 }
-
-async fn query_one(
-    shared: &state::Shared,
-    reader: net::SocketAddr,
-    stamp: u64,
-    query: &gateway::Message,
-    timeout: time::Duration,
-) -> Option<Reply> {
-    let reply = shared.queries.replies.register(shared.now(), stamp, ());
-    shared.send(query, &[reader]);
-    let reply = tokio::time::timeout(timeout, reply).await;
-    if reply.is_err() {
-        shared.suspect_peer(reader, "does not reply to a query");
-    }
-    reply.ok()?.ok()
-}
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -41,6 +41,8 @@
     announced: bool,
     /// Whether a graceful stop has begun.
     stopping: bool,
+    /// Whether this daemon watches the configuration in the store.
+    pub(crate) watches_config: bool,
 }
 
 /// The kind of a digest.
@@ -97,6 +99,7 @@
             report_count: 0,
             announced: false,
             stopping: false,
+            watches_config: false,
         }
     }
 
@@ -160,7 +163,8 @@
         };
         let changes = self.roster.changes_since(roster);
         let answered = !self.mesh.is_unanswered();
-        Some(gateway::Message::Reply { stamp, view, answered, changes })
+        let watches = self.watches_config;
+        Some(gateway::Message::Reply { stamp, view, answered, watches, changes })
     }
 
     /// Applies the changes of the list of endpoints.
