--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -16,3 +16,4 @@
 mod stops;
 mod streams;
 mod transfers;
+mod unreachable;
