gateway: a daemon that reaches no endpoint opens connections through others

Each attempt waited 400 ms for a connection, several in turn, and the request was then refused or its caller had left: nothing else was tried.

Such a daemon now opens a connection through another daemon, which copies bytes both ways and takes no decision on the request. So at most one dispatch, the time left, quotas and the repeat budget stay with the daemon that took the request. A daemon counts as isolated once connections to three endpoints have failed within 2 s and none was opened; it tries a direct one twice a second. Idle connections are dropped at that moment, as they may hang. A broken connection to the endpoint resets the tunnel, so that an answer without a length does not look complete; a planned stop of the other daemon waits for the requests that it forwards.

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod fingerprint;
 mod freshness;
+mod links;
 mod mesh;
 mod message;
 mod pool;
@@ -34,6 +35,7 @@
 pub use events::{EventSplitter, EventTooLong};
 pub use fingerprint::Fingerprint;
 pub use freshness::Freshness;
+pub use links::Links;
 pub use mesh::{DigestChanges, Mesh, Peer, PlacingAbility};
 pub use message::{
     AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -221,6 +221,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns the address of a listed endpoint.
+    pub fn address(&self, endpoint: &id::EndpointName) -> Option<net::SocketAddr> {
+        self.entries.get(endpoint).map(|entry| entry.address)
+    }
+
     /// Replaces the list by one that was valid at `now` or later, and returns the changes.
     pub fn replace(&mut self, now: Timestamp, list: Vec<RosterEntry>) -> Vec<RosterChange> {
         let available_since = *self.available_since.get_or_insert(now);
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod flood;
 mod freshness;
 mod hubs;
+mod links;
 mod loads;
 mod mesh;
 mod patches;
--- a/crates/gateway/src/config_transfer/server.rs
+++ b/crates/gateway/src/config_transfer/server.rs
@@ -1,18 +1,18 @@
-//! Serves the configuration to the other daemons.
+//! Serves the configuration, and tunnels to endpoints, to the other daemons.
 
 use std::{net, sync, time};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{StatusCode, server::conn::http1, service};
+use hyper::{StatusCode, body, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::{net as tokio_net, task};
 use tokio_util::sync as tokio_sync;
 
-use crate::{config_transfer, config_transfer::slots, state};
+use crate::{config_transfer, config_transfer::slots, state, tunnel};
 
-/// The maximum number of open connections, most of which are turned away at once.
-const MAX_CONNECTIONS: usize = 256;
+/// The maximum number of open connections: transfers, most of which are turned away at once, and tunnels.
+const MAX_CONNECTIONS: usize = 512;
 
 /// How long a client may take to send its request.
 const HEADER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -25,6 +25,9 @@
 /// The slot of a connection's transfer, if there is one.
 type HeldSlot = sync::Arc<sync::Mutex<Option<slots::Slot>>>;
 
+/// The tunnel that a connection becomes, if a member asks for one.
+type HeldTunnel = sync::Arc<sync::Mutex<Option<tunnel::Opened>>>;
+
 /// Serves the configuration to the members until `shutdown` is cancelled.
 pub(crate) async fn serve(
     shared: sync::Arc<state::Shared>,
@@ -63,23 +66,62 @@
         return;
     }
     let held = HeldSlot::default();
-    let slot = sync::Arc::clone(&held);
-    let service = service::service_fn(move |request: hyper::Request<_>| {
-        let response = answer(&shared, source, request.uri(), &slot);
-        async move { Ok::<_, std::convert::Infallible>(response) }
+    let tunnel = HeldTunnel::default();
+    let (slot, opened) = (sync::Arc::clone(&held), sync::Arc::clone(&tunnel));
+    let service = service::service_fn(move |request: hyper::Request<body::Incoming>| {
+        let (shared, slot, opened) =
+            (sync::Arc::clone(&shared), sync::Arc::clone(&slot), sync::Arc::clone(&opened));
+        async move {
+            let response = match request.uri().path() {
+                tunnel::PATH => open_tunnel(&shared, source, request, &opened).await,
+                _ => answer(&shared, source, request.uri(), &slot),
+            };
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let served = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .keep_alive(false)
         .serve_connection(rt::TokioIo::new(stream), service)
+        .with_upgrades()
         .await;
+    let tunnel = tunnel.lock().unwrap_or_else(sync::PoisonError::into_inner).take();
+    if let Some(tunnel) = tunnel {
+        tunnel.run().await;
+        return;
+    }
     let mut held = held.lock().unwrap_or_else(sync::PoisonError::into_inner);
     if let Some(slot) = held.as_mut().filter(|_| served.is_ok()) {
         slot.set_complete();
     }
 }
 
+/// Opens the tunnel that a member asks for; it is run once the answer was sent.
+async fn open_tunnel(
+    shared: &sync::Arc<state::Shared>,
+    source: net::IpAddr,
+    request: hyper::Request<body::Incoming>,
+    opened: &HeldTunnel,
+) -> Response {
+    let query = Query::parse(request.uri());
+    let Some(query) = query.filter(|query| is_member(shared, source, query)) else {
+        return respond(StatusCode::FORBIDDEN, Bytes::new());
+    };
+    match tunnel::accept(shared, query.member, request).await {
+        Ok(tunnel) => {
+            *opened.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(tunnel);
+            tunnel::Opened::switch_protocols()
+        }
+        Err(status) => respond(status, Bytes::new()),
+    }
+}
+
+/// Returns whether a query comes from a member.
+fn is_member(shared: &state::Shared, source: net::IpAddr, query: &Query) -> bool {
+    query.member.ip() == source && shared.core().mesh.is_member(query.member)
+}
+
 fn answer(
     shared: &state::Shared,
     source: net::IpAddr,
@@ -89,12 +131,12 @@
     let Some(query) = Query::parse(uri) else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
+    // The configuration contains the API keys, so only members may read it.
+    if !is_member(shared, source, &query) {
+        return respond(StatusCode::FORBIDDEN, Bytes::new());
+    }
     let (current, base) = {
         let core = shared.core();
-        // The configuration contains the API keys, so only members may read it.
-        if query.member.ip() != source || !core.mesh.is_member(query.member) {
-            return respond(StatusCode::FORBIDDEN, Bytes::new());
-        }
         (core.table.clone(), query.since.and_then(|since| core.table_of_version(since)))
     };
     let newer = current.filter(|table| Some(table.config().version) > query.since);
@@ -136,7 +178,7 @@
 
 impl Query {
     fn parse(uri: &hyper::Uri) -> Option<Self> {
-        if uri.path() != config_transfer::PATH {
+        if ![config_transfer::PATH, tunnel::PATH].contains(&uri.path()) {
             return None;
         }
         let query = uri.query()?;
--- a/crates/gateway/src/ingress/driver/send.rs
+++ b/crates/gateway/src/ingress/driver/send.rs
@@ -28,9 +28,8 @@
         let grant = slot.grant().clone();
         let service = self.call.service.clone();
         let sending = async {
-            let names = &shared.settings.names;
             let on_rate_limit = |limit| shared.note_rate_limit(&service, &grant, limit);
-            upstream::send(&shared.connections, names, &grant, &id, &request, on_rate_limit).await
+            upstream::send(&shared, &grant, &id, &request, on_rate_limit).await
         };
         let mut sending = std::pin::pin!(sending);
         let left = self.call.answer_due.since(self.shared.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod rollouts;
 mod settings;
 mod state;
+mod tunnel;
 mod upstream;
 
 pub use clock::Clock;
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -249,6 +249,29 @@
         /// Maximum number of repeats the retry budget allows this daemon in that window.
         repeat_limit: usize,
     },
+    /// Whether this daemon can open connections to endpoints has changed.
+    Links {
+        /// Whether it can open none.
+        isolated: bool,
+    },
+    /// A connection to an endpoint was opened through another daemon.
+    Tunnel {
+        /// The endpoint.
+        endpoint: id::EndpointName,
+        /// The other daemon.
+        through: std::net::SocketAddr,
+    },
+    /// A connection to an endpoint that this daemon forwarded has ended.
+    TunnelEnded {
+        /// The daemon for which it was forwarded.
+        peer: std::net::SocketAddr,
+        /// The endpoint.
+        endpoint: id::EndpointName,
+        /// How long it was open, in milliseconds.
+        total_ms: u64,
+        /// Why it failed; `None` if one side closed it.
+        error: Option<String>,
+    },
     /// A request is quarantined: it is no longer sent to any endpoint, because endpoints crash under it.
     Quarantined {
         /// The fingerprint of the request.
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -26,6 +26,8 @@
     services: collections::HashMap<id::PoolName, state::Service>,
     /// The service of each endpoint.
     endpoint_services: collections::HashMap<id::EndpointName, id::PoolName>,
+    /// Whether this daemon reaches the endpoints.
+    pub(crate) links: gateway::Links,
     pub(crate) deadlines: gateway::Deadlines,
     pub(crate) quarantine: gateway::Quarantine,
     pub(crate) rollouts: gateway::Rollouts,
@@ -88,6 +90,7 @@
             roster: gateway::Roster::new(settings.list_grace),
             services: collections::HashMap::new(),
             endpoint_services: collections::HashMap::new(),
+            links: gateway::Links::default(),
             deadlines: gateway::Deadlines::default(),
             quarantine: gateway::Quarantine::new(settings.quarantine),
             rollouts: gateway::Rollouts::default(),
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -234,6 +234,27 @@
         self.journal.write(&record::Event::PeerDoubted { peer, reason });
     }
 
+    /// Records whether a connection to an endpoint could be opened from this host, and logs a change of
+    /// whether any can.
+    pub(crate) fn record_link(&self, endpoint: &id::EndpointName, is_open: bool) {
+        let now = self.now();
+        let mut core = self.core();
+        let has_changed = if is_open {
+            core.links.record_opened()
+        } else {
+            let known = core.roster.len();
+            core.links.record_failed(now, endpoint, known)
+        };
+        drop(core);
+        if has_changed {
+            if !is_open {
+                // Requests on idle connections would wait in vain if these hang.
+                self.connections.forget_all();
+            }
+            self.journal.write(&record::Event::Links { isolated: !is_open });
+        }
+    }
+
     /// Keeps a connection to an endpoint for reuse, within this daemon's share of the connections that the
     /// endpoint accepts from all daemons.
     pub(crate) fn keep_idle(
--- /dev/null
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -0,0 +1,19 @@
+//! Connections to endpoints through other daemons.
+//!
+//! A daemon that reaches callers and other daemons but no endpoint sends its requests through another daemon,
+//! which copies bytes both ways. All decisions on a request stay with the daemon that took it from its caller.
+
+mod client;
+mod server;
+
+pub(crate) use client::open;
+pub(crate) use server::{Opened, accept};
+
+/// The path at which daemons open tunnels; the query contains the client's address for messages.
+pub(crate) const PATH: &str = "/tunnel";
+
+/// The header with the name of the endpoint.
+const ENDPOINT: &str = "endpoint";
+
+/// The protocol to which a connection is upgraded.
+const PROTOCOL: &str = "trefoildyke-tunnel";
--- /dev/null
+++ b/crates/gateway/src/tunnel/server.rs
@@ -0,0 +1,105 @@
+//! Forwards connections of other daemons to endpoints.
+
+use std::{io, net, sync, time};
+
+use hyper::{StatusCode, body, upgrade};
+use hyper_util::rt;
+use tokio::io::AsyncWriteExt as _;
+use trefoildyke_kernel as kernel;
+use trefoildyke_types::id;
+
+use crate::{record, state, tunnel, upstream};
+
+/// A connection to an endpoint that another daemon has asked for.
+pub(crate) struct Opened {
+    shared: sync::Arc<state::Shared>,
+    peer: net::SocketAddr,
+    endpoint: id::EndpointName,
+    stream: tokio::net::TcpStream,
+    upgrade: upgrade::OnUpgrade,
+    /// Keeps a graceful stop from cutting off the request.
+    _pass: kernel::Pass,
+}
+
+/// Opens a connection to the endpoint that `request` of the member `peer` names.
+///
+/// # Errors
+///
+/// Returns the status of the answer if the endpoint is not listed, this daemon does not reach it, or stops.
+pub(crate) async fn accept(
+    shared: &sync::Arc<state::Shared>,
+    peer: net::SocketAddr,
+    request: hyper::Request<body::Incoming>,
+) -> Result<Opened, StatusCode> {
+    let name = request.headers().get(tunnel::ENDPOINT).and_then(|value| value.to_str().ok());
+    let endpoint: id::EndpointName = name.ok_or(StatusCode::BAD_REQUEST)?.into();
+    let address = {
+        let core = shared.core();
+        // An isolated daemon would have to ask others in turn.
+        if core.links.is_isolated() {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        core.roster.address(&endpoint).ok_or(StatusCode::NOT_FOUND)?
+    };
+    let pass = shared.gate.enter().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let connected = upstream::connect(address, shared.settings.connect_timeout).await;
+    shared.record_link(&endpoint, connected.is_ok());
+    let stream = connected.map_err(|_| StatusCode::BAD_GATEWAY)?;
+    let upgrade = upgrade::on(request);
+    Ok(Opened { shared: sync::Arc::clone(shared), peer, endpoint, stream, upgrade, _pass: pass })
+}
+
+impl Opened {
+    /// Answers that the connection is open.
+    pub(crate) fn switch_protocols<B: Default>() -> hyper::Response<B> {
+        let mut response = hyper::Response::new(B::default());
+        *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+        let headers = response.headers_mut();
+        let value = hyper::header::HeaderValue::from_static;
+        headers.insert(hyper::header::CONNECTION, value("upgrade"));
+        headers.insert(hyper::header::UPGRADE, value(tunnel::PROTOCOL));
+        response
+    }
+
+    /// Copies bytes both ways until one side closes its connection.
+    pub(crate) async fn run(self) {
+        let started = tokio::time::Instant::now();
+        let Ok(upgraded) = self.upgrade.await else { return };
+        let Ok(parts) = upgraded.downcast::<rt::TokioIo<tokio::net::TcpStream>>() else { return };
+        let ended = copy(parts.io.into_inner(), self.stream, &parts.read_buf).await;
+        self.shared.journal.write(&record::Event::TunnelEnded {
+            peer: self.peer,
+            endpoint: self.endpoint,
+            total_ms: started.elapsed().as_millis() as u64,
+            error: ended.err().map(|error| error.to_string()),
+        });
+    }
+}
+
+/// Copies bytes between a daemon and an endpoint; `first` are bytes of the daemon that were already read.
+///
+/// The daemon's connection is reset if that of the endpoint fails: an answer without a length would otherwise
+/// look complete. The endpoint's connection is closed as soon as the daemon leaves, which cancels its request.
+async fn copy(
+    mut daemon: tokio::net::TcpStream,
+    mut endpoint: tokio::net::TcpStream,
+    first: &[u8],
+) -> io::Result<()> {
+    daemon.set_nodelay(true)?;
+    endpoint.write_all(first).await?;
+    let ended = {
+        let (mut from_daemon, mut to_daemon) = daemon.split();
+        let (mut from_endpoint, mut to_endpoint) = endpoint.split();
+        tokio::select! {
+            sent = tokio::io::copy(&mut from_daemon, &mut to_endpoint) => sent,
+            answered = tokio::io::copy(&mut from_endpoint, &mut to_daemon) => answered,
+        }
+    };
+    match ended {
+        Ok(_) => daemon.shutdown().await,
+        Err(error) => {
+            socket2::SockRef::from(&daemon).set_linger(Some(time::Duration::ZERO))?;
+            Err(error)
+        }
+    }
+}
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body, client::conn::http1};
-use hyper_util::rt;
+use hyper::{body, client::conn::http1, rt};
 use tokio::task;
 use trefoildyke_decide::gateway;
 
@@ -31,15 +30,12 @@
 }
 
 impl Connection {
-    /// Opens a connection.
-    pub(super) async fn open(
+    /// Begins HTTP on an open byte stream.
+    pub(super) async fn begin(
         pool: &upstream::ConnectionPool,
-        address: net::SocketAddr,
-        limit: time::Duration,
+        stream: impl rt::Read + rt::Write + Unpin + Send + 'static,
     ) -> std::io::Result<Self> {
-        let stream = tokio::time::timeout(limit, tokio::net::TcpStream::connect(address)).await??;
-        configure(&stream)?;
-        let handshake = http1::Builder::new().handshake(rt::TokioIo::new(stream));
+        let handshake = http1::Builder::new().handshake(stream);
         let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
         let driver = pool.spawn(async move {
             // An error of the connection shows at its request.
@@ -93,7 +89,18 @@
     }
 }
 
-fn configure(stream: &tokio::net::TcpStream) -> std::io::Result<()> {
+/// Opens a TCP connection within `limit`.
+pub(crate) async fn connect(
+    address: net::SocketAddr,
+    limit: time::Duration,
+) -> std::io::Result<tokio::net::TcpStream> {
+    let stream = tokio::time::timeout(limit, tokio::net::TcpStream::connect(address)).await??;
+    configure(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options of a connection that carries requests.
+pub(crate) fn configure(stream: &tokio::net::TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,9 +1,10 @@
 //! Connections to endpoints.
 
 mod connection;
+mod dial;
 mod pool;
 mod send;
 
-pub(crate) use connection::{Connection, classify_error};
+pub(crate) use connection::{Connection, classify_error, configure, connect};
 pub(crate) use pool::ConnectionPool;
 pub(crate) use send::{Answer, SendError, send};
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, sync, time};
 
+use hyper_util::rt;
 use tokio::task;
 use tokio_util::task as tokio_task;
 use trefoildyke_types::id;
@@ -25,7 +26,7 @@
         Self { connect_timeout, idle: sync::Mutex::default(), drivers }
     }
 
-    pub(super) fn spawn(
+    pub(crate) fn spawn(
         &self,
         driver: impl Future<Output = ()> + Send + 'static,
     ) -> task::AbortHandle {
@@ -50,7 +51,8 @@
         &self,
         address: net::SocketAddr,
     ) -> std::io::Result<upstream::Connection> {
-        upstream::Connection::open(self, address, self.connect_timeout).await
+        let stream = upstream::connect(address, self.connect_timeout).await?;
+        upstream::Connection::begin(self, rt::TokioIo::new(stream)).await
     }
 
     /// Keeps a connection whose request has ended, unless `limit` idle ones are kept already.
@@ -77,9 +79,14 @@
         self.lock().remove(endpoint);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn forget_all(&self) {
+        self.lock().clear();
+    }
+
     /// Closes all idle connections and waits until every connection has ended.
     pub(crate) async fn close(&self) {
-        self.lock().clear();
+        self.forget_all();
         self.drivers.close();
         self.drivers.wait().await;
     }
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -1,13 +1,13 @@
 //! Sends one request to one endpoint and checks the head of the answer.
 
-use std::time;
+use std::{sync, time};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{StatusCode, body, header};
 use trefoildyke_decide::gateway;
 
-use crate::{names, names::HeaderNames, upstream};
+use crate::{names, names::HeaderNames, state, upstream};
 
 /// An idle connection is reused only within this share of the idle timeout that the endpoint states.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
@@ -50,20 +50,20 @@
 /// Calls `on_rate_limit` with the endpoint's rate limit, or with `None` if the answer shows that the
 /// endpoint sets none. It is not called if the answer does not tell or the value is invalid.
 pub(crate) async fn send(
-    pool: &upstream::ConnectionPool,
-    names: &HeaderNames,
+    shared: &sync::Arc<state::Shared>,
     grant: &gateway::Grant,
     id: &str,
     request: &hyper::Request<Full<Bytes>>,
     on_rate_limit: impl Fn(Option<f64>),
 ) -> Result<Answer, SendError> {
+    let names = &shared.settings.names;
     loop {
-        let idle = pool.take(&grant.endpoint);
+        let idle = shared.connections.take(&grant.endpoint);
         let is_new = idle.is_none();
         let mut connection = match idle {
             Some(connection) => connection,
             None => {
-                let opened = pool.open(grant.address).await;
+                let opened = upstream::dial::open(shared, grant).await;
                 opened.map_err(|error| SendError::not_sent(format!("connect: {error}")))?
             }
         };
--- a/crates/gateway/tests/testsuite/harness/endpoint.rs
+++ b/crates/gateway/tests/testsuite/harness/endpoint.rs
@@ -24,6 +24,8 @@
     Pause(time::Duration),
     /// Waits until the test releases one request, in any order.
     Hold,
+    /// Waits until the other side closes the connection.
+    AwaitClose,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -153,6 +155,10 @@
             return true;
         }
         Step::Hold => return true,
+        Step::AwaitClose => {
+            let _ = std::io::copy(stream, &mut std::io::sink());
+            return false;
+        }
         Step::Close => return false,
         Step::Reset => {
             let socket = socket2::SockRef::from(&*stream);
--- a/crates/gateway/tests/testsuite/unreachable.rs
+++ b/crates/gateway/tests/testsuite/unreachable.rs
@@ -7,7 +7,7 @@
 
 use trefoildyke_decide::gateway::{Peer, Strength};
 
-use crate::harness::{Endpoint, Step, TestGateway, entries};
+use crate::harness::{Caller, Endpoint, Step, TestGateway, entries};
 
 /// The time after which callers of a host without links to the endpoints must be served like the others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -68,6 +68,25 @@
         }
     }
 
+    /// Sends requests to the isolated gateway until one runs behind a tunnel.
+    fn send_until_one_runs(&self) -> Vec<Caller> {
+        let end = Instant::now() + CONTACT_TIME;
+        let mut callers = Vec::new();
+        while self.received() == 0 {
+            assert!(Instant::now() < end, "no request has reached an endpoint");
+            let mut caller = self.isolated.caller();
+            let headers = [("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")];
+            caller.send("GET /once/", &headers, "");
+            callers.push(caller);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        callers
+    }
+
+    fn closed(&self) -> usize {
+        self.endpoints.iter().map(Endpoint::closed).sum()
+    }
+
     fn received(&self) -> usize {
         self.endpoints.iter().map(|endpoint| endpoint.requests().len()).sum()
     }
@@ -91,3 +110,46 @@
         assert_eq!(cut.received() - before, others + isolated, "each request is sent once");
     }
 }
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+                    Connection: close\r\n\r\nall of it";
+
+/// Guards against a broken answer that looks complete, since a tunnel ends like a connection that was closed.
+#[test]
+fn an_answer_without_length_is_complete_on_close_but_not_on_reset_behind_a_tunnel() {
+    let pause = Step::Pause(Duration::from_millis(100));
+    for (end, expected) in [(Step::Close, 200), (Step::Reset, 502)] {
+        let cut = Cut::start(&[Step::Raw(HEAD), pause.clone(), end]);
+        TestGateway::wait_until("the host counts as isolated", || {
+            cut.isolated.request("GET /once/");
+            cut.received() > 0
+        });
+        let before = cut.received();
+        let reply = cut.isolated.request("GET /once/").unwrap();
+        assert_eq!((reply.status, cut.received() - before), (expected, 1));
+    }
+}
+
+/// Guards against endpoints that work on for callers who have left.
+#[test]
+fn an_endpoint_behind_a_tunnel_learns_at_once_that_the_caller_has_left() {
+    let cut = Cut::start(&[Step::AwaitClose]);
+    let callers = cut.send_until_one_runs();
+    let left_at = Instant::now();
+    drop(callers);
+    TestGateway::wait_until("the connections are closed", || cut.closed() == cut.received());
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+}
+
+/// Guards against cutting off requests of other hosts during a planned stop.
+#[test]
+fn a_stopping_gateway_finishes_the_requests_that_it_forwards() {
+    let cut = Cut::start(&[Step::Pause(Duration::from_millis(1_000)), Step::Answer("x")]);
+    let mut callers = cut.send_until_one_runs();
+    let Cut { isolated: _isolated, linked, endpoints, _closed } = cut;
+    assert_eq!(linked.stop(), 0);
+    let answered = callers.iter_mut().filter_map(Caller::read_reply);
+    let served = answered.filter(|reply| reply.status == 200).count();
+    let received: usize = endpoints.iter().map(|endpoint| endpoint.requests().len()).sum();
+    assert_eq!(served, received, "each request that was forwarded is answered");
+}
