--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -254,8 +254,10 @@
         /// Whether it can open none.
         isolated: bool,
     },
-    /// A connection to an endpoint was opened through another daemon.
+    /// A request gets a connection to its endpoint through another daemon.
     Tunnel {
+        /// The id of the request.
+        id: String,
         /// The endpoint.
         endpoint: id::EndpointName,
         /// The other daemon.
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -20,13 +20,14 @@
 /// How much longer than its own attempt the answer of another daemon may take.
 const REPLY_MARGIN: time::Duration = time::Duration::from_millis(200);
 
-/// Opens a connection to an endpoint through another daemon.
+/// Opens a connection to an endpoint through another daemon, for the request `id`.
 ///
 /// # Errors
 ///
 /// Returns an error if none of the daemons that were asked reaches the endpoint. Nothing was sent to it then.
 pub(crate) async fn open(
     shared: &sync::Arc<state::Shared>,
+    id: &str,
     endpoint: &id::EndpointName,
 ) -> io::Result<upgrade::Upgraded> {
     let mut last = io::Error::other("no other daemon can be asked");
@@ -35,8 +36,8 @@
         let opened = tokio::time::timeout(limit, open_through(shared, peer, endpoint)).await;
         match opened.unwrap_or_else(|elapsed| Err(elapsed.into())) {
             Ok(upgraded) => {
-                let (endpoint, through) = (endpoint.clone(), peer);
-                shared.journal.write(&record::Event::Tunnel { endpoint, through });
+                let (id, endpoint) = (id.to_owned(), endpoint.clone());
+                shared.journal.write(&record::Event::Tunnel { id, endpoint, through: peer });
                 return Ok(upgraded);
             }
             Err(error) => {
--- a/crates/gateway/src/upstream/dial.rs
+++ b/crates/gateway/src/upstream/dial.rs
@@ -6,13 +6,15 @@
 
 use crate::{state, tunnel, upstream};
 
-/// Opens a connection to the endpoint of `grant`, through another daemon if this one reaches no endpoint.
+/// Opens a connection to the endpoint of `grant` for the request `id`, through another daemon if this one
+/// reaches no endpoint.
 ///
 /// # Errors
 ///
 /// Returns an error if the endpoint is not reached. Nothing was sent to it then.
 pub(super) async fn open(
     shared: &sync::Arc<state::Shared>,
+    id: &str,
     grant: &gateway::Grant,
 ) -> io::Result<upstream::Connection> {
     if !shared.core().links.is_isolated() {
@@ -24,7 +26,7 @@
     } else if shared.core().links.take_probe(shared.now()) {
         probe(shared, grant);
     }
-    let stream = tunnel::open(shared, &grant.endpoint).await?;
+    let stream = tunnel::open(shared, id, &grant.endpoint).await?;
     let mut connection = upstream::Connection::begin(&shared.connections, stream).await?;
     // The other daemon counts a tunnel as a request in progress.
     connection.forbid_reuse();
@@ -33,12 +35,10 @@
 
 /// Tries to reach an endpoint directly, apart from any request, as the attempt may take long.
 fn probe(shared: &sync::Arc<state::Shared>, grant: &gateway::Grant) {
-    let (shared, endpoint, address) =
+    let (owned, endpoint, address) =
         (sync::Arc::clone(shared), grant.endpoint.clone(), grant.address);
-    let pool = sync::Arc::clone(&shared);
-    pool.connections.spawn(async move {
-        let limit = shared.settings.connect_timeout;
-        let is_open = upstream::connect(address, limit).await.is_ok();
-        shared.record_link(&endpoint, is_open);
+    shared.connections.spawn(async move {
+        let is_open = upstream::connect(address, owned.settings.connect_timeout).await.is_ok();
+        owned.record_link(&endpoint, is_open);
     });
 }
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -63,7 +63,7 @@
         let mut connection = match idle {
             Some(connection) => connection,
             None => {
-                let opened = upstream::dial::open(shared, grant).await;
+                let opened = upstream::dial::open(shared, id, grant).await;
                 opened.map_err(|error| SendError::not_sent(format!("connect: {error}")))?
             }
         };
