--- a/crates/gateway/src/config_transfer/server.rs
+++ b/crates/gateway/src/config_transfer/server.rs
@@ -26,7 +26,7 @@
 type HeldSlot = sync::Arc<sync::Mutex<Option<slots::Slot>>>;
 
 /// The tunnel that a connection becomes, if a member asks for one.
-type HeldTunnel = sync::Arc<sync::Mutex<Option<tunnel::Opened>>>;
+type HeldTunnel = sync::Arc<sync::Mutex<Option<tunnel::Tunnel>>>;
 
 /// Serves the configuration to the members until `shutdown` is cancelled.
 pub(crate) async fn serve(
@@ -111,7 +111,7 @@
     match tunnel::accept(shared, query.member, request).await {
         Ok(tunnel) => {
             *opened.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(tunnel);
-            tunnel::Opened::switch_protocols()
+            tunnel::Tunnel::switch_protocols()
         }
         Err(status) => respond(status, Bytes::new()),
     }
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub(crate) use client::open;
-pub(crate) use server::{Opened, accept};
+pub(crate) use server::{Tunnel, accept};
 
 /// The path at which daemons open tunnels; the query contains the client's address for messages.
 pub(crate) const PATH: &str = "/tunnel";
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -11,7 +11,7 @@
 use crate::{record, state, tunnel, upstream};
 
 /// A connection to an endpoint that another daemon has asked for.
-pub(crate) struct Opened {
+pub(crate) struct Tunnel {
     shared: sync::Arc<state::Shared>,
     peer: net::SocketAddr,
     endpoint: id::EndpointName,
@@ -30,7 +30,7 @@
     shared: &sync::Arc<state::Shared>,
     peer: net::SocketAddr,
     request: hyper::Request<body::Incoming>,
-) -> Result<Opened, StatusCode> {
+) -> Result<Tunnel, StatusCode> {
     let name = request.headers().get(tunnel::ENDPOINT).and_then(|value| value.to_str().ok());
     let endpoint: id::EndpointName = name.ok_or(StatusCode::BAD_REQUEST)?.into();
     let address = {
@@ -46,10 +46,10 @@
     shared.record_link(&endpoint, connected.is_ok());
     let stream = connected.map_err(|_| StatusCode::BAD_GATEWAY)?;
     let upgrade = upgrade::on(request);
-    Ok(Opened { shared: sync::Arc::clone(shared), peer, endpoint, stream, upgrade, _pass: pass })
+    Ok(Tunnel { shared: sync::Arc::clone(shared), peer, endpoint, stream, upgrade, _pass: pass })
 }
 
-impl Opened {
+impl Tunnel {
     /// Answers that the connection is open.
     pub(crate) fn switch_protocols<B: Default>() -> hyper::Response<B> {
         let mut response = hyper::Response::new(B::default());
