--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -248,7 +248,7 @@
         drop(core);
         if has_changed {
             if !is_open {
-                // Requests on idle connections would wait in vain if these hang.
+                // Idle connections may hang without a reset.
                 self.connections.forget_all();
             }
             self.journal.write(&record::Event::Links { isolated: !is_open });
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -79,7 +79,7 @@
 /// Copies bytes between a daemon and an endpoint; `first` are bytes of the daemon that were already read.
 ///
 /// The daemon's connection is reset if that of the endpoint fails: an answer without a length would otherwise
-/// look complete. The endpoint's connection is closed as soon as the daemon leaves, which cancels its request.
+/// look complete. The endpoint's connection is closed as soon as the daemon disconnects, which cancels its request.
 async fn copy(
     mut daemon: tokio::net::TcpStream,
     mut endpoint: tokio::net::TcpStream,
--- a/crates/gateway/tests/testsuite/unreachable.rs
+++ b/crates/gateway/tests/testsuite/unreachable.rs
@@ -60,7 +60,7 @@
         Self { endpoints, _closed: closed, isolated, linked }
     }
 
-    /// Sends requests to the isolated gateway until it may be expected to have noticed.
+    /// Sends requests to the isolated gateway for the time in which it has to detect its isolation.
     fn wait_for_contact(&self) {
         let end = Instant::now() + CONTACT_TIME;
         while Instant::now() < end {
@@ -97,7 +97,7 @@
     (0..count).filter(|_| gateway.request(line).is_some_and(|reply| reply.status == 200)).count()
 }
 
-/// Guards against callers of such a host being served far worse than those of others.
+/// Guards against failed requests at a host that is cut off from all endpoints while other hosts reach them.
 #[test]
 fn requests_at_a_gateway_that_reaches_no_endpoint_are_served() {
     let cut = Cut::start(&[Step::Answer("x")]);
@@ -130,7 +130,7 @@
     }
 }
 
-/// Guards against endpoints that work on for callers who have left.
+/// Guards against endpoints that continue to run requests whose callers have disconnected.
 #[test]
 fn an_endpoint_behind_a_tunnel_learns_at_once_that_the_caller_has_left() {
     let cut = Cut::start(&[Step::AwaitClose]);
