daemon: a scheduler that takes over learns of running requests before it is asked

Cause: after the scheduler of a shard has died, a daemon reports its running requests to the next one from the control thread, while its waiting requests ask that scheduler from the traffic threads. If an ask came first, the new scheduler granted a slot that was in use.

Trace: in the logs of the failed runs that were read (two, at load 17 and 18), "starting to schedule shard assistant/0" is of thread "traffic", so the ask started the scheduler; in a passed run it is of thread "control", so the report did.

Change: an ask waits until the scheduler has received this daemon's running requests of the shard, for at most the timeout of reports. Running requests of other daemons may still be reported after an ask.

--- a/crates/daemon/src/schedule/handle.rs
+++ b/crates/daemon/src/schedule/handle.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use trefoildyke_types::{error, id, request, time::Timestamp};
 use trefoildyke_wire::peer;
 
@@ -27,6 +27,7 @@
     pub(super) scheduler_calls: SchedulerCalls,
     pub(super) local: sync::Arc<local::LocalShards>,
     pub(super) events: mpsc::UnboundedSender<outbox::ShardEvent>,
+    pub(super) informed: watch::Receiver<outbox::Informed>,
 }
 
 impl Handle {
@@ -82,6 +83,18 @@
         });
     }
 
+    /// Waits until the scheduler knows this daemon's running requests, for at most the timeout of reports.
+    ///
+    /// A scheduler that has just taken over would otherwise grant the slots that they use.
+    async fn wait_informed(&self, scheduler: id::Incarnation, shard: &endpoints::Shard) {
+        let mut informed = self.informed.clone();
+        let is_informed =
+            |informed: &outbox::Informed| informed.get(shard).is_none_or(|it| *it == scheduler);
+        let waited = informed.wait_for(is_informed);
+        // After the timeout the request is asked for nevertheless, since reports may be delayed by others.
+        let _ = tokio::time::timeout(self.settings.report(), waited).await;
+    }
+
     async fn ask_once(
         &self,
         scheduler: Option<id::Incarnation>,
@@ -90,6 +103,7 @@
         left: time::Duration,
     ) -> Result<Result<request::Permit, request::Refusal>, SchedulerLost> {
         let scheduler = scheduler.ok_or(SchedulerLost)?;
+        self.wait_informed(scheduler, shard).await;
         if scheduler == self.scheduler_calls.own {
             return self.local.ask(shard, ask).await;
         }
--- a/crates/daemon/src/schedule/outbox.rs
+++ b/crates/daemon/src/schedule/outbox.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, sync};
 
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 use trefoildyke_decide::schedule as decide;
 use trefoildyke_types::id;
 use trefoildyke_wire::peer;
@@ -18,6 +21,11 @@
     pub(super) event: RequestEvent,
 }
 
+/// The scheduler of each shard that last received all running requests of this daemon.
+///
+/// Contains only shards with running requests.
+pub(super) type Informed = collections::HashMap<endpoints::Shard, id::Incarnation>;
+
 /// The reports that the scheduler of one shard has not received yet.
 #[derive(Default)]
 struct ShardQueue {
@@ -46,6 +54,7 @@
     pub(super) scheduler_calls: SchedulerCalls,
     pub(super) local: sync::Arc<local::LocalShards>,
     pub(super) events: mpsc::UnboundedReceiver<ShardEvent>,
+    pub(super) informed: watch::Sender<Informed>,
 }
 
 impl Outbox {
@@ -66,11 +75,23 @@
             }
             for (shard, queue) in &mut queues {
                 self.send(shard, queue).await;
+                self.update_informed(shard, queue);
             }
             queues.retain(|_, queue| !queue.is_empty());
         }
     }
 
+    fn update_informed(&self, shard: &endpoints::Shard, queue: &ShardQueue) {
+        let has_running = !queue.running.is_empty();
+        self.informed.send_if_modified(|informed| match queue.scheduler {
+            Some(scheduler) if has_running && queue.synced => {
+                informed.insert(shard.clone(), scheduler) != Some(scheduler)
+            }
+            Some(_) if has_running => false,
+            _ => informed.remove(shard).is_some(),
+        });
+    }
+
     /// Queues an event and all events that follow within the batch time.
     async fn collect(
         &mut self,
--- a/crates/daemon/src/schedule/service.rs
+++ b/crates/daemon/src/schedule/service.rs
@@ -46,11 +46,13 @@
         actors: sync::Mutex::new(collections::HashMap::new()),
     });
     let (events, event_receiver) = mpsc::unbounded_channel();
+    let (informed, informed_receiver) = watch::channel(outbox::Informed::new());
     let outbox = outbox::Outbox {
         settings: settings.clone(),
         scheduler_calls: sources.scheduler_calls.clone(),
         local: sync::Arc::clone(&local),
         events: event_receiver,
+        informed,
     };
     let handle = Handle {
         settings,
@@ -58,6 +60,7 @@
         scheduler_calls: sources.scheduler_calls,
         local,
         events,
+        informed: informed_receiver,
     };
     (handle, Service { outbox })
 }
