decide: tests of endpoints that stay unused after a short disturbance

A simulated pool of six engines gets two thirds of what it can serve. For three seconds its events are late by 1.0 to 2.2 s, or arrive in bursts every 0.9 s. From two seconds after that, no request may be refused beside an idle endpoint, and as many must be served as before.

--- /dev/null
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -0,0 +1,182 @@
+//! Pools during and after short disturbances.
+
+use std::{collections::BTreeMap, ops::Range};
+
+use trefoildyke_decide::gateway::{Admission, Grant, Outcome, Pool, PoolRequest, QueueDecision};
+use trefoildyke_types::id::EndpointName;
+
+use super::support::{at, pool, request};
+
+const ENDPOINTS: [&str; 6] = ["one", "two", "three", "four", "five", "six"];
+
+/// The interval between two requests, in milliseconds: two thirds of what the endpoints can serve.
+const REQUEST_INTERVAL: u64 = 50;
+
+/// The number of events of an answer after the first one.
+const EVENTS: u64 = 20;
+
+/// The time between two events, in milliseconds.
+const EVENT_MS: u64 = 15;
+
+/// The disturbance, in milliseconds.
+const DISTURBANCE: Range<u64> = 5_000..8_000;
+
+/// The time after the disturbance for which requests may still be refused, in milliseconds.
+const RECOVERY_MS: u64 = 2_000;
+
+const END_MS: u64 = 20_000;
+
+/// A request at an endpoint.
+struct Running {
+    grant: Grant,
+    leaves_at: u64,
+    /// The times at which the events arrive, the last one first.
+    events: Vec<u64>,
+    /// When the last event arrived; `None` before the first one.
+    last_event: Option<u64>,
+}
+
+/// Endpoints that serve requests, whose answers arrive at the times that `arrival` returns.
+struct Simulation {
+    pool: Pool,
+    arrival: fn(u64) -> u64,
+    waiting: BTreeMap<trefoildyke_decide::gateway::Ticket, PoolRequest>,
+    running: Vec<Running>,
+    idle_since: BTreeMap<EndpointName, u64>,
+    /// The times at which answers ended.
+    served: Vec<u64>,
+    /// The times at which requests were refused, with the longest time for which an endpoint was idle then.
+    refused: Vec<(u64, u64)>,
+}
+
+impl Simulation {
+    fn run(arrival: fn(u64) -> u64) -> Self {
+        let mut simulation = Self {
+            pool: pool(&ENDPOINTS),
+            arrival,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            idle_since: ENDPOINTS.iter().map(|name| ((*name).into(), 0)).collect(),
+            served: Vec::new(),
+            refused: Vec::new(),
+        };
+        for now in (0..END_MS).step_by(5) {
+            simulation.deliver(now);
+            if now % REQUEST_INTERVAL == 0 {
+                simulation.submit(now);
+            }
+            simulation.settle(now);
+        }
+        simulation
+    }
+
+    fn submit(&mut self, now: u64) {
+        let prompt = [300, 1_500, 4_000][(now / REQUEST_INTERVAL % 3) as usize];
+        let request = PoolRequest { prompt, ..request(now, 0) };
+        match self.pool.submit(at(now), request.clone()) {
+            Admission::Granted(grant) => self.start(now, grant, &request),
+            Admission::Queued(ticket) => drop(self.waiting.insert(ticket, request)),
+            Admission::Refused(_) => self.refuse(now),
+        }
+    }
+
+    fn settle(&mut self, now: u64) {
+        for (ticket, decision) in self.pool.settle(at(now)) {
+            let request = self.waiting.remove(&ticket).unwrap();
+            match decision {
+                QueueDecision::Granted(grant) => self.start(now, grant, &request),
+                QueueDecision::Refused(_) => self.refuse(now),
+            }
+        }
+        let expired = self.waiting.extract_if(.., |_, request| request.leaves_at <= at(now));
+        for (ticket, _) in expired.collect::<Vec<_>>() {
+            self.pool.cancel(at(now), ticket);
+            self.refuse(now);
+        }
+    }
+
+    fn start(&mut self, now: u64, grant: Grant, request: &PoolRequest) {
+        let first = now + 60 + u64::from(grant.prompt) / 40;
+        let events = (0..=EVENTS).rev().map(|event| (self.arrival)(first + event * EVENT_MS));
+        self.idle_since.remove(&grant.endpoint);
+        self.running.push(Running {
+            leaves_at: request.leaves_at.as_micros() / 1_000,
+            events: events.collect(),
+            last_event: None,
+            grant,
+        });
+    }
+
+    fn refuse(&mut self, now: u64) {
+        let longest = self.idle_since.values().map(|since| now - since).max();
+        self.refused.push((now, longest.unwrap_or(0)));
+    }
+
+    fn deliver(&mut self, now: u64) {
+        for mut running in std::mem::take(&mut self.running) {
+            self.deliver_events(now, &mut running);
+            let grant = &running.grant;
+            if running.events.is_empty() {
+                self.pool.end_request(at(now), grant, 0, Outcome::Served);
+                self.served.push(now);
+            } else if running.last_event.is_none() && running.leaves_at <= now {
+                self.pool.end_request(at(now), grant, grant.prompt, Outcome::Cancelled);
+            } else {
+                self.running.push(running);
+                continue;
+            }
+            if !self.running.iter().any(|other| other.grant.endpoint == grant.endpoint) {
+                self.idle_since.insert(grant.endpoint.clone(), now);
+            }
+        }
+    }
+
+    fn deliver_events(&mut self, now: u64, running: &mut Running) {
+        let grant = &running.grant;
+        while running.events.pop_if(|due| *due <= now).is_some() {
+            match running.last_event.replace(now) {
+                None => self.pool.record_first_event(at(now), grant, grant.prompt),
+                Some(last) => {
+                    self.pool.record_event(at(now), grant, (now - last) as f64 / 1_000.0);
+                }
+            }
+        }
+    }
+
+    fn served_in(&self, times: Range<u64>) -> usize {
+        self.served.iter().filter(|time| times.contains(time)).count()
+    }
+
+    /// Checks that requests are served as before the disturbance once the recovery time is over.
+    fn check(&self) {
+        let recovered = DISTURBANCE.end + RECOVERY_MS;
+        let refused: Vec<_> =
+            self.refused.iter().filter(|(time, idle)| *time >= recovered && *idle > 0).collect();
+        assert!(
+            refused.is_empty(),
+            "{} refused beside an idle endpoint: {refused:?}",
+            refused.len()
+        );
+        let span = DISTURBANCE.end - DISTURBANCE.start;
+        let before = self.served_in(1_000..1_000 + span);
+        let after = self.served_in(recovered..recovered + span);
+        assert!(after * 100 >= before * 95, "{after} served in three seconds, {before} before");
+    }
+}
+
+/// Guards against endpoints that stay unused for good after every event was late by retransmissions.
+#[test]
+fn endpoints_are_used_again_after_their_events_were_retransmitted() {
+    let retransmit =
+        |time: u64| if DISTURBANCE.contains(&time) { time + 1_000 + time % 7 * 200 } else { time };
+    Simulation::run(retransmit).check();
+}
+
+/// Guards against endpoints that stay unused for good after their events arrived in a few bursts.
+#[test]
+fn endpoints_are_used_again_after_their_events_arrived_in_bursts() {
+    let hold = |time: u64| {
+        if DISTURBANCE.contains(&time) { time.next_multiple_of(900) } else { time }
+    };
+    Simulation::run(hold).check();
+}
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod budget;
 mod deadlines;
+mod disturbances;
 mod engines;
 mod events;
 mod fingerprint;
