decide, gateway: idle endpoints that the estimates exclude are probed

Only requests correct the estimates of an endpoint, so whatever spoils them may keep it unused for good. A request that is late or would be refused now gets the slot of an endpoint that has been idle for a second, whatever the estimates for it: one at a time, and none while other endpoints have slots. Before a probe the earlier measurements lose their weight, so that a few probes correct an estimate that is wrong by orders.

The line endpoint_probed tells the idle time and the estimates; gateway_probes counts by service.

Tests: an endpoint that a peer reports with first events of a minute is probed after a second, serves ten requests a second after ten, with at most eight probes; it gets none while another endpoint has slots, and no second one at once. Without probes the first and the third fail.

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -42,7 +42,7 @@
     LoadReport, Message, PlaceReply, Placed, RateLimitReport, RouteAnswers, StoreView,
 };
 pub use pool::{
-    Admission, EndpointState, Grant, Outcome, Pool, PoolParams, PoolRequest, QueueDecision,
+    Admission, EndpointState, Grant, Outcome, Pool, PoolParams, PoolRequest, Probe, QueueDecision,
     RateLimitChange, Refused, Ticket,
 };
 pub use prompt::{PromptPart, prompt_parts};
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -304,6 +304,17 @@
         if load.running == 0 { time::Duration::ZERO } else { now.since(self.last_activity) }
     }
 
+    /// Returns for how long no daemon has had a request here, as far as this one knows; `None` if one has.
+    pub(super) fn idle_time(&self, now: Timestamp) -> Option<time::Duration> {
+        (self.load().running == 0).then(|| now.since(self.last_activity))
+    }
+
+    /// Lets the next measurements outweigh the earlier ones.
+    pub(super) fn discount_estimates(&mut self) {
+        self.first_event.discount();
+        self.step_time.discount();
+    }
+
     /// Returns whether the endpoint is suspected to have failed. It then gets one request at a time as a
     /// probe.
     pub(super) fn is_suspect(
--- a/crates/decide/src/gateway/pool/linear_regression.rs
+++ b/crates/decide/src/gateway/pool/linear_regression.rs
@@ -56,6 +56,15 @@
         sums.xy = (sums.xy + f64::from(observations.xy)) * decay;
     }
 
+    /// Reduces the weight of all observations to that of the assumed line.
+    pub(super) fn discount(&mut self) {
+        let factor = (PRIOR_COUNT / self.sums.count).min(1.0);
+        let sums = &mut self.sums;
+        for sum in [&mut sums.count, &mut sums.x, &mut sums.y, &mut sums.xx, &mut sums.xy] {
+            *sum *= factor;
+        }
+    }
+
     /// Returns the slope; never below zero.
     pub(super) fn slope(&self) -> f64 {
         let Sums { count, x, y, xx, xy } = self.sums;
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -11,6 +11,7 @@
 mod peer_loads;
 mod placement;
 mod prefix_cache;
+mod probe;
 mod queue;
 mod rate_limit;
 mod rate_limit_change;
@@ -30,6 +31,7 @@
 use crate::gateway;
 
 pub use params::PoolParams;
+pub use probe::Probe;
 pub use rate_limit_change::RateLimitChange;
 pub use request::{Admission, Grant, Outcome, PoolRequest, QueueDecision, Refused, Ticket};
 pub use state::EndpointState;
@@ -63,6 +65,8 @@
     has_roster_change: bool,
     /// The rate limit changes since the last call of `take_rate_limit_changes`.
     rate_limit_changes: Vec<RateLimitChange>,
+    /// The probes since the last call of `take_probes`.
+    probes: Vec<Probe>,
 }
 
 impl Pool {
@@ -82,6 +86,7 @@
             averages: averages::Averages::default(),
             has_roster_change: true,
             rate_limit_changes: Vec::new(),
+            probes: Vec::new(),
         }
     }
 
@@ -134,7 +139,13 @@
         if let Some(grant) = self.grant(now, position.class(), &request) {
             return Admission::Granted(grant);
         }
-        if let Some(refused) = self.refusal(now, &request, &position) {
+        let refused = self.refusal(now, &request, &position);
+        if (refused.is_some() || position.is_late())
+            && let Some(grant) = self.grant_probe(now, &request)
+        {
+            return Admission::Granted(grant);
+        }
+        if let Some(refused) = refused {
             return Admission::Refused(refused);
         }
         self.grant_rates.start_waiting(now, position.class());
--- a/crates/decide/src/gateway/pool/moving_average.rs
+++ b/crates/decide/src/gateway/pool/moving_average.rs
@@ -19,6 +19,11 @@
         self.value
     }
 
+    /// Reduces the weight of all observations to that of one.
+    pub(super) const fn discount(&mut self) {
+        self.weight = self.weight.min(1.0);
+    }
+
     pub(super) fn observe(&mut self, value: f64) {
         self.observe_many(value, 1);
     }
--- a/crates/decide/src/gateway/pool/queue.rs
+++ b/crates/decide/src/gateway/pool/queue.rs
@@ -80,6 +80,11 @@
 }
 
 impl Position {
+    /// Returns whether the request cannot meet its objective any more.
+    pub(super) const fn is_late(&self) -> bool {
+        self.late
+    }
+
     /// Returns the class; requests of a lower class go first.
     pub(super) const fn class(&self) -> usize {
         class(self.rank, self.late)
--- a/crates/decide/src/gateway/pool/settle.rs
+++ b/crates/decide/src/gateway/pool/settle.rs
@@ -24,22 +24,28 @@
             settled.push((ticket, QueueDecision::Granted(grant)));
         }
         for request in late {
-            if let Some(refused) = self.refuse_late(now, request.ticket) {
-                settled.push((request.ticket, QueueDecision::Refused(refused)));
+            if let Some(decision) = self.settle_late(now, request.ticket) {
+                settled.push((request.ticket, decision));
             }
         }
         settled
     }
 
-    /// Refuses a waiting request if it would wait too long.
+    /// Probes an idle endpoint with a waiting request that has become late, or refuses it if it would wait
+    /// too long.
     ///
     /// In a burst, a request that has become late moves behind all that are in time. If it is refused at
     /// once, its caller retries with most of its time left.
-    fn refuse_late(&mut self, now: Timestamp, ticket: Ticket) -> Option<Refused> {
+    fn settle_late(&mut self, now: Timestamp, ticket: Ticket) -> Option<QueueDecision> {
         let (request, position) = self.queue.get(ticket)?;
-        let refused = self.refusal(now, request, position)?;
+        let refused = self.refusal(now, request, position);
+        let request = request.clone();
+        let decision = match self.grant_probe(now, &request) {
+            Some(grant) => QueueDecision::Granted(grant),
+            None => QueueDecision::Refused(refused?),
+        };
         self.cancel(now, ticket);
-        Some(refused)
+        Some(decision)
     }
 
     /// Returns a refusal if a request would wait too long at `position`.
--- a/crates/decide/src/gateway/pool/view.rs
+++ b/crates/decide/src/gateway/pool/view.rs
@@ -93,7 +93,7 @@
     }
 
     /// Returns the free capacity of an endpoint.
-    fn capacity(
+    pub(super) fn capacity(
         &self,
         now: Timestamp,
         endpoint: &endpoint::Endpoint,
--- a/crates/decide/tests/testsuite/gateway/disturbances.rs
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -3,11 +3,11 @@
 use std::{collections::BTreeMap, ops::Range};
 
 use trefoildyke_decide::gateway::{
-    Admission, Grant, Outcome, Pool, PoolRequest, QueueDecision, Ticket,
+    Admission, Firsts, Grant, Learned, Outcome, Pool, PoolRequest, QueueDecision, Ticket,
 };
 use trefoildyke_types::id::EndpointName;
 
-use super::support::{at, pool, request};
+use super::support::{self, at, granted, peer, pool, report, request};
 
 const ENDPOINTS: [&str; 6] = ["one", "two", "three", "four", "five", "six"];
 
@@ -184,3 +184,70 @@
     };
     Simulation::run(hold).check();
 }
+
+/// Reports first events that took a minute each, as often as the estimates of an endpoint are averaged over.
+fn report_late_first_events(pool: &mut Pool, name: &str) {
+    let (count, prompt, steps) = (60_u8, 0.3, 60_000.0 / 4.0);
+    let sum = f32::from(count);
+    let firsts = Firsts {
+        count: count.into(),
+        x: sum * prompt,
+        y: sum * steps,
+        xx: sum * prompt * prompt,
+        xy: sum * prompt * steps,
+    };
+    let mut load_report = report(1, &[(name, 0)], 0);
+    load_report.endpoints[0].learned = Some(Learned { firsts: Some(firsts), ..Learned::default() });
+    pool.apply_report(at(0), peer(2), &load_report);
+}
+
+/// Guards against estimates that exclude an endpoint for good, whatever spoilt them.
+#[test]
+fn an_idle_endpoint_is_probed_until_its_estimates_are_right_again() {
+    let mut pool = pool(&["one"]);
+    report_late_first_events(&mut pool, "one");
+    let mut granted_at = Vec::new();
+    for now in (0..10_000).step_by(100) {
+        let mut grants: Vec<_> = match pool.submit(at(now), request(now, 0)) {
+            Admission::Granted(grant) => vec![grant],
+            Admission::Queued(_) | Admission::Refused(_) => vec![],
+        };
+        grants.extend(support::grants(&mut pool, now).into_iter().map(|(_, grant)| grant));
+        for grant in grants {
+            granted_at.push(now);
+            pool.record_first_event(at(now + 68), &grant, grant.prompt);
+            pool.end_request(at(now + 90), &grant, 0, Outcome::Served);
+        }
+    }
+    assert!(granted_at[0] <= 1_100, "{granted_at:?}");
+    let in_last_second = granted_at.iter().filter(|time| **time >= 9_000).count();
+    assert_eq!(in_last_second, 10, "{granted_at:?}");
+    assert!(pool.take_probes().len() <= 8, "{granted_at:?}");
+}
+
+/// An endpoint that really is that slow must not take a request a second from callers who can be served.
+#[test]
+fn an_excluded_endpoint_is_not_probed_while_others_have_slots() {
+    let mut pool = pool(&["one", "two"]);
+    report_late_first_events(&mut pool, "one");
+    for now in (0..10_000).step_by(100) {
+        let grant = granted(pool.submit(at(now), request(now, 0)));
+        assert_eq!(grant.endpoint.as_str(), "two");
+        pool.record_first_event(at(now + 68), &grant, grant.prompt);
+        pool.end_request(at(now + 90), &grant, 0, Outcome::Served);
+    }
+    assert!(pool.take_probes().is_empty());
+}
+
+/// Only one request at a time is risked at an endpoint that may really be that slow.
+#[test]
+fn a_probed_endpoint_gets_no_second_request_before_it_has_been_idle_again() {
+    let mut pool = pool(&["one"]);
+    report_late_first_events(&mut pool, "one");
+    let first = granted(pool.submit(at(2_000), request(2_000, 0)));
+    pool.submit(at(2_010), request(2_010, 0));
+    assert!(support::grants(&mut pool, 2_600).is_empty());
+    pool.end_request(at(2_700), &first, first.prompt, Outcome::Cancelled);
+    pool.submit(at(2_710), request(2_710, 0));
+    assert!(support::grants(&mut pool, 3_300).is_empty());
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -50,6 +50,7 @@
             _ = tick.tick() => {
                 shared.update(|core| core.tick(shared.now()));
                 shared.stop_bad_rollouts();
+                shared.log_probes();
                 schedule.send_due(&shared);
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
     charges_alone: metrics::Counter<u64>,
     quarantines: metrics::Counter<u64>,
     rollouts: metrics::Counter<u64>,
+    probes: metrics::Counter<u64>,
     first_byte: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
     config_reads: metrics::Histogram<f64>,
@@ -57,6 +58,10 @@
                 "gateway_rollouts",
                 "Stages of moves to other versions, as heard of.",
             ),
+            probes: counter(
+                "gateway_probes",
+                "Requests sent to idle endpoints in spite of the estimates, by service.",
+            ),
             first_byte: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
             config_reads: histogram(
@@ -104,6 +109,10 @@
         self.rollouts.add(1, &labels);
     }
 
+    pub(crate) fn probed(&self, service: &str) {
+        self.probes.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     pub(crate) fn first_byte(&self, ms: u64) {
         self.first_byte.record(ms as f64, &[]);
     }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -249,6 +249,14 @@
         /// Maximum number of repeats the retry budget allows this daemon in that window.
         repeat_limit: usize,
     },
+    /// An idle endpoint gets a request that is late or would be refused, in spite of the estimates for it.
+    EndpointProbed {
+        /// The service.
+        service: id::PoolName,
+        /// The endpoint, how long it was idle, and the estimates.
+        #[serde(flatten)]
+        probe: gateway::Probe,
+    },
     /// Whether this daemon can open connections to endpoints has changed.
     Links {
         /// Whether it can open none.
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -363,6 +363,15 @@
         self.dispatch_all(now);
     }
 
+    /// Returns the probes of idle endpoints since the last call, with their services.
+    pub(crate) fn take_probes(&mut self) -> Vec<(id::PoolName, gateway::Probe)> {
+        let probes = |(name, service): (&id::PoolName, &mut state::Service)| {
+            let probes = service.pool.take_probes();
+            probes.into_iter().map(|probe| (name.clone(), probe)).collect::<Vec<_>>()
+        };
+        self.services.iter_mut().flat_map(probes).collect()
+    }
+
     /// Tells the pools which versions may run requests.
     pub(crate) fn set_gates(&mut self, now: Timestamp) {
         let is_fresh = self.freshness.is_within(now, TRIAL_FRESHNESS);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -215,6 +215,14 @@
         }
     }
 
+    /// Logs and counts the probes of idle endpoints since the last call.
+    pub(crate) fn log_probes(&self) {
+        for (service, probe) in self.core().take_probes() {
+            self.metrics.probed(service.as_str());
+            self.journal.write(&record::Event::EndpointProbed { service, probe });
+        }
+    }
+
     /// Changes the state and sends the messages that result.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut state::Core) -> T) -> T {
         let (result, outbox) = {
