decide: an endpoint that failed is probed with requests that may not be repeated

Cause: an endpoint whose answers fail more often than the average gets one request at a time, and only one that may be repeated, as does one that refused a request or a connection. Failures are counted by answers alone, so if no request of the service may be repeated, the endpoint stays unused for good.

Change: a request that is late or would be refused probes such an endpoint too once it has been idle for a second, and the failures before a probe lose their weight.

--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -313,6 +313,7 @@
     pub(super) fn discount_estimates(&mut self) {
         self.first_event.discount();
         self.step_time.discount();
+        self.failure_rate.discount();
     }
 
     /// Returns whether the endpoint is suspected to have failed. It then gets one request at a time as a
--- a/crates/decide/src/gateway/pool/probe.rs
+++ b/crates/decide/src/gateway/pool/probe.rs
@@ -26,10 +26,12 @@
 const MAX_PROBES: usize = 100;
 
 impl Pool {
-    /// Grants a request that would be late or refused the slot of an idle endpoint, whatever the estimates for it.
+    /// Grants a request that would be late or refused the slot of an idle endpoint, whatever the estimates and
+    /// the failures there.
     ///
-    /// Only requests correct estimates. An endpoint that gets none because of its estimates would otherwise
-    /// stay unused for good. The result of a probe outweighs what was measured before.
+    /// Only requests correct what is known of an endpoint. One that gets none because of that would otherwise
+    /// stay unused for good, as would one that has failed if no request may be repeated. The result of a probe
+    /// outweighs what was measured before.
     pub(super) fn grant_probe(&mut self, now: Timestamp, request: &PoolRequest) -> Option<Grant> {
         let idle_time = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
             let idle = endpoint.idle_time(now).filter(|idle| *idle >= IDLE_PERIOD)?;
@@ -63,7 +65,7 @@
     ) -> bool {
         let has_access = self.versions.access(&endpoint.version) == gateway::Access::Full;
         let capacity = self.capacity(now, endpoint, endpoint.load(), self.averages);
-        let has_capacity = capacity.slots > 0 || (capacity.can_probe && request.repeatable);
+        let has_capacity = capacity.slots > 0 || capacity.can_probe;
         endpoint.is_usable(now) && has_access && has_capacity && !request.tried.contains(name)
     }
 }
--- a/crates/decide/tests/testsuite/gateway/disturbances.rs
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -251,3 +251,38 @@
     pool.submit(at(2_710), request(2_710, 0));
     assert!(support::grants(&mut pool, 3_300).is_empty());
 }
+
+/// Ends requests at "one" with `outcome` until the pool sends no more there, while "two" is busy with a request
+/// of a peer; then serves what is sent there. Returns when requests are served at "one" again.
+fn served_again_at(outcome: Outcome) -> Option<u64> {
+    let mut pool = pool(&["one", "two"]);
+    for now in (0..10_000).step_by(100) {
+        pool.apply_report(at(now), peer(2), &report(now + 1, &[("two", 2)], 0));
+        let mut grants: Vec<_> = match pool.submit(at(now), request(now, 0)) {
+            Admission::Granted(grant) => vec![grant],
+            Admission::Queued(_) | Admission::Refused(_) => vec![],
+        };
+        grants.extend(support::grants(&mut pool, now).into_iter().map(|(_, grant)| grant));
+        for grant in grants {
+            if now < 2_000 {
+                pool.end_request(at(now + 20), &grant, grant.prompt, outcome);
+            } else if now >= 5_000 {
+                return Some(now);
+            } else {
+                pool.record_first_event(at(now + 68), &grant, grant.prompt);
+                pool.end_request(at(now + 90), &grant, 0, Outcome::Served);
+            }
+        }
+    }
+    None
+}
+
+/// Guards against endpoints that get no request any more since requests failed there or were not taken, and
+/// none of those that come may be repeated.
+#[test]
+fn an_endpoint_is_used_again_after_failures_by_requests_that_may_not_be_repeated() {
+    for outcome in [Outcome::Failed, Outcome::Lost, Outcome::Rejected, Outcome::Unreachable] {
+        let time = served_again_at(outcome);
+        assert!(time.is_some_and(|time| time <= 6_000), "{outcome:?}: {time:?}");
+    }
+}
