--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod measure;
 mod plot;
+mod recovery;
 mod rollouts;
 mod service;
 mod stop;
@@ -36,6 +37,8 @@
     Plot(plot::Options),
     #[options(help = "play moves of a service to another version in virtual time")]
     Rollouts(rollouts::Options),
+    #[options(help = "measure how soon a pool recovers from short disturbances, in virtual time")]
+    Recovery(recovery::Options),
     #[options(help = "run a key-value service")]
     Kv(kv::Options),
     #[options(help = "run a host list")]
@@ -56,6 +59,7 @@
         Some(Command::Goals(options)) => goals::run(options),
         Some(Command::Load(options)) => load::run(options).await,
         Some(Command::Plot(options)) => plot::run(&options),
+        Some(Command::Recovery(options)) => recovery::run(&options),
         Some(Command::Rollouts(options)) => rollouts::run(&options),
         Some(Command::Kv(options)) => kv::run(options).await,
         Some(Command::Hosts(options)) => hosts::run(options).await,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod member;
 pub mod model;
 pub mod operators;
+pub mod recovery;
 pub mod relay;
 pub mod rollout;
 pub mod service;
--- /dev/null
+++ b/testbed/src/recovery/disturbance.rs
@@ -0,0 +1,100 @@
+//! What disturbs a pool.
+
+use trefoildyke_decide::gateway;
+
+/// A disturbance of all endpoints of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Disturbance {
+    /// What happens.
+    pub kind: Kind,
+    /// When it begins, in milliseconds.
+    pub start_ms: u64,
+    /// When it ends, in milliseconds.
+    pub end_ms: u64,
+}
+
+/// A kind of disturbance. The endpoints are sound before and after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Events arrive late by one to some retransmissions.
+    Retransmissions,
+    /// Events arrive together every 900 ms.
+    Bursts,
+    /// The daemon stands still: events arrive at the end of the disturbance.
+    Freeze,
+    /// Endpoints take ten times as long.
+    Slow,
+    /// Answers are failures.
+    Failures,
+    /// Connections are refused.
+    Refused,
+}
+
+/// The interval between the arrivals of events that arrive together, in milliseconds.
+const BURST_INTERVAL_MS: u64 = 900;
+
+/// How many times as long slow endpoints take.
+const SLOW_FACTOR: u64 = 10;
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 6] = [
+        Self::Retransmissions,
+        Self::Bursts,
+        Self::Freeze,
+        Self::Slow,
+        Self::Failures,
+        Self::Refused,
+    ];
+
+    /// Returns the name of the kind.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Retransmissions => "retransmissions",
+            Self::Bursts => "bursts",
+            Self::Freeze => "freeze",
+            Self::Slow => "slow",
+            Self::Failures => "failures",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+impl Disturbance {
+    /// Returns whether the disturbance lasts at `time`, in milliseconds.
+    pub fn lasts_at(&self, time: u64) -> bool {
+        (self.start_ms..self.end_ms).contains(&time)
+    }
+
+    /// Returns when an event arrives that was sent at `time`, both in milliseconds.
+    pub fn arrival(&self, time: u64) -> u64 {
+        if !self.lasts_at(time) {
+            return time;
+        }
+        match self.kind {
+            Kind::Retransmissions => time + 1_000 + time % 7 * 200,
+            Kind::Bursts => time.next_multiple_of(BURST_INTERVAL_MS),
+            Kind::Freeze => self.end_ms,
+            Kind::Slow | Kind::Failures | Kind::Refused => time,
+        }
+    }
+
+    /// Returns when an endpoint has done what it begins at `time` and usually takes `duration` for, all in
+    /// milliseconds.
+    pub fn completion(&self, time: u64, duration: u64) -> u64 {
+        if self.kind != Kind::Slow || !self.lasts_at(time) {
+            return time + duration;
+        }
+        let done = (self.end_ms - time) / SLOW_FACTOR;
+        if duration <= done { time + duration * SLOW_FACTOR } else { self.end_ms + duration - done }
+    }
+
+    /// Returns the outcome of a request that is sent at `time` and gets no answer of use, or `None`.
+    pub fn failure(&self, time: u64) -> Option<gateway::Outcome> {
+        match self.kind {
+            Kind::Failures if self.lasts_at(time) => Some(gateway::Outcome::Failed),
+            Kind::Refused if self.lasts_at(time) => Some(gateway::Outcome::Unreachable),
+            _ => None,
+        }
+    }
+}
--- a/testbed/tests/testsuite/main.rs
+++ b/testbed/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod kv;
 mod load;
 mod model;
+mod recovery;
 mod relay;
 mod rollouts;
 mod scenario;
