--- a/testbed/src/relay/copy.rs
+++ b/testbed/src/relay/copy.rs
@@ -80,6 +80,7 @@
     (direction, passed): (Direction, &Passed),
     flow: &watch::Receiver<Flow>,
 ) -> io::Result<()> {
+    let opened = time::Instant::now();
     let mut piece = vec![0; PIECE];
     let mut silent = false;
     loop {
@@ -90,11 +91,16 @@
             Ok(0) | Err(_) if silent => return std::future::pending().await,
             Ok(0) => return Ok(()),
             Ok(_) if silent => {}
-            Ok(length) => {
+            Ok(mut length) => {
                 if let Some(rate) = now.rate {
                     time::sleep_until(passed.end_of_transfer(direction, length, rate)).await;
                 }
                 time::sleep(now.delay).await;
+                if let Some(hold) = now.hold {
+                    time::sleep(until_next_multiple(opened.elapsed(), hold)).await;
+                    // Passes on all data that has arrived meanwhile. The next read reports an error.
+                    length += from.try_read(&mut piece[length..]).unwrap_or(0);
+                }
                 to.write_all(&piece[..length]).await?;
                 passed.count(length);
             }
@@ -102,3 +108,9 @@
         }
     }
 }
+
+/// Returns the time from `elapsed` to the next multiple of `interval`.
+fn until_next_multiple(elapsed: time::Duration, interval: time::Duration) -> time::Duration {
+    let past = elapsed.as_micros() % interval.as_micros().max(1);
+    interval.saturating_sub(time::Duration::from_micros(past as u64))
+}
--- a/testbed/src/relay/flow.rs
+++ b/testbed/src/relay/flow.rs
@@ -18,6 +18,8 @@
     pub target: Option<net::SocketAddr>,
     /// How long each piece of data waits before it is passed on.
     pub delay: time::Duration,
+    /// The interval between the times at which data is passed on, if it is held up; `None` if it is not.
+    pub hold: Option<time::Duration>,
     /// How many bytes pass per second in each direction, over all connections; `None` for no limit.
     pub rate: Option<u64>,
     /// New connections are closed at once.
--- a/testbed/src/relay/running.rs
+++ b/testbed/src/relay/running.rs
@@ -99,6 +99,11 @@
         self.flow.send_modify(|flow| flow.delay = delay);
     }
 
+    /// Holds up what passes, as lost packets do: on each connection, data is passed on once per `interval`.
+    pub fn hold(&self, interval: time::Duration) {
+        self.flow.send_modify(|flow| flow.hold = Some(interval));
+    }
+
     /// Limits the bytes that pass per second in each direction, over all connections, as a slow link does.
     pub fn limit_rate(&self, bytes_per_s: u64) {
         self.flow.send_modify(|flow| flow.rate = Some(bytes_per_s));
--- a/testbed/tests/testsuite/relay.rs
+++ b/testbed/tests/testsuite/relay.rs
@@ -92,3 +92,23 @@
     assert!(started.elapsed() >= time::Duration::from_millis(120));
     relay.stop().await;
 }
+
+#[tokio::test]
+async fn data_that_is_held_up_arrives_together() {
+    let relay = relay::serve(echo().await).await.unwrap();
+    let mut stream = open(&relay).await;
+    let interval = 10 * SHORT;
+    relay.hold(interval);
+    for _ in 0..4 {
+        stream.write_all(b"x").await.unwrap();
+        tokio::time::sleep(SHORT / 20).await;
+    }
+    let mut bytes = [0; 4];
+    stream.read_exact(&mut bytes[..1]).await.unwrap();
+    let first = time::Instant::now();
+    stream.read_exact(&mut bytes[1..]).await.unwrap();
+    assert!(first.elapsed() < interval / 2, "{:?}", first.elapsed());
+    relay.restore();
+    assert!(echoes(&mut stream, LONG).await);
+    relay.stop().await;
+}
