decide, gateway: a gauge of the endpoints that are passed over

gateway_passed_over is, by service, the number of endpoints that take requests and have been idle for a second while requests wait. Test: an idle endpoint with estimates of a minute counts once a request waits, not before.

--- a/crates/decide/src/gateway/pool/probe.rs
+++ b/crates/decide/src/gateway/pool/probe.rs
@@ -51,6 +51,19 @@
         Some(grant)
     }
 
+    /// Returns how many endpoints that take requests have had none for a second, if requests wait; otherwise 0.
+    pub fn passed_over(&self, now: Timestamp) -> usize {
+        if self.queue.len() == 0 {
+            return 0;
+        }
+        let is_idle = |endpoint: &&endpoint::Endpoint| {
+            self.versions.access(&endpoint.version) == gateway::Access::Full
+                && endpoint.is_usable(now)
+                && endpoint.idle_time(now).is_some_and(|idle| idle >= IDLE_PERIOD)
+        };
+        self.endpoints.values().filter(is_idle).count()
+    }
+
     /// Returns the probes since the last call.
     pub fn take_probes(&mut self) -> Vec<Probe> {
         std::mem::take(&mut self.probes)
--- a/crates/decide/tests/testsuite/gateway/disturbances.rs
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -225,6 +225,17 @@
     assert!(pool.take_probes().len() <= 8, "{granted_at:?}");
 }
 
+#[test]
+fn idle_endpoints_count_as_passed_over_while_requests_wait() {
+    let mut pool = pool(&["one", "two"]);
+    report_late_first_events(&mut pool, "one");
+    pool.apply_report(at(0), peer(3), &report(1, &[("two", 2)], 0));
+    assert_eq!(pool.passed_over(at(1_100)), 0);
+    support::queued(pool.submit(at(900), request(900, 0)));
+    assert_eq!(pool.passed_over(at(900)), 0);
+    assert_eq!(pool.passed_over(at(1_100)), 1);
+}
+
 /// An endpoint that really is that slow must not take a request a second from callers who can be served.
 #[test]
 fn an_excluded_endpoint_is_not_probed_while_others_have_slots() {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -50,7 +50,7 @@
             _ = tick.tick() => {
                 shared.update(|core| core.tick(shared.now()));
                 shared.stop_bad_rollouts();
-                shared.log_probes();
+                shared.record_probes();
                 schedule.send_due(&shared);
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     quarantines: metrics::Counter<u64>,
     rollouts: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
+    passed_over: metrics::Gauge<u64>,
     first_byte: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
     config_reads: metrics::Histogram<f64>,
@@ -62,6 +63,10 @@
                 "gateway_probes",
                 "Requests sent to idle endpoints in spite of the estimates, by service.",
             ),
+            passed_over: meter
+                .u64_gauge("gateway_passed_over")
+                .with_description("Endpoints that are idle while requests wait, by service.")
+                .build(),
             first_byte: histogram("gateway_first_byte_ms", "Arrival to first byte of the answer."),
             wait: histogram("gateway_wait_ms", "Wait for a slot."),
             config_reads: histogram(
@@ -113,6 +118,10 @@
         self.probes.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    pub(crate) fn passed_over(&self, service: &str, count: u64) {
+        self.passed_over.record(count, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     pub(crate) fn first_byte(&self, ms: u64) {
         self.first_byte.record(ms as f64, &[]);
     }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -372,6 +372,14 @@
         self.services.iter_mut().flat_map(probes).collect()
     }
 
+    /// Returns for each service how many idle endpoints are passed over.
+    pub(crate) fn passed_over(&self, now: Timestamp) -> Vec<(id::PoolName, usize)> {
+        let count = |(name, service): (&id::PoolName, &state::Service)| {
+            (name.clone(), service.pool.passed_over(now))
+        };
+        self.services.iter().map(count).collect()
+    }
+
     /// Tells the pools which versions may run requests.
     pub(crate) fn set_gates(&mut self, now: Timestamp) {
         let is_fresh = self.freshness.is_within(now, TRIAL_FRESHNESS);
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -215,8 +215,12 @@
         }
     }
 
-    /// Logs and counts the probes of idle endpoints since the last call.
-    pub(crate) fn log_probes(&self) {
+    /// Logs and counts the probes of idle endpoints since the last call, and updates the number of endpoints
+    /// that are passed over.
+    pub(crate) fn record_probes(&self) {
+        for (service, count) in self.core().passed_over(self.now()) {
+            self.metrics.passed_over(service.as_str(), count as u64);
+        }
         for (service, probe) in self.core().take_probes() {
             self.metrics.probed(service.as_str());
             self.journal.write(&record::Event::EndpointProbed { service, probe });
