decide: a test of endpoints after the reports of a peer were lost

Half of the requests are a peer's until one second into the disturbance; its reports are lost for three seconds, the last one among them. The test holds on this code: load and reservations expire.

--- a/crates/decide/tests/testsuite/gateway/disturbances.rs
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -28,9 +28,17 @@
 
 const END_MS: u64 = 20_000;
 
+/// How often a peer reports its load, in milliseconds.
+const REPORT_INTERVAL: u64 = 500;
+
+/// When the last request of a peer is granted, in milliseconds. Its last report is lost.
+const PEER_END: u64 = 6_000;
+
 /// A request at an endpoint.
 struct Running {
     grant: Grant,
+    /// Whether it is a request of a peer, which alone receives the answer.
+    is_peers: bool,
     leaves_at: u64,
     /// The times at which the events arrive, the last one first.
     events: Vec<u64>,
@@ -45,6 +53,12 @@
     waiting: BTreeMap<Ticket, PoolRequest>,
     running: Vec<Running>,
     idle_since: BTreeMap<EndpointName, u64>,
+    /// Whether half of the requests until [`PEER_END`] are those of a peer, whose reports are lost in the
+    /// disturbance.
+    has_peer: bool,
+    /// The number of slots that were granted to the peer, and of its reports.
+    placed: u64,
+    reports: u64,
     /// The times at which answers ended.
     served: Vec<u64>,
     /// The times at which requests were refused, with the longest time for which an endpoint was idle then.
@@ -52,8 +66,11 @@
 }
 
 impl Simulation {
-    fn run(arrival: fn(u64) -> u64) -> Self {
+    fn run(arrival: fn(u64) -> u64, has_peer: bool) -> Self {
         let mut simulation = Self {
+            has_peer,
+            placed: 0,
+            reports: 0,
             pool: pool(&ENDPOINTS),
             arrival,
             waiting: BTreeMap::new(),
@@ -63,11 +80,17 @@
             refused: Vec::new(),
         };
         for now in (0..END_MS).step_by(5) {
-            simulation.deliver(now);
+            let has_ended = simulation.deliver(now);
+            simulation.pool.expire_peers(at(now));
             if now % REQUEST_INTERVAL == 0 {
                 simulation.submit(now);
             }
             simulation.settle(now);
+            let is_due =
+                now % REPORT_INTERVAL == 0 && simulation.running.iter().any(|it| it.is_peers);
+            if (has_ended || is_due) && !DISTURBANCE.contains(&now) {
+                simulation.report(now);
+            }
         }
         simulation
     }
@@ -103,7 +126,13 @@
         let first = now + 60 + u64::from(grant.prompt) / 40;
         let events = (0..=EVENTS).rev().map(|event| (self.arrival)(first + event * EVENT_MS));
         self.idle_since.remove(&grant.endpoint);
+        let is_peers = self.has_peer && now < PEER_END && now / REQUEST_INTERVAL % 2 == 1;
+        if is_peers {
+            self.placed += 1;
+            self.pool.reserve(at(now), &grant, peer(2), self.placed);
+        }
         self.running.push(Running {
+            is_peers,
             leaves_at: request.leaves_at.as_micros() / 1_000,
             events: events.collect(),
             last_event: None,
@@ -111,34 +140,58 @@
         });
     }
 
+    /// Reports the load of the peer.
+    fn report(&mut self, now: u64) {
+        let mut loads = BTreeMap::<&str, u16>::new();
+        for running in self.running.iter().filter(|running| running.is_peers) {
+            *loads.entry(running.grant.endpoint.as_str()).or_default() += 1;
+        }
+        let loads: Vec<_> = loads.into_iter().collect();
+        self.reports += 1;
+        self.pool.apply_report(at(now), peer(2), &report(self.reports, &loads, self.placed));
+    }
+
     fn refuse(&mut self, now: u64) {
         let longest = self.idle_since.values().map(|since| now - since).max();
         self.refused.push((now, longest.unwrap_or(0)));
     }
 
-    fn deliver(&mut self, now: u64) {
+    /// Delivers the events that are due; returns whether a request of the peer has ended.
+    fn deliver(&mut self, now: u64) -> bool {
+        let mut has_ended = false;
         for mut running in std::mem::take(&mut self.running) {
             self.deliver_events(now, &mut running);
+            let has_left = running.last_event.is_none() && running.leaves_at <= now;
+            if !running.events.is_empty() && !has_left {
+                self.running.push(running);
+                continue;
+            }
             let grant = &running.grant;
-            if running.events.is_empty() {
-                self.pool.end_request(at(now), grant, 0, Outcome::Served);
+            if !has_left {
                 self.served.push(now);
-            } else if running.last_event.is_none() && running.leaves_at <= now {
+            }
+            if running.is_peers {
+                has_ended = true;
+            } else if has_left {
                 self.pool.end_request(at(now), grant, grant.prompt, Outcome::Cancelled);
             } else {
-                self.running.push(running);
-                continue;
+                self.pool.end_request(at(now), grant, 0, Outcome::Served);
             }
             if !self.running.iter().any(|other| other.grant.endpoint == grant.endpoint) {
                 self.idle_since.insert(grant.endpoint.clone(), now);
             }
         }
+        has_ended
     }
 
     fn deliver_events(&mut self, now: u64, running: &mut Running) {
         let grant = &running.grant;
         while running.events.pop_if(|due| *due <= now).is_some() {
-            match running.last_event.replace(now) {
+            let last = running.last_event.replace(now);
+            if running.is_peers {
+                continue;
+            }
+            match last {
                 None => self.pool.record_first_event(at(now), grant, grant.prompt),
                 Some(last) => {
                     self.pool.record_event(at(now), grant, (now - last) as f64 / 1_000.0);
@@ -173,7 +226,7 @@
 fn endpoints_are_used_again_after_their_events_were_retransmitted() {
     let retransmit =
         |time: u64| if DISTURBANCE.contains(&time) { time + 1_000 + time % 7 * 200 } else { time };
-    Simulation::run(retransmit).check();
+    Simulation::run(retransmit, false).check();
 }
 
 /// Guards against endpoints that stay unused for good after their events arrived in a few bursts.
@@ -182,7 +235,13 @@
     let hold = |time: u64| {
         if DISTURBANCE.contains(&time) { time.next_multiple_of(900) } else { time }
     };
-    Simulation::run(hold).check();
+    Simulation::run(hold, false).check();
+}
+
+/// Guards against load that stays counted for good after the messages between the daemons were lost.
+#[test]
+fn endpoints_are_used_again_after_the_reports_of_a_peer_were_lost() {
+    Simulation::run(|time| time, true).check();
 }
 
 /// Reports first events that took a minute each, as often as the estimates of an endpoint are averaged over.
