--- a/testbed/src/recovery/disturbance.rs
+++ b/testbed/src/recovery/disturbance.rs
@@ -16,7 +16,7 @@
 /// A kind of disturbance. The endpoints are sound before and after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// Events arrive late by one to some retransmissions.
+    /// Events arrive 1.0 to 2.2 s late.
     Retransmissions,
     /// Events arrive together every 900 ms.
     Bursts,
--- a/testbed/src/recovery/simulation.rs
+++ b/testbed/src/recovery/simulation.rs
@@ -56,6 +56,7 @@
     failure: Option<gateway::Outcome>,
 }
 
+/// A pool at the daemon that places all requests, and its endpoints.
 struct Simulation {
     disturbance: Disturbance,
     pool: gateway::Pool,
