--- a/crates/decide/tests/testsuite/gateway/disturbances.rs
+++ b/crates/decide/tests/testsuite/gateway/disturbances.rs
@@ -322,8 +322,8 @@
     assert!(support::grants(&mut pool, 3_300).is_empty());
 }
 
-/// Ends requests at "one" with `outcome` until the pool sends no more there, while "two" is busy with a request
-/// of a peer; then serves what is sent there. Returns when requests are served at "one" again.
+/// Ends all requests at "one" with `outcome` for two seconds, and serves them afterwards, while "two" is busy
+/// with requests of a peer. Returns the time of the first request at "one" after five seconds, in milliseconds.
 fn served_again_at(outcome: Outcome) -> Option<u64> {
     let mut pool = pool(&["one", "two"]);
     for now in (0..10_000).step_by(100) {
