gateway: lines tell the parts of prompts, and whether an answer had a length

The lines could not tell whether engines crash under one part of prompts or under all requests of an account on a route, nor whether a cut answer was taken for a complete one. `ended` and `send_failed` now name the shared parts of the prompt by a key that does not depend on what stands before them, `send_failed` the events that had come, and `ended` whether the answer was framed.

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod links;
 mod mesh;
 mod message;
+mod part_key;
 mod pool;
 mod prompt;
 mod quarantine;
@@ -41,6 +42,7 @@
     AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
     LoadReport, Message, PlaceReply, Placed, RateLimitReport, RouteAnswers, StoreView,
 };
+pub use part_key::{PartKey, shared_part_keys};
 pub use pool::{
     Admission, EndpointState, Grant, Outcome, Pool, PoolParams, PoolRequest, Probe, QueueDecision,
     RateLimitChange, Refused, Ticket,
--- /dev/null
+++ b/crates/decide/src/gateway/part_key.rs
@@ -0,0 +1,40 @@
+//! Identities of the parts of prompts.
+
+use trefoildyke_types::id;
+
+/// Identifies a part of the prompts for one service, whatever stands before it.
+///
+/// In contrast, the key of a [`gateway::PromptPart`](crate::gateway::PromptPart) also covers all parts
+/// before it. The text form is 16 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct PartKey(u64);
+
+/// The maximum number of parts of a prompt that are told apart; one bit of a `u16` is kept for each.
+const MAX_PARTS: usize = 16;
+
+/// Returns the keys of the parts of a prompt that other requests may share: all but the last one, which
+/// belongs to the request or its session.
+///
+/// `text` lists the parts in order, as `ID:TOKENS` pairs separated by commas. Parts beyond the first 16
+/// are left out.
+pub fn shared_part_keys(service: &id::PoolName, text: &str) -> Vec<PartKey> {
+    let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
+    let Some((shared, _)) = text.rsplit_once(',') else { return Vec::new() };
+    let mut keys = Vec::new();
+    for part in shared.split(',').take(MAX_PARTS) {
+        let (id, _) = part.split_once(':').unwrap_or((part, ""));
+        let key = PartKey(xxhash_rust::xxh3::xxh3_64_with_seed(id.trim().as_bytes(), seed));
+        if !keys.contains(&key) {
+            keys.push(key);
+        }
+    }
+    keys
+}
+
+impl std::fmt::Display for PartKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/gateway/src/ingress/access.rs
+++ b/crates/gateway/src/ingress/access.rs
@@ -31,6 +31,8 @@
     max_pause: Option<time::Duration>,
     /// The number of parts of a stream that were forwarded.
     events: u32,
+    /// Whether the last answer had neither a length nor chunks.
+    unframed: bool,
 }
 
 impl AccessLogEntry {
@@ -52,6 +54,7 @@
             retry_after: None,
             max_pause: None,
             events: 0,
+            unframed: false,
             shared,
         }
     }
@@ -74,7 +77,7 @@
     }
 
     /// Records the inputs of the decisions on the request's quota, rank and slot.
-    pub(crate) const fn set_asked(&mut self, asked: record::RequestInputs) {
+    pub(crate) fn set_asked(&mut self, asked: record::RequestInputs) {
         self.asked = asked;
     }
 
@@ -109,6 +112,16 @@
         self.max_pause = self.max_pause.max(pause);
     }
 
+    /// Returns the number of parts of a stream that were forwarded.
+    pub(crate) const fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Records whether the answer of an endpoint had neither a length nor chunks.
+    pub(crate) const fn set_unframed(&mut self, unframed: bool) {
+        self.unframed = unframed;
+    }
+
     /// Records how the request ended.
     pub(crate) const fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = outcome;
@@ -136,7 +149,7 @@
             route: std::mem::take(&mut self.route),
             account: self.account.take(),
             version: self.version,
-            asked: self.asked,
+            asked: std::mem::take(&mut self.asked),
             placer: self.placer,
             outcome: self.outcome,
             status: self.status,
@@ -147,6 +160,7 @@
             retry_ms: self.retry_after.map(ms),
             pause_ms: self.max_pause.map(ms),
             events: self.events,
+            unframed: self.unframed,
         });
     }
 }
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -47,6 +47,8 @@
     pub(crate) prompt: u32,
     /// The parts of the prompt that other requests may share as a prefix.
     pub(crate) parts: Vec<gateway::PromptPart>,
+    /// The parts of the prompt that other requests may share, wherever they stand.
+    pub(crate) shared_parts: Vec<gateway::PartKey>,
     /// The expected length of the answer in tokens.
     pub(crate) expected: f64,
     /// The charge to the account's quota, until it is refunded.
@@ -86,6 +88,8 @@
         let (prompt, max_tokens) = tokens.unwrap_or((0, 0));
         let model = names::text(&head.headers, &names.model).unwrap_or_default();
         let parts = names::text(&head.headers, &names.prompt_parts);
+        let shared_parts =
+            parts.map_or_else(Vec::new, |text| gateway::shared_part_keys(&admission.service, text));
         let parts = parts.map_or_else(Vec::new, |text| gateway::prompt_parts(model, text));
         let expected =
             expected_tokens(max_tokens, names::number(&head.headers, &names.length_hint));
@@ -94,6 +98,7 @@
         let rank = rank(route, admission.account.as_ref());
         access.set_asked(record::RequestInputs {
             fingerprint: Some(fingerprint),
+            parts: shared_parts.clone(),
             rank: Some(rank),
             prompt,
             expected: expected as u32,
@@ -132,6 +137,7 @@
             answer_due: arrived + limit,
             prompt,
             parts,
+            shared_parts,
             expected,
             reservation,
         })
--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -56,6 +56,8 @@
                 .core()
                 .quarantine
                 .crash_count(self.shared.now(), self.call.fingerprint),
+            parts: self.call.shared_parts.clone(),
+            events: self.access.events(),
             detail: failed.detail.clone(),
             next,
             repeats: usage.retries,
--- a/crates/gateway/src/ingress/driver/send.rs
+++ b/crates/gateway/src/ingress/driver/send.rs
@@ -37,7 +37,7 @@
         let patience = tokio::time::Instant::now() + left.mul_f64(RESEND_SHARE);
         if self.may_send_again() {
             tokio::select! {
-                sent = &mut sending => return attach_slot(sent, slot),
+                sent = &mut sending => return self.attach_slot(sent, slot),
                 () = tokio::time::sleep_until(patience) => {}
             }
             if self.has_untried_endpoint() && self.reserve_resend() {
@@ -47,7 +47,7 @@
             }
         }
         match tokio::time::timeout_at(end, sending).await {
-            Ok(sent) => attach_slot(sent, slot),
+            Ok(sent) => self.attach_slot(sent, slot),
             Err(_) => {
                 let failed = FailedSend::new(gateway::Failure::Lost, "the time was up");
                 Err(FailedSend { is_late: true, ..failed })
@@ -78,17 +78,21 @@
     pub(super) fn may_send_again(&self) -> bool {
         self.call.kind.is_idempotent() && self.access.sends() < self.call.attempts
     }
-}
 
-fn attach_slot(
-    sent: Result<upstream::Answer, upstream::SendError>,
-    mut slot: state::Slot,
-) -> Result<OpenAnswer, FailedSend> {
-    match sent {
-        Ok(answer) => Ok(OpenAnswer { answer, slot }),
-        Err(error) => {
-            slot.set_outcome(error.outcome);
-            Err(FailedSend::new(error.failure, error.detail))
+    fn attach_slot(
+        &mut self,
+        sent: Result<upstream::Answer, upstream::SendError>,
+        mut slot: state::Slot,
+    ) -> Result<OpenAnswer, FailedSend> {
+        match sent {
+            Ok(answer) => {
+                self.access.set_unframed(!answer.is_framed());
+                Ok(OpenAnswer { answer, slot })
+            }
+            Err(error) => {
+                slot.set_outcome(error.outcome);
+                Err(FailedSend::new(error.failure, error.detail))
+            }
         }
     }
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -6,10 +6,13 @@
 use crate::query;
 
 /// What a request asked for: the inputs of the decisions on its quota, rank and slot.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
 pub struct RequestInputs {
     /// Identifies repeats of the same request; `None` if it was refused before it was read.
     pub fingerprint: Option<gateway::Fingerprint>,
+    /// The parts of its prompt that other requests may share, in order.
+    #[serde(serialize_with = "serialize_parts")]
+    pub parts: Vec<gateway::PartKey>,
     /// The rank in the queue; `None` if it was refused before it had one.
     pub rank: Option<u8>,
     /// The length of its prompt in tokens.
@@ -239,6 +242,11 @@
         failure: gateway::Failure,
         /// The number of endpoints that crashed under this request, as far as this daemon knows.
         ends: usize,
+        /// The parts of the request's prompt that other requests may share, in order.
+        #[serde(serialize_with = "serialize_parts")]
+        parts: Vec<gateway::PartKey>,
+        /// The number of parts of a stream that were forwarded before the failure.
+        events: u32,
         /// What happened on the connection.
         detail: String,
         /// What is done next.
@@ -348,5 +356,15 @@
         pause_ms: Option<u64>,
         /// The number of parts of a stream that were forwarded.
         events: u32,
+        /// Whether the answer had neither a length nor chunks, so that it ended with its connection.
+        unframed: bool,
     },
 }
+
+/// Serializes the keys of parts in their text form.
+fn serialize_parts<S: serde::Serializer>(
+    parts: &[gateway::PartKey],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(parts.iter().map(ToString::to_string))
+}
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -18,6 +18,15 @@
     pub(crate) connection: upstream::Connection,
 }
 
+impl Answer {
+    /// Returns whether the answer has a length or chunks; otherwise it ends with its connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// A send that failed before the answer's body.
 #[derive(Debug)]
 pub(crate) struct SendError {
