gateway: tests with engines that crash on a part of a prompt

The second test passes already: it guards the fix against quarantining a common part when engines crash for other reasons.

--- a/crates/gateway/tests/testsuite/harness/endpoint.rs
+++ b/crates/gateway/tests/testsuite/harness/endpoint.rs
@@ -169,7 +169,7 @@
     stream.write_all(text.as_bytes()).is_ok()
 }
 
-fn read_request(stream: &mut net::TcpStream) -> Option<String> {
+pub(super) fn read_request(stream: &mut net::TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -188,7 +188,7 @@
 }
 
 /// Returns a header's value, empty if it is missing.
-fn header(request: &str, name: &str) -> String {
+pub(super) fn header(request: &str, name: &str) -> String {
     let mut lines = request.lines().take_while(|line| !line.is_empty());
     let value = lines.find_map(|line| {
         let (key, value) = line.split_once(':')?;
--- a/crates/gateway/tests/testsuite/harness/mod.rs
+++ b/crates/gateway/tests/testsuite/harness/mod.rs
@@ -2,8 +2,10 @@
 
 mod caller;
 mod endpoint;
+mod engine;
 mod test_gateway;
 
 pub(crate) use caller::{Caller, Reply};
 pub(crate) use endpoint::{Endpoint, Step};
+pub(crate) use engine::Engine;
 pub(crate) use test_gateway::{TestGateway, account, entries};
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod crashes;
+mod crashing_parts;
 mod drains;
 mod failures;
 mod fuzz;
