gateway: parts of prompts that crash endpoints are quarantined

Cause: crashes were counted by the whole request. A cause that many unlike requests share never reached the count of three. The class: evidence is kept by an identity that is finer than the cause.

Change: a daemon reports each request that was cut before or soon after its answer began to the hubs, with the keys of its parts, and each part that an endpoint has answered since. The hubs decide.

--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod digest;
 mod load;
+mod part_crash;
 mod placing;
 mod store_view;
 
@@ -15,6 +16,7 @@
 pub use crash::Crash;
 pub use digest::{AccountSpend, Digest};
 pub use load::{EndpointLoad, Firsts, Learned, LoadReport, RateLimitReport, RouteAnswers};
+pub use part_crash::{PartCrash, PartSurvival, QuarantinedParts};
 pub use placing::{Ask, PlaceReply, Placed};
 pub use store_view::StoreView;
 
@@ -94,6 +96,17 @@
         /// Whether the sender wants to receive the rollouts that the receiver knows.
         asks: bool,
     },
+    /// Reports on parts of prompts that may crash endpoints.
+    Parts {
+        /// Crashes.
+        crashes: Vec<PartCrash>,
+        /// Parts that endpoints have answered.
+        survivals: Vec<PartSurvival>,
+        /// All parts that the sender has decided to quarantine; `None` if that is up to others.
+        quarantined: Option<Vec<QuarantinedParts>>,
+        /// Whether the sender wants to receive the crashes that the receiver knows.
+        asks: bool,
+    },
     /// Reports crashes of endpoints during requests.
     Crashes {
         /// The crashes.
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod mesh;
 mod message;
 mod part_key;
+mod part_quarantine;
 mod pool;
 mod prompt;
 mod quarantine;
@@ -40,9 +41,11 @@
 pub use mesh::{DigestChanges, Mesh, Peer, PlacingAbility};
 pub use message::{
     AccountSpend, Ask, Charge, ChargeReply, Crash, Digest, EndpointLoad, Firsts, Learned,
-    LoadReport, Message, PlaceReply, Placed, RateLimitReport, RouteAnswers, StoreView,
+    LoadReport, Message, PartCrash, PartSurvival, PlaceReply, Placed, QuarantinedParts,
+    RateLimitReport, RouteAnswers, StoreView,
 };
 pub use part_key::{PartKey, shared_part_keys};
+pub use part_quarantine::{PartChange, PartCut, PartQuarantine, PartQuarantineParams};
 pub use pool::{
     Admission, EndpointState, Grant, Outcome, Pool, PoolParams, PoolRequest, Probe, QueueDecision,
     RateLimitChange, Refused, Ticket,
--- a/crates/decide/src/gateway/part_key.rs
+++ b/crates/decide/src/gateway/part_key.rs
@@ -33,6 +33,13 @@
     keys
 }
 
+impl PartKey {
+    /// Returns the key as an integer.
+    pub(crate) const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
 impl std::fmt::Display for PartKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -13,6 +13,8 @@
 mod links;
 mod loads;
 mod mesh;
+mod part_key;
+mod part_quarantine;
 mod patches;
 mod pool;
 mod prompts;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -78,6 +78,7 @@
             self.last_report = tokio::time::Instant::now();
             shared.update(|core| core.report_all(shared.now()));
             shared.resend_crashes();
+            shared.decide_parts();
         }
     }
 
@@ -146,6 +147,9 @@
         Ok(gateway::Message::Crashes { crashes, asks }) => {
             shared.handle_crashes(from, &crashes, asks);
         }
+        Ok(gateway::Message::Parts { crashes, survivals, quarantined, asks }) => {
+            shared.handle_parts(from, &crashes, &survivals, quarantined.as_deref(), asks);
+        }
         Ok(gateway::Message::Hubs { hub_mark }) => {
             shared.core().mesh.note_hub_hash(from, hub_mark);
         }
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -108,7 +108,8 @@
         });
         // Checked before the charge, so that a quarantined request, which is not sent to any endpoint, costs
         // its account nothing.
-        if let Some(after) = shared.quarantined_for(fingerprint) {
+        let quarantined = shared.quarantined_for(fingerprint);
+        if let Some(after) = quarantined.or_else(|| shared.parts_quarantined_for(&shared_parts)) {
             return Err(ingress::Reply::not_run(ingress::QUARANTINED, after));
         }
         let reservation = charge(shared, &admission, cost).await?;
--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -27,6 +27,14 @@
             && let Some(grant) = &self.last_grant
         {
             self.shared.record_crash(self.call.fingerprint, grant);
+            self.shared.record_part_crash(&gateway::PartCut {
+                request: self.call.fingerprint,
+                parts: &self.call.shared_parts,
+                endpoint: &grant.endpoint,
+                start: grant.start,
+                sent_at: self.sent_at,
+                began_at: self.began_at,
+            });
         }
         let mut attempt = self.attempt.clone();
         let is_open = !failed.is_late && self.shared.now() < self.call.answer_due;
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -37,6 +37,10 @@
     last_grant: Option<gateway::Grant>,
     /// When the request was last sent.
     sent_at: Timestamp,
+    /// When the first part of the answer to the last send arrived.
+    began_at: Option<Timestamp>,
+    /// Whether the answer to the last send has shown that the parts of the prompt do not crash endpoints.
+    survived: bool,
     /// The retry that is reserved in the retry budget and has not been sent yet.
     retry_reservation: Option<state::RetryReservation>,
     /// Delays the end of a graceful stop.
@@ -123,6 +127,8 @@
             tried: Vec::new(),
             last_grant: None,
             sent_at,
+            began_at: None,
+            survived: false,
             retry_reservation: None,
             _pass: pass,
         }
@@ -192,9 +198,9 @@
     }
 
     fn check_quarantine(&self) -> Result<(), NoSlot> {
-        self.shared
-            .quarantined_for(self.call.fingerprint)
-            .map_or(Ok(()), |left| Err(NoSlot::Quarantined(left)))
+        let left = self.shared.quarantined_for(self.call.fingerprint);
+        let left = left.or_else(|| self.shared.parts_quarantined_for(&self.call.shared_parts));
+        left.map_or(Ok(()), |left| Err(NoSlot::Quarantined(left)))
     }
 
     fn pool_request(&self) -> gateway::PoolRequest {
@@ -227,6 +233,8 @@
             retry_reservation.mark_sent();
         }
         self.sent_at = self.shared.now();
+        self.began_at = None;
+        self.survived = false;
         self.access.record_send(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
         self.last_grant = Some(grant.clone());
@@ -244,6 +252,34 @@
         });
     }
 
+    /// Records that a part of a stream has arrived.
+    ///
+    /// A part of the prompt that crashes endpoints does so when the endpoint begins to write the answer, so
+    /// an answer that has been going on for a while shows that its parts are harmless.
+    pub(crate) fn record_progress(&mut self) {
+        let now = self.shared.now();
+        let began_at = *self.began_at.get_or_insert(now);
+        let start_time = self.shared.settings.part_quarantine.start_time;
+        if !self.survived && now.since(began_at) >= start_time {
+            self.record_survival();
+        }
+    }
+
+    /// Records that an endpoint has answered the request as a whole, and whether with success.
+    pub(crate) fn record_completion(&mut self, is_success: bool) {
+        self.shared.record_completion(self.call.fingerprint);
+        if is_success && !self.survived {
+            self.record_survival();
+        }
+    }
+
+    fn record_survival(&mut self) {
+        self.survived = true;
+        if !self.call.shared_parts.is_empty() {
+            self.shared.record_part_survival(&self.call.shared_parts, self.sent_at);
+        }
+    }
+
     /// Returns whether the request may be sent again, and reserves a retry for that.
     pub(crate) fn reserve_resend(&mut self) -> bool {
         self.may_send_again() && self.reserve_retry()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod monitoring;
 mod names;
+mod part_quarantine;
 mod pending_replies;
 mod placing;
 mod quarantine;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     failures: metrics::Counter<u64>,
     charges_alone: metrics::Counter<u64>,
     quarantines: metrics::Counter<u64>,
+    part_quarantines: metrics::Counter<u64>,
     rollouts: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
     passed_over: metrics::Gauge<u64>,
@@ -55,6 +56,10 @@
                 "gateway_quarantines",
                 "Requests that are sent nowhere any more since endpoints end under them.",
             ),
+            part_quarantines: counter(
+                "gateway_part_quarantines",
+                "Parts of prompts that are sent nowhere any more since endpoints end under them.",
+            ),
             rollouts: counter(
                 "gateway_rollouts",
                 "Stages of moves to other versions, as heard of.",
@@ -108,6 +113,10 @@
         self.quarantines.add(1, &[]);
     }
 
+    pub(crate) fn parts_quarantined(&self) {
+        self.part_quarantines.add(1, &[]);
+    }
+
     pub(crate) fn rollout(&self, service: &str, stage: gateway::Stage) {
         let stage = format!("{stage:?}").to_lowercase();
         let labels = [KeyValue::new("service", service.to_owned()), KeyValue::new("stage", stage)];
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -24,7 +24,8 @@
 
     /// Returns a hash of the quarantined requests; 0 if there are none.
     pub fn quarantined_hash(&self) -> u64 {
-        self.shared.core().quarantine.quarantined_hash()
+        let core = self.shared.core();
+        core.quarantine.quarantined_hash() ^ core.part_quarantine.quarantined_hash(self.now())
     }
 
     /// Returns the crashes to be stored.
@@ -101,10 +102,11 @@
         self.apply_quarantine(&changes);
     }
 
-    /// Sends the crashes known here to a daemon whose hash of the known crashes, `hash`, differs.
+    /// Sends what is known here of crashes to a daemon whose hash of it, `hash`, differs.
     pub(crate) fn sync_crashes(&self, from: net::SocketAddr, hash: u64) {
-        if self.core().quarantine.hash() != hash {
+        if self.core().crash_hash() != hash {
             self.send_crashes(from, true);
+            self.send_parts(from, true);
         }
     }
 
@@ -114,6 +116,10 @@
         if !crashes.is_empty() {
             self.send(&gateway::Message::Crashes { crashes, asks: false }, &self.other_hubs());
         }
+        let crashes = self.core().part_quarantine.own_crashes(self.now(), RESEND_PERIOD);
+        if !crashes.is_empty() {
+            self.report_parts(crashes, Vec::new());
+        }
     }
 
     fn send_crashes(&self, to: net::SocketAddr, asks: bool) {
@@ -121,7 +127,7 @@
         self.send(&gateway::Message::Crashes { crashes, asks }, &[to]);
     }
 
-    fn other_hubs(&self) -> Vec<net::SocketAddr> {
+    pub(crate) fn other_hubs(&self) -> Vec<net::SocketAddr> {
         let core = self.core();
         let own = core.mesh.own();
         core.mesh.hubs().iter().copied().filter(|hub| *hub != own).collect()
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -183,7 +183,7 @@
         timeout: time::Duration,
     ) -> Option<Reply> {
         let stamp = sent_at.as_micros();
-        let quarantine = self.shared.core().quarantine.hash();
+        let quarantine = self.shared.core().crash_hash();
         let rollouts = self.shared.core().rollouts.hash();
         let query = gateway::Message::Query { stamp, roster, hub_mark, quarantine, rollouts };
         let reply = self.shared.queries.replies.register(self.now(), stamp, ());
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -303,6 +303,21 @@
         /// The fingerprint of the request.
         fingerprint: gateway::Fingerprint,
     },
+    /// Requests whose prompts have all of these parts are no longer sent to any endpoint, because endpoints
+    /// crash under them.
+    PartsQuarantined {
+        /// The parts.
+        #[serde(serialize_with = "serialize_parts")]
+        parts: Vec<gateway::PartKey>,
+        /// The number of endpoints that crashed under them, as far as this daemon knows.
+        ends: usize,
+    },
+    /// Requests with these parts may be sent again.
+    PartsReleased {
+        /// The parts.
+        #[serde(serialize_with = "serialize_parts")]
+        parts: Vec<gateway::PartKey>,
+    },
     /// A stage of a service's rollout of another version that is new to this daemon.
     Rollout {
         /// The rollout.
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -34,7 +34,7 @@
         }
     };
     slot.record_part();
-    driver.shared.record_completion(driver.call.fingerprint);
+    driver.record_completion(head.status.is_success());
     driver.shared.keep_idle(&driver.call.service, &slot.grant().endpoint, answer.connection);
     let is_failure = head.status.is_server_error();
     slot.set_outcome(if is_failure { gateway::Outcome::Failed } else { gateway::Outcome::Served });
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -132,6 +132,7 @@
                     let Ok(bytes) = frame.into_data() else { continue };
                     let pause = source.slot.record_part();
                     self.driver.access.record_part(pause);
+                    self.driver.record_progress();
                     match self.events.push(bytes) {
                         Ok(Some(whole)) => return Step::Part(whole),
                         Ok(None) => {}
@@ -163,7 +164,7 @@
     fn finish(mut self) {
         if let Some(Source { connection, mut slot, .. }) = self.source.take() {
             slot.set_outcome(gateway::Outcome::Served);
-            self.driver.shared.record_completion(self.driver.call.fingerprint);
+            self.driver.record_completion(true);
             let service = &self.driver.call.service;
             self.driver.shared.keep_idle(service, &slot.grant().endpoint, connection);
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -47,6 +47,8 @@
     pub canary_share: f64,
     /// The parameters for detecting requests that crash endpoints.
     pub quarantine: gateway::QuarantineParams,
+    /// When a part of prompts is quarantined because endpoints crash under it.
+    pub part_quarantine: gateway::PartQuarantineParams,
     /// How long a graceful stop may take before requests are cut off; 8 s.
     pub stop_grace: time::Duration,
     /// The timeout for opening a connection to an endpoint; 400 ms.
@@ -93,6 +95,7 @@
             quota: gateway::QuotaParams::default(),
             canary_share: 0.1,
             quarantine: gateway::QuarantineParams::default(),
+            part_quarantine: gateway::PartQuarantineParams::default(),
             stop_grace: time::Duration::from_secs(8),
             connect_timeout: time::Duration::from_millis(400),
             gossip_interval: time::Duration::from_millis(50),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -30,6 +30,7 @@
     pub(crate) links: gateway::Links,
     pub(crate) deadlines: gateway::Deadlines,
     pub(crate) quarantine: gateway::Quarantine,
+    pub(crate) part_quarantine: gateway::PartQuarantine,
     pub(crate) rollouts: gateway::Rollouts,
     /// The share of a service's requests that a bad version may get.
     canary_share: f64,
@@ -93,6 +94,7 @@
             links: gateway::Links::default(),
             deadlines: gateway::Deadlines::default(),
             quarantine: gateway::Quarantine::new(settings.quarantine),
+            part_quarantine: gateway::PartQuarantine::new(settings.part_quarantine),
             rollouts: gateway::Rollouts::default(),
             canary_share: settings.canary_share,
             started: Timestamp::ZERO,
@@ -332,6 +334,12 @@
         self.stopping = true;
     }
 
+    /// Returns a hash of the shared crashes and of what is quarantined, the same for daemons that know the
+    /// same.
+    pub(crate) const fn crash_hash(&self) -> u64 {
+        self.quarantine.hash() ^ self.part_quarantine.hash()
+    }
+
     /// Returns this daemon's digest for the others.
     pub(crate) fn own_digest(&mut self, now: Timestamp, kind: DigestKind) -> gateway::Digest {
         self.digest_count += 1;
@@ -345,7 +353,7 @@
             unanswered: self.mesh.is_unanswered(),
             hub_mark: self.mesh.reported_hub_hash(now),
             clients: self.mesh.clients(now),
-            quarantine: self.quarantine.hash(),
+            quarantine: self.crash_hash(),
             rollouts: self.rollouts.hash(),
             spend: if kind.starting { Vec::new() } else { self.quota.used(kind.full) },
         }
