gateway: an answer without framing proves nothing of the endpoint

What callers could see: a stream without length or chunks of an engine that crashed before its first event looked complete, with no event. And such an answer, ended by the crash at the end of an event, counted as whole, which released a request that crashes engines.

Cause: an answer that ends with its connection was taken for complete whatever had ended the connection.

Change: a stream without framing and without an event is broken off, and an answer without framing refutes no crash. Both tests fail without the change ((200, complete) and 200 for 503) and pass with it.

--- a/crates/gateway/src/ingress/access.rs
+++ b/crates/gateway/src/ingress/access.rs
@@ -122,6 +122,11 @@
         self.unframed = unframed;
     }
 
+    /// Returns whether the answer of an endpoint had neither a length nor chunks.
+    pub(crate) const fn is_unframed(&self) -> bool {
+        self.unframed
+    }
+
     /// Records how the request ended.
     pub(crate) const fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = outcome;
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -265,8 +265,18 @@
         }
     }
 
+    /// Returns whether a part of the answer to the last send has arrived.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.began_at.is_some()
+    }
+
     /// Records that an endpoint has answered the request as a whole, and whether with success.
+    ///
+    /// An answer without framing shows nothing, since a crash of the endpoint may have ended it.
     pub(crate) fn record_completion(&mut self, is_success: bool) {
+        if self.access.is_unframed() {
+            return;
+        }
         self.shared.record_completion(self.call.fingerprint);
         if is_success && !self.survived {
             self.record_survival();
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -123,6 +123,11 @@
                     let failed = ingress::FailedSend::new(gateway::Failure::Cut, "cut in an event");
                     return Step::Broken(failed);
                 }
+                // An endpoint that crashes also ends an answer without framing, which is then empty.
+                None if self.driver.access.is_unframed() && !self.driver.has_begun() => {
+                    let failed = ingress::FailedSend::new(gateway::Failure::Cut, "no event");
+                    return Step::Broken(failed);
+                }
                 None => return Step::End,
                 Some(Err(error)) => {
                     let failure = upstream::classify_error(&error);
--- a/crates/gateway/tests/testsuite/crashes.rs
+++ b/crates/gateway/tests/testsuite/crashes.rs
@@ -191,6 +191,26 @@
     check_refused(&gateways, &endpoints);
 }
 
+/// An endpoint that crashes after an event may end an answer without framing as if it were whole.
+#[test]
+fn an_answer_without_framing_does_not_release_a_request_that_crashes_endpoints() {
+    let unframed = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\n\
+         trefoildyke-seal: sealed-{id}\r\nContent-Type: text/event-stream\r\n\r\n\
+         id: 1\ndata: a\n\n";
+    let mut endpoints: Vec<_> = (0..3).map(|_| crashing_endpoint()).collect();
+    endpoints.insert(2, Endpoint::start(vec![vec![Step::Raw(unframed), Step::Close]]));
+    endpoints.push(crashing_endpoint());
+    let gateway = TestGateway::start(&[]);
+    for index in 0..4 {
+        gateway.feed.set_endpoints(only_active(index, &endpoints));
+        gateway.request(CRASHING_REQUEST);
+        assert_eq!(endpoints[index].requests().len(), 1, "endpoint {index}");
+    }
+    gateway.feed.set_endpoints(only_active(4, &endpoints));
+    assert_eq!(gateway.request(CRASHING_REQUEST).unwrap().status, 503);
+    assert_eq!(endpoints[4].requests().len(), 0);
+}
+
 #[test]
 fn a_request_that_an_endpoint_answers_between_crashes_is_not_refused() {
     let endpoints: Vec<_> = (0..6)
--- a/crates/gateway/tests/testsuite/streams.rs
+++ b/crates/gateway/tests/testsuite/streams.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// The head of a stream without a length or chunks, which ends with its connection.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\n\
+     trefoildyke-seal: sealed-{id}\r\nContent-Type: text/event-stream\r\n\r\n";
+
+#[test]
+fn a_stream_without_framing_that_ends_before_its_first_event_is_incomplete() {
+    for (events, is_complete) in [("", false), ("id: 1\ndata: a\n\n", true)] {
+        let script = vec![Step::Raw(UNFRAMED), Step::Raw(events), Step::Close];
+        let endpoint = Endpoint::start(vec![script]);
+        let gateway = TestGateway::start(&[&endpoint]);
+        let reply = gateway.request("POST /stream/");
+        assert_eq!(reply.is_some_and(|reply| reply.is_complete), is_complete, "{events}");
+    }
+}
+
 #[test]
 fn a_stream_that_ends_within_an_event_is_incomplete() {
     let script = vec![Step::Stream, Step::Events("id: 1\n\nid: 2\nda"), Step::EndStream];
