decide: a part is quarantined only while endpoints answer other requests

Now endpoints must have answered five other requests of the service that were sent after the first crash, and a part under which fewer than five endpoints crashed is tried again 15 s after the last of them.

--- a/crates/decide/src/gateway/message/part_crash.rs
+++ b/crates/decide/src/gateway/message/part_crash.rs
@@ -9,7 +9,7 @@
 pub struct PartCrash {
     /// The request.
     pub request: gateway::Fingerprint,
-    /// The parts of its prompt that other requests may share; at most 16.
+    /// The service and the parts of its prompt that other requests may share, by their keys; at most 16.
     pub parts: Vec<gateway::PartKey>,
     /// The endpoint.
     pub endpoint: id::EndpointName,
@@ -24,10 +24,10 @@
     pub refuted: u16,
 }
 
-/// An endpoint has answered a request with a part.
+/// An endpoint has answered a request with a part, or one for a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PartSurvival {
-    /// The part.
+    /// The part, or the service.
     pub part: gateway::PartKey,
     /// The time since the request was sent, in milliseconds.
     pub age_ms: u32,
--- a/crates/decide/src/gateway/part_key.rs
+++ b/crates/decide/src/gateway/part_key.rs
@@ -11,18 +11,20 @@
 )]
 pub struct PartKey(u64);
 
-/// The maximum number of parts of a prompt that are told apart; one bit of a `u16` is kept for each.
-const MAX_PARTS: usize = 16;
+/// The maximum number of parts of a prompt that are told apart; one bit of a `u16` is kept for each, and
+/// one for the service.
+const MAX_PARTS: usize = 15;
 
 /// Returns the keys of the parts of a prompt that other requests may share: all but the last one, which
-/// belongs to the request or its session.
+/// belongs to the request or its session. The first key stands for the service, which all its prompts
+/// share. Without such parts there are no keys.
 ///
-/// `text` lists the parts in order, as `ID:TOKENS` pairs separated by commas. Parts beyond the first 16
+/// `text` lists the parts in order, as `ID:TOKENS` pairs separated by commas. Parts beyond the first 15
 /// are left out.
 pub fn shared_part_keys(service: &id::PoolName, text: &str) -> Vec<PartKey> {
     let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
     let Some((shared, _)) = text.rsplit_once(',') else { return Vec::new() };
-    let mut keys = Vec::new();
+    let mut keys = vec![PartKey(seed)];
     for part in shared.split(',').take(MAX_PARTS) {
         let (id, _) = part.split_once(':').unwrap_or((part, ""));
         let key = PartKey(xxhash_rust::xxh3::xxh3_64_with_seed(id.trim().as_bytes(), seed));
--- a/crates/decide/src/gateway/part_quarantine/mod.rs
+++ b/crates/decide/src/gateway/part_quarantine/mod.rs
@@ -11,7 +11,7 @@
 mod record;
 mod sharing;
 
-use std::{collections, net, time};
+use std::{cmp, collections, net, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -28,10 +28,15 @@
     crashes: collections::BTreeMap<record::CrashKey, record::CrashRecord>,
     /// When the latest request with a part was sent that an endpoint has answered.
     survivals: collections::BTreeMap<gateway::PartKey, Moment>,
+    /// When the latest requests of each service were sent that endpoints have answered, by the key of the
+    /// service; at most `min_answers` of them, in order.
+    answers: collections::BTreeMap<gateway::PartKey, collections::VecDeque<Moment>>,
     /// What this daemon has decided.
     decided: Vec<Quarantined>,
     /// What other daemons have decided.
     adopted: collections::BTreeMap<net::SocketAddr, Vec<Quarantined>>,
+    /// The quarantined parts at the last report of changes.
+    reported: Vec<Vec<gateway::PartKey>>,
     /// The crashes that all daemons should know; derived from `crashes`.
     shared: Vec<record::CrashKey>,
     /// A hash of `shared` and of the quarantined parts.
@@ -50,7 +55,7 @@
 pub struct PartCut<'a> {
     /// The request.
     pub request: gateway::Fingerprint,
-    /// The parts of its prompt that other requests may share.
+    /// The service and the parts of its prompt that other requests may share.
     pub parts: &'a [gateway::PartKey],
     /// The endpoint and the number of its start.
     pub endpoint: &'a id::EndpointName,
@@ -92,8 +97,10 @@
             params,
             crashes: collections::BTreeMap::new(),
             survivals: collections::BTreeMap::new(),
+            answers: collections::BTreeMap::new(),
             decided: Vec::new(),
             adopted: collections::BTreeMap::new(),
+            reported: Vec::new(),
             shared: Vec::new(),
             hash: 0,
         }
@@ -107,7 +114,7 @@
         cut: &PartCut<'_>,
     ) -> Option<gateway::PartCrash> {
         let is_late = cut.began_at.is_some_and(|began| now.since(began) >= self.params.start_time);
-        if is_late || cut.parts.is_empty() {
+        if is_late || cut.parts.len() < 2 {
             return None;
         }
         let report = gateway::PartCrash {
@@ -168,6 +175,9 @@
         sent_at: Timestamp,
     ) -> Vec<gateway::PartSurvival> {
         let sent_at = Moment::from(sent_at);
+        if let Some(service) = parts.first() {
+            self.record_answer(*service, sent_at);
+        }
         let refuting = parts.iter().filter(|part| self.survive(now, **part, sent_at)).copied();
         let refuting: Vec<_> = refuting.collect();
         if !refuting.is_empty() {
@@ -180,11 +190,33 @@
     /// Adds survivals that another daemon reported.
     pub fn learn_survivals(&mut self, now: Timestamp, survivals: &[gateway::PartSurvival]) {
         for survival in survivals {
-            self.survive(now, survival.part, Moment::from(now).before(survival.age_ms));
+            let sent_at = Moment::from(now).before(survival.age_ms);
+            self.survive(now, survival.part, sent_at);
+            let is_service = |record: &record::CrashRecord| record.service() == Some(survival.part);
+            if self.crashes.values().any(is_service) {
+                self.record_answer(survival.part, sent_at);
+            }
         }
         self.refresh(now);
     }
 
+    fn record_answer(&mut self, service: gateway::PartKey, sent_at: Moment) {
+        let answers = self.answers.entry(service).or_default();
+        let at = answers.partition_point(|answer| *answer < sent_at);
+        answers.insert(at, sent_at);
+        if answers.len() > self.params.min_answers {
+            answers.pop_front();
+        }
+    }
+
+    /// Returns whether endpoints have answered enough requests of a service that were sent after
+    /// `moment`.
+    fn are_answered_since(&self, service: gateway::PartKey, moment: Moment) -> bool {
+        let Some(answers) = self.answers.get(&service) else { return false };
+        answers.len() >= self.params.min_answers
+            && answers.front().is_some_and(|first| *first > moment)
+    }
+
     /// Returns whether the survival refutes a known crash.
     fn survive(&mut self, now: Timestamp, part: gateway::PartKey, sent_at: Moment) -> bool {
         self.limit_survivals(now);
@@ -233,25 +265,28 @@
 
     /// Decides which parts are quarantined, and returns the changes.
     pub fn decide(&mut self, now: Timestamp) -> Vec<PartChange> {
-        let causes = causes::find_causes(now.into(), &self.params, self.crashes.iter());
+        let are_answered = |service, moment| self.are_answered_since(service, moment);
+        let records = self.crashes.iter();
+        let causes = causes::find_causes(now.into(), &self.params, records, are_answered);
         let decided = causes
             .into_iter()
-            .map(|cause| Quarantined { until: self.expiry(now, &cause), parts: cause.parts });
-        let decided = decided.collect();
-        let before = self.quarantined_sets(now);
-        self.decided = decided;
+            .map(|cause| Quarantined { until: self.expiry(&cause), parts: cause.parts });
+        self.decided = decided.collect();
         self.refresh(now);
-        self.changes(now, &before)
+        self.take_changes(now)
     }
 
-    /// Returns when too few of the crashes count.
-    fn expiry(&self, now: Timestamp, cause: &causes::Cause<'_>) -> Moment {
+    /// Returns when too few of the crashes count, or some time after the latest one if they are few.
+    fn expiry(&self, cause: &causes::Cause<'_>) -> Moment {
         let mut crashed: Vec<_> =
             cause.crashes.iter().map(|(_, record)| record.crashed_at).collect();
-        crashed.sort_unstable();
-        let first = crashed.len().checked_sub(self.params.min_crashes);
-        let first = first.and_then(|first| crashed.get(first).copied());
-        first.unwrap_or_else(|| now.into()).after(self.params.crash_ttl)
+        crashed.sort_unstable_by_key(|moment| cmp::Reverse(*moment));
+        let is_lasting = causes::start_count(&cause.crashes) >= self.params.lasting_crashes;
+        let (needed, ttl) = match is_lasting {
+            true => (self.params.min_crashes, self.params.crash_ttl),
+            false => (1, self.params.trial_time),
+        };
+        crashed.get(needed - 1).map_or(cause.first, |moment| moment.after(ttl))
     }
 
     /// Takes over what another daemon has decided, also in place of earlier decisions of this daemon
@@ -263,7 +298,6 @@
         quarantined: &[gateway::QuarantinedParts],
         decides: bool,
     ) -> Vec<PartChange> {
-        let before = self.quarantined_sets(now);
         if !decides {
             self.decided.clear();
         }
@@ -275,7 +309,7 @@
         let adopted = adopted.filter(|quarantined| !quarantined.parts.is_empty());
         self.adopted.insert(from, adopted.collect());
         self.refresh(now);
-        self.changes(now, &before)
+        self.take_changes(now)
     }
 
     /// Drops what other daemons have decided that no longer do so, and returns the changes.
@@ -287,10 +321,9 @@
         if self.adopted.keys().all(|from| deciders.contains(from)) {
             return Vec::new();
         }
-        let before = self.quarantined_sets(now);
         self.adopted.retain(|from, _| deciders.contains(from));
         self.refresh(now);
-        self.changes(now, &before)
+        self.take_changes(now)
     }
 
     /// Returns when the caller of a request with these parts should come back, which is when the
@@ -320,14 +353,16 @@
         sets
     }
 
-    fn changes(&self, now: Timestamp, before: &[Vec<gateway::PartKey>]) -> Vec<PartChange> {
+    /// Returns what has changed since the last call.
+    fn take_changes(&mut self, now: Timestamp) -> Vec<PartChange> {
         let after = self.quarantined_sets(now);
-        let new = after.iter().filter(|parts| !before.contains(parts));
+        let before = std::mem::replace(&mut self.reported, after);
+        let new = self.reported.iter().filter(|parts| !before.contains(parts));
         let new = new.map(|parts| PartChange::Quarantined {
             parts: parts.clone(),
             crashes: self.crash_count(parts),
         });
-        let gone = before.iter().filter(|parts| !after.contains(parts));
+        let gone = before.iter().filter(|parts| !self.reported.contains(parts));
         let gone = gone.map(|parts| PartChange::Released { parts: parts.clone() });
         new.chain(gone).collect()
     }
--- a/crates/decide/src/gateway/part_quarantine/params.rs
+++ b/crates/decide/src/gateway/part_quarantine/params.rs
@@ -13,6 +13,14 @@
     /// It covers the time until all daemons know of the crashes, and until requests that were sent
     /// after them have survived for [`Self::start_time`].
     pub evidence_time: time::Duration,
+    /// The number of answers to other requests of the service, sent after the first of these crashes,
+    /// from which the lack of answers to requests with the part means something; 5.
+    pub min_answers: usize,
+    /// The number of crashes from which a quarantine lasts for [`Self::crash_ttl`]; 5.
+    pub lasting_crashes: usize,
+    /// How long after the latest crash a part is quarantined under which fewer endpoints have
+    /// crashed; 15 s. A harmless part that was quarantined by chance is sent again then.
+    pub trial_time: time::Duration,
     /// The time from the first event of an answer within which a harmful part crashes the endpoint;
     /// 1 s.
     pub start_time: time::Duration,
@@ -33,6 +41,9 @@
         Self {
             min_crashes: 3,
             evidence_time: time::Duration::from_secs(2),
+            min_answers: 5,
+            lasting_crashes: 5,
+            trial_time: time::Duration::from_secs(15),
             start_time: time::Duration::from_secs(1),
             suspect_ttl: time::Duration::from_secs(60),
             crash_ttl: time::Duration::from_secs(600),
--- a/crates/decide/src/gateway/part_quarantine/record.rs
+++ b/crates/decide/src/gateway/part_quarantine/record.rs
@@ -20,6 +20,7 @@
 pub(super) struct CrashRecord {
     pub(super) sent_at: Moment,
     pub(super) crashed_at: Moment,
+    /// The key of the service, then those of the parts of the prompt.
     pub(super) parts: Vec<gateway::PartKey>,
     /// A bit for each of `parts` that did not crash the endpoint.
     pub(super) refuted: u16,
@@ -40,10 +41,15 @@
         }
     }
 
-    /// Returns the parts that may have crashed the endpoint.
+    /// Returns the key of the service.
+    pub(super) fn service(&self) -> Option<gateway::PartKey> {
+        self.parts.first().copied()
+    }
+
+    /// Returns the parts of the prompt that may have crashed the endpoint.
     pub(super) fn suspects(&self) -> impl Iterator<Item = gateway::PartKey> {
         let is_open = |(index, _): &(usize, _)| self.refuted & (1 << index) == 0;
-        self.parts.iter().copied().enumerate().filter(is_open).map(|(_, part)| part)
+        self.parts.iter().copied().enumerate().skip(1).filter(is_open).map(|(_, part)| part)
     }
 
     /// Refutes that `part` crashed the endpoint; returns whether it was a suspect.
