decide: the scheduler's shards quarantine blocks of prompts, too

The same cause elsewhere: the daemon's own scheduler counted lost endpoints by the hash of the whole request, so that unlike requests with one harmful block took down endpoint after endpoint. Its test failed before (a grant for a refusal after five endpoints were lost).

A shard sees all its grants, so it decides alone: the checkpoints of a prompt's blocks stand for the parts, answers that are whole or have gone on for a second refute them.

--- a/crates/decide/src/gateway/part_key.rs
+++ b/crates/decide/src/gateway/part_key.rs
@@ -36,6 +36,11 @@
 }
 
 impl PartKey {
+    /// Returns the key of a part with the hash `hash`.
+    pub const fn from_hash(hash: u64) -> Self {
+        Self(hash)
+    }
+
     /// Returns the key as an integer.
     pub(crate) const fn as_u64(self) -> u64 {
         self.0
--- a/crates/decide/src/gateway/part_quarantine/mod.rs
+++ b/crates/decide/src/gateway/part_quarantine/mod.rs
@@ -106,6 +106,16 @@
         }
     }
 
+    /// Returns the parameters.
+    pub const fn params(&self) -> &PartQuarantineParams {
+        &self.params
+    }
+
+    /// Returns whether any crashes are known.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
     /// Records that an endpoint crashed during a request of this daemon, and returns the report for
     /// the hubs; `None` if the answer had been going on for too long to be the cause.
     pub fn record_crash(
--- a/crates/decide/src/schedule/permitted.rs
+++ b/crates/decide/src/schedule/permitted.rs
@@ -27,6 +27,10 @@
     pub(super) tokens: u32,
     pub(super) last_report_at: Timestamp,
     pub(super) phase: Phase,
+    /// When the first token was reported.
+    pub(super) began_at: Option<Timestamp>,
+    /// Whether the answer has shown that the blocks of the prompt do not crash endpoints.
+    pub(super) survived: bool,
 }
 
 /// The phase of a permitted request; it never goes back to an earlier one.
--- a/crates/decide/src/schedule/queue/waiting_queue.rs
+++ b/crates/decide/src/schedule/queue/waiting_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use trefoildyke_types::{id, request, time::Timestamp};
+use trefoildyke_types::{id, time::Timestamp};
 
 use crate::schedule::queue::{tier_queue, waiting};
 
@@ -41,9 +41,9 @@
         self.entries.get(&number)
     }
 
-    /// Returns the numbers and asks of all waiting requests.
-    pub(in crate::schedule) fn asks(&self) -> impl Iterator<Item = (u64, &request::Ask)> {
-        self.entries.iter().map(|(number, waiting)| (*number, &waiting.ask))
+    /// Returns all waiting requests with their numbers.
+    pub(in crate::schedule) fn iter(&self) -> impl Iterator<Item = (u64, &waiting::Waiting)> {
+        self.entries.iter().map(|(number, waiting)| (*number, waiting))
     }
 
     pub(in crate::schedule) fn get_mut(&mut self, number: u64) -> Option<&mut waiting::Waiting> {
--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -4,7 +4,7 @@
 
 use trefoildyke_types::{id, request, time::Timestamp};
 
-use crate::schedule::{self, permitted, prefix, queue};
+use crate::schedule::{self, permitted, prefix, queue, shard::quarantine};
 
 /// The share of the expected answer that surely must be generated after the request starts.
 const CERTAIN_PART: f64 = 0.6;
@@ -23,7 +23,9 @@
             outputs.push(self.refuse_expired(&ask.key));
             return;
         }
-        if let Some(refusal) = self.refuse_quarantined(now, &ask) {
+        self.decide_blocks(now);
+        let blocks = quarantine::shared_blocks(&prefix::checkpoints(&ask.prefix));
+        if let Some(refusal) = self.refuse_quarantined(now, &ask, &blocks) {
             outputs.push(refusal);
             return;
         }
@@ -139,6 +141,8 @@
             tokens,
             last_report_at: now,
             phase,
+            began_at: (tokens > 0).then_some(now),
+            survived: false,
         };
         self.track_permitted(now, permitted);
     }
--- a/crates/decide/src/schedule/shard/endpoints.rs
+++ b/crates/decide/src/schedule/shard/endpoints.rs
@@ -82,6 +82,7 @@
             return;
         }
         self.next_check = now + CHECK_INTERVAL;
+        self.decide_blocks(now);
         let median = self.fleet.median_slowdown();
         for (_, endpoint) in self.fleet.iter_mut() {
             let before = endpoint.health;
--- a/crates/decide/src/schedule/shard/grants.rs
+++ b/crates/decide/src/schedule/shard/grants.rs
@@ -103,6 +103,8 @@
                 tokens: 0,
                 last_report_at: now,
                 phase: permitted::Phase::Granted(expiry),
+                began_at: None,
+                survived: false,
             },
         );
         schedule::Output::Grant(permit)
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -63,6 +63,8 @@
     work_rates: work_rates::WorkRates,
     /// The requests under which endpoints have crashed.
     quarantine: gateway::Quarantine,
+    /// The blocks of prompts under which endpoints have crashed.
+    block_quarantine: gateway::PartQuarantine,
     /// Whether a request was quarantined that may still be waiting.
     has_new_quarantine: bool,
     /// When the endpoints' health is checked next.
@@ -85,6 +87,8 @@
     /// `scheduler` is the incarnation of the daemon that runs it.
     pub fn new(params: schedule::Params, scheduler: id::Incarnation) -> Self {
         let quarantine = gateway::Quarantine::new(gateway::QuarantineParams::default());
+        let block_params = gateway::PartQuarantineParams::default();
+        let block_quarantine = gateway::PartQuarantine::new(block_params);
         Self {
             params,
             scheduler,
@@ -97,6 +101,7 @@
             lengths: lengths::Lengths::new(),
             work_rates: work_rates::WorkRates::new(),
             quarantine,
+            block_quarantine,
             has_new_quarantine: false,
             next_check: Timestamp::ZERO,
             shed_until: collections::BTreeMap::new(),
--- a/crates/decide/src/schedule/shard/reports.rs
+++ b/crates/decide/src/schedule/shard/reports.rs
@@ -2,7 +2,7 @@
 
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::schedule::{self, permitted};
+use crate::schedule::{self, permitted, shard::quarantine};
 
 impl schedule::Shard {
     pub(super) fn report(&mut self, now: Timestamp, report: &schedule::Report) {
@@ -49,6 +49,7 @@
         let Some(permitted) = self.permitted.get_mut(key) else { return };
         let prefill = std::mem::take(&mut permitted.prefill);
         permitted.phase = permitted::Phase::Streaming(dispatched);
+        permitted.began_at = Some(now);
         permitted.tokens = 1;
         permitted.last_report_at = now;
         if let Some(endpoint) = self.fleet.get_mut(permitted.endpoint) {
@@ -67,6 +68,7 @@
         let seconds = now.since(permitted.last_report_at).as_secs_f64();
         permitted.tokens = permitted.tokens.max(tokens);
         permitted.last_report_at = now;
+        quarantine::record_progress(&mut self.block_quarantine, now, permitted);
         let Some(endpoint) = self.fleet.get_mut(permitted.endpoint) else { return };
         if more > 0 && seconds > 0.0 {
             endpoint.observe_step(more, seconds);
--- a/crates/decide/tests/testsuite/schedule_quarantine.rs
+++ b/crates/decide/tests/testsuite/schedule_quarantine.rs
@@ -91,3 +91,30 @@
     }
     assert_eq!(permits(&driver.ask(deadly(4))).len(), 1);
 }
+
+/// Requests of which no two are alike share a block of their prompts that crashes every endpoint.
+#[test]
+fn requests_that_share_a_block_under_which_five_endpoints_were_lost_are_refused() {
+    let harmful = |number| {
+        let prefix = vec![11, 22, 1_000 + number];
+        Ask { fingerprint: Some(100 + number), prefix, ..ask(number, 0) }
+    };
+    let mut driver = Driver::new(9, 1);
+    for number in 1..=5 {
+        let permit = permits(&driver.ask(harmful(number))).remove(0);
+        driver.started(&key(number));
+        driver.report(Report::Finished { key: key(number), tokens: 1, outcome: Outcome::Lost });
+        driver.step(Input::EndpointGone(permit.endpoint));
+        driver.run(100);
+        let sound = 20 + number;
+        let sound_ask =
+            Ask { fingerprint: Some(sound), prefix: vec![11, 2_000 + sound], ..ask(sound, 0) };
+        driver.ask(sound_ask);
+        driver.started(&key(sound));
+        let outcome = Outcome::Whole;
+        driver.report(Report::Finished { key: key(sound), tokens: 1, outcome });
+    }
+    driver.run(3_000);
+    let outputs = driver.ask(harmful(6));
+    assert_eq!(refusals(&outputs), [(RefusalKind::NotRun, "quarantined".to_owned())]);
+}
