gateway: decisions on parts are taken at most ten times a second

A host of 0.12 of a core must not work through all known crashes for each report of a storm: 140 requests may be cut at once on the largest site (35 engines of 4 slots). Reports are now only stored, and the timer of the gossip updates and decides every 100 ms if there are new ones. The hubs announce only the parts; crashes follow where the hash differs: at 295 hosts, 9 hubs and 95 bytes a crash (measured, 4 keys), an announcement with all shared crashes would be 2,646 datagrams of up to 4 KB.

--- a/crates/decide/src/gateway/part_quarantine/mod.rs
+++ b/crates/decide/src/gateway/part_quarantine/mod.rs
@@ -41,6 +41,8 @@
     shared: Vec<record::CrashKey>,
     /// A hash of `shared` and of the quarantined parts.
     hash: u64,
+    /// Whether `shared` and `hash` do not reflect the latest reports.
+    is_stale: bool,
 }
 
 /// Parts that crash endpoints when one prompt holds all of them.
@@ -103,6 +105,7 @@
             reported: Vec::new(),
             shared: Vec::new(),
             hash: 0,
+            is_stale: false,
         }
     }
 
@@ -141,7 +144,7 @@
         let record = self.crashes.get_mut(&key)?;
         record.own = true;
         let report = record.report(now.into(), &key);
-        self.refresh(now);
+        self.is_stale = true;
         Some(report)
     }
 
@@ -152,7 +155,7 @@
         crashes: &[gateway::PartCrash],
     ) -> Vec<gateway::PartCrash> {
         let known = crashes.iter().filter_map(|crash| self.insert(now, crash)).collect();
-        self.refresh(now);
+        self.is_stale = true;
         known
     }
 
@@ -191,7 +194,7 @@
         let refuting = parts.iter().filter(|part| self.survive(now, **part, sent_at)).copied();
         let refuting: Vec<_> = refuting.collect();
         if !refuting.is_empty() {
-            self.refresh(now);
+            self.is_stale = true;
         }
         let age_ms = moment::millis(sent_at.until(now.into()));
         refuting.into_iter().map(|part| gateway::PartSurvival { part, age_ms }).collect()
@@ -207,7 +210,7 @@
                 self.record_answer(survival.part, sent_at);
             }
         }
-        self.refresh(now);
+        self.is_stale = true;
     }
 
     fn record_answer(&mut self, service: gateway::PartKey, sent_at: Moment) {
@@ -386,8 +389,15 @@
         causes::start_count(&matching.collect())
     }
 
-    /// Removes expired crashes, and updates what is shared.
-    fn refresh(&mut self, now: Timestamp) {
+    /// Returns whether reports have arrived since the last [`Self::refresh`].
+    pub const fn is_stale(&self) -> bool {
+        self.is_stale
+    }
+
+    /// Removes expired crashes, and updates what is shared, which reports alone do not: many may
+    /// arrive at once.
+    pub fn refresh(&mut self, now: Timestamp) {
+        self.is_stale = false;
         self.expire(now.into());
         self.share(now);
     }
--- a/crates/decide/tests/testsuite/gateway/part_quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/part_quarantine.rs
@@ -336,6 +336,8 @@
         for crash in crashes[split..].iter().chain(&crashes).rev() {
             second.learn(at(0), std::slice::from_ref(crash));
         }
+        first.refresh(at(0));
+        second.refresh(at(0));
         prop_assert_eq!(first.hash(), second.hash());
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -23,6 +23,9 @@
 /// report, because a report may have been lost.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// The shortest interval between two decisions on the parts of prompts that are quarantined.
+const DECISION_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// The size of the receive buffer for datagrams, in bytes.
 const MAX_DATAGRAM: usize = 16 << 10;
 
@@ -64,20 +67,30 @@
     last_digest: tokio::time::Instant,
     last_full: tokio::time::Instant,
     last_report: tokio::time::Instant,
+    last_decision: tokio::time::Instant,
 }
 
 impl SendSchedule {
     fn new() -> Self {
         let now = tokio::time::Instant::now();
-        Self { last_digest: now, last_full: now, last_report: now }
+        Self { last_digest: now, last_full: now, last_report: now, last_decision: now }
     }
 
     fn send_due(&mut self, shared: &state::Shared) {
+        self.decide(shared);
         self.send_digest(shared);
         if self.last_report.elapsed() >= REPORT_INTERVAL {
             self.last_report = tokio::time::Instant::now();
             shared.update(|core| core.report_all(shared.now()));
             shared.resend_crashes();
+        }
+    }
+
+    fn decide(&mut self, shared: &state::Shared) {
+        let elapsed = self.last_decision.elapsed();
+        let is_due = elapsed >= DECISION_INTERVAL && shared.has_part_reports();
+        if is_due || elapsed >= REPORT_INTERVAL {
+            self.last_decision = tokio::time::Instant::now();
             shared.decide_parts();
         }
     }
--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -23,7 +23,6 @@
             crash.age_ms = crash.age_ms.saturating_add(since_ms);
         }
         self.shared.core().part_quarantine.learn(self.now(), &crashes);
-        self.shared.decide_parts();
     }
 }
 
@@ -42,7 +41,6 @@
         let report = self.core().part_quarantine.record_crash(self.now(), cut);
         if let Some(report) = report {
             self.report_parts(vec![report], Vec::new());
-            self.decide_parts();
         }
     }
 
@@ -51,7 +49,6 @@
         let survivals = self.core().part_quarantine.record_survival(self.now(), parts, sent_at);
         if !survivals.is_empty() {
             self.report_parts(Vec::new(), survivals);
-            self.decide_parts();
         }
     }
 
@@ -78,7 +75,6 @@
         };
         drop(core);
         self.log_part_changes(&changes);
-        self.decide_parts();
         if !known.is_empty() {
             self.send_parts_to(known, Vec::new(), false, &[from]);
         }
@@ -87,6 +83,11 @@
         }
     }
 
+    /// Returns whether reports on parts have arrived that no decision reflects.
+    pub(crate) fn has_part_reports(&self) -> bool {
+        self.core().part_quarantine.is_stale()
+    }
+
     /// Decides which parts are quarantined if that is up to this daemon, and tells all daemons of changes.
     pub(crate) fn decide_parts(&self) {
         let now = self.now();
@@ -105,12 +106,13 @@
                 others = core.mesh.others();
             }
             changes.extend(decided);
+        } else {
+            core.part_quarantine.refresh(now);
         }
         drop(guard);
         self.log_part_changes(&changes);
         if !others.is_empty() {
-            let crashes = self.core().part_quarantine.shared(now);
-            self.send_parts_to(crashes, Vec::new(), false, &others);
+            self.send_parts_to(Vec::new(), Vec::new(), false, &others);
         }
     }
 
