gateway: the stored quarantine of parts follows the number of crashes

After a loss of all daemons the fourth and the fifth were unknown, and the part would have been tried again. By reading; the number of lasting quarantines is now part of the mark.

A part under which few endpoints crashed is tried again after 30 s, not 15 s, and crashes count for two minutes before a decision: trials cost an engine each, and requests with a part may be rare.

--- a/crates/decide/src/gateway/part_quarantine/params.rs
+++ b/crates/decide/src/gateway/part_quarantine/params.rs
@@ -19,12 +19,12 @@
     /// The number of crashes from which a quarantine lasts for [`Self::crash_ttl`]; 5.
     pub lasting_crashes: usize,
     /// How long after the latest crash a part is quarantined under which fewer endpoints have
-    /// crashed; 15 s. A harmless part that was quarantined by chance is sent again then.
+    /// crashed; 30 s. A harmless part that was quarantined by chance is sent again then.
     pub trial_time: time::Duration,
     /// The time from the first event of an answer within which a harmful part crashes the endpoint;
     /// 1 s.
     pub start_time: time::Duration,
-    /// How long a crash counts for parts that are not quarantined; 1 minute.
+    /// How long a crash counts for parts that are not quarantined; 2 minutes.
     pub suspect_ttl: time::Duration,
     /// How long a crash counts for a quarantined part; 10 minutes.
     ///
@@ -43,9 +43,9 @@
             evidence_time: time::Duration::from_secs(2),
             min_answers: 5,
             lasting_crashes: 5,
-            trial_time: time::Duration::from_secs(15),
+            trial_time: time::Duration::from_secs(30),
             start_time: time::Duration::from_secs(1),
-            suspect_ttl: time::Duration::from_secs(60),
+            suspect_ttl: time::Duration::from_secs(120),
             crash_ttl: time::Duration::from_secs(600),
             entry_ttl: time::Duration::from_secs(8),
         }
--- a/crates/decide/src/gateway/part_quarantine/sharing.rs
+++ b/crates/decide/src/gateway/part_quarantine/sharing.rs
@@ -34,6 +34,12 @@
         self.quarantined_sets(now).iter().fold(0, |sum, parts| sum ^ hash_parts(parts))
     }
 
+    /// Returns the number of decisions that hold for longer than a trial.
+    pub fn lasting_count(&self, now: Timestamp) -> usize {
+        let trial_end = Moment::from(now).after(self.params.trial_time);
+        self.decided.iter().filter(|quarantined| quarantined.until > trial_end).count()
+    }
+
     /// Returns the crashes that all daemons should know.
     pub fn shared(&self, now: Timestamp) -> Vec<gateway::PartCrash> {
         let known = self.shared.iter().filter_map(|key| Some((key, self.crashes.get(key)?)));
--- a/crates/decide/tests/testsuite/gateway/part_quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/part_quarantine.rs
@@ -13,7 +13,7 @@
 const KEPT_MS: u64 = 600_000;
 
 /// How long a part is quarantined under which few endpoints have crashed, in milliseconds.
-const TRIAL_MS: u64 = 15_000;
+const TRIAL_MS: u64 = 30_000;
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
@@ -238,12 +238,14 @@
     let end = 2_500 + TRIAL_MS;
     let left = quarantine.quarantined_for(at(end - 10), &parts(&["a"])).unwrap();
     assert_eq!(left, Duration::from_millis(10));
+    assert_eq!(quarantine.lasting_count(at(4_000)), 0);
     assert!(!is_quarantined(&quarantine, end, &["a"]));
     assert_eq!(decide(&mut quarantine, end).len(), 1);
     // The next crash shows that the part is harmful.
     quarantine.learn(at(end + 100), &[crash(9, &["a"], "x")]);
     decide(&mut quarantine, end + 100);
     assert!(is_quarantined(&quarantine, end + 10 * TRIAL_MS, &["a"]));
+    assert_eq!(quarantine.lasting_count(at(end + 100)), 1);
 }
 
 #[test]
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -22,10 +22,13 @@
         core.mesh.readers(self.now()).first() == Some(&core.mesh.own())
     }
 
-    /// Returns a hash of the quarantined requests; 0 if there are none.
+    /// Returns a hash of what is quarantined, and of how many parts are for longer than a trial; 0 if there
+    /// is nothing.
     pub fn quarantined_hash(&self) -> u64 {
-        let core = self.shared.core();
-        core.quarantine.quarantined_hash() ^ core.part_quarantine.quarantined_hash(self.now())
+        let (now, core) = (self.now(), self.shared.core());
+        let parts = &core.part_quarantine;
+        let lasting = (parts.lasting_count(now) as u64).rotate_right(8);
+        core.quarantine.quarantined_hash() ^ parts.quarantined_hash(now) ^ lasting
     }
 
     /// Returns the crashes to be stored.
