--- a/crates/gateway/tests/testsuite/crashing_parts.rs
+++ b/crates/gateway/tests/testsuite/crashing_parts.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 use std::{sync, thread};
 
-use trefoildyke_decide::gateway::{Peer, RosterEntry, Strength};
+use trefoildyke_decide::gateway::{Mesh, Peer, RosterEntry, Strength};
+use trefoildyke_types::time::Timestamp;
 
 use crate::harness::{Engine, Reply, TestGateway};
 
@@ -97,6 +98,21 @@
         }
     }
 
+    /// Ends all gateways but one that is no hub. It still counts the others as members.
+    fn lose_hubs(&mut self) {
+        let addresses: Vec<_> =
+            self.gateways.iter().map(|gateway| gateway.addresses.peers).collect();
+        let peer = |address: &std::net::SocketAddr| Peer {
+            address: *address,
+            strength: Strength::UNKNOWN,
+        };
+        let members: Vec<_> = addresses.iter().map(peer).collect();
+        let mut mesh = Mesh::new(addresses[0], DETECTION_TIME);
+        mesh.replace(Timestamp::ZERO, &members);
+        self.gateways.retain(|gateway| !mesh.hubs().contains(&gateway.addresses.peers));
+        assert_eq!(self.gateways.len(), 1);
+    }
+
     /// Replaces the engines that crashed long enough ago.
     fn restart_engines(&self) {
         let mut engines = self.engines.lock().unwrap();
@@ -216,6 +232,30 @@
     assert!(after >= 0.95 * before, "served {after} of the sound requests, {before} before");
 }
 
+#[test]
+fn a_gateway_that_reaches_no_hub_refuses_requests_with_a_part_that_crashed_engines() {
+    let mut fleet = Fleet::start(4, 6);
+    fleet.lose_hubs();
+    let mut fifth = None;
+    let mut last = None;
+    fleet.run(|since| {
+        fleet.gateways[0].query_readers();
+        if since > Duration::from_secs(1) {
+            last = fleet.ask(0, HARMFUL).reply;
+        }
+        if fleet.crash_count() >= 5 {
+            fifth.get_or_insert_with(Instant::now);
+        }
+        since < Duration::from_secs(10)
+    });
+    let known_at = fifth.map(|fifth: Instant| fifth + DETECTION_TIME);
+    let arrivals = fleet.harmful_arrivals();
+    let late = arrivals.iter().filter(|at| known_at.is_some_and(|known_at| **at > known_at));
+    let late = late.count();
+    assert!(late <= MAX_LATE, "{late} of {} requests reached engines late", arrivals.len());
+    assert_eq!(last.map(|reply| reply.status), Some(503));
+}
+
 /// Crashes for other reasons interrupt requests that have nearly all of their parts in common with others.
 #[test]
 fn requests_that_share_a_part_are_served_after_engines_crashed_for_other_reasons() {
