gateway: a daemon that reaches no reader decides on parts itself

A daemon that is cut off from the hubs went on following them as long as one hub had left no query unanswered, and only the readers are queried.

--- a/crates/gateway/src/part_quarantine.rs
+++ b/crates/gateway/src/part_quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! Every crash and every answer that refutes one is reported to the hubs. The hubs decide which parts are
 //! quarantined, and each of them tells all daemons. A daemon that missed this, or has just started, notices
-//! it by the hash in the queries about the store. A daemon that reaches no hub decides itself.
+//! it by the hash in the queries about the store. A daemon that reaches no reader decides itself.
 
 use std::{net, time};
 
@@ -169,8 +169,10 @@
     deciders
 }
 
-/// Returns whether this daemon decides which parts are quarantined: it is a hub, or reaches none.
+/// Returns whether this daemon decides which parts are quarantined: it is a hub, or reaches no reader, from
+/// which it would hear of the hubs' decisions.
 fn decides(mesh: &gateway::Mesh, now: Timestamp) -> bool {
-    let deciders = deciders(mesh, now);
-    deciders.contains(&mesh.own()) || !deciders.iter().any(|hub| mesh.may_answer(now, *hub))
+    let readers = mesh.readers(now);
+    deciders(mesh, now).contains(&mesh.own())
+        || !readers.iter().any(|reader| mesh.may_answer(now, *reader))
 }
