decide: a request that endpoints complete no longer explains the crashes of the harmful one

Requests with a refuted crash now come last in the search for causes. The test fails without the change.

--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -191,18 +191,20 @@
     /// Returns the requests that crash endpoints, without those that only ran at the same time.
     ///
     /// A crash does not count for a request if it is explained by another request during which more
-    /// endpoints have crashed.
+    /// endpoints have crashed. Requests with a refuted crash explain crashes last: a request that is
+    /// sent often runs beside most crashes, and endpoints complete it in between.
     fn find_causes(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
         let counted = self.suspects.iter().map(|(fingerprint, suspect)| {
             let starts = suspect.crashes.iter().filter(|(_, record)| record.counts(now));
-            (*fingerprint, starts.map(|(start, _)| start).collect::<Vec<_>>())
+            let starts: Vec<_> = starts.map(|(start, _)| start).collect();
+            (*fingerprint, suspect.has_refuted(), starts)
         });
         let mut counted: Vec<_> =
-            counted.filter(|(_, starts)| starts.len() >= self.params.min_crashes).collect();
-        counted.sort_by_key(|(_, starts)| cmp::Reverse(starts.len()));
+            counted.filter(|(_, _, starts)| starts.len() >= self.params.min_crashes).collect();
+        counted.sort_by_key(|(_, refuted, starts)| (*refuted, cmp::Reverse(starts.len())));
         let mut explained = collections::BTreeSet::new();
         let mut causes = collections::BTreeSet::new();
-        for (fingerprint, starts) in counted {
+        for (fingerprint, _, starts) in counted {
             let unexplained = starts.iter().filter(|start| !explained.contains(*start)).count();
             if unexplained >= self.params.min_crashes {
                 causes.insert(fingerprint);
--- a/crates/decide/src/gateway/quarantine/suspect.rs
+++ b/crates/decide/src/gateway/quarantine/suspect.rs
@@ -31,6 +31,11 @@
         counted.map(|crash| crash.until).collect()
     }
 
+    /// Returns whether a crash of the request has been refuted.
+    pub(super) fn has_refuted(&self) -> bool {
+        self.crashes.values().any(|crash| crash.refuted)
+    }
+
     pub(super) fn latest(&self) -> Option<Timestamp> {
         self.crashes.values().map(|crash| crash.until).max()
     }
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -97,6 +97,19 @@
     assert!(is_quarantined(&quarantine, 1));
 }
 
+/// A request that is sent often is running whenever an endpoint crashes, whatever the cause, so that
+/// more crashes count for it than for the harmful request.
+#[test]
+fn a_request_that_endpoints_complete_in_between_does_not_release_the_harmful_one() {
+    let mut quarantine = quarantine();
+    report_crashes(&mut quarantine, 1, &["a"]);
+    quarantine.record_completion(at(0), request(1));
+    report_crashes(&mut quarantine, 2, &["b", "c", "d"]);
+    report_crashes(&mut quarantine, 1, &["b", "c", "d", "e"]);
+    assert!(is_quarantined(&quarantine, 2));
+    assert!(!is_quarantined(&quarantine, 1));
+}
+
 #[test]
 fn a_crash_counts_for_ten_minutes_and_later_crashes_quarantine_the_request_again() {
     let mut quarantine = quarantine();
