decide: of two requests with as many crashes, the one that had them first is quarantined

Of equally many crashes, the fingerprint decided.

The moment of the crash that makes a request suspect decides now. The test fails without the change.

--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -11,7 +11,7 @@
 mod sharing;
 mod suspect;
 
-use std::{cmp, collections, time};
+use std::{collections, time};
 
 use trefoildyke_types::time::Timestamp;
 
@@ -190,23 +190,21 @@
 
     /// Returns the requests that crash endpoints, without those that only ran at the same time.
     ///
-    /// A crash does not count for a request if it is explained by another request during which more
-    /// endpoints have crashed. Requests with a refuted crash explain crashes last: a request that is
-    /// sent often runs beside most crashes, and endpoints complete it in between.
+    /// A crash does not count for a request if it is explained by another request of higher rank.
     fn find_causes(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
-        let counted = self.suspects.iter().map(|(fingerprint, suspect)| {
-            let starts = suspect.crashes.iter().filter(|(_, record)| record.counts(now));
-            let starts: Vec<_> = starts.map(|(start, _)| start).collect();
-            (*fingerprint, suspect.has_refuted(), starts)
+        let min_crashes = self.params.min_crashes;
+        let ranked = self.suspects.iter().filter_map(|(fingerprint, suspect)| {
+            let rank = suspect.rank(now, min_crashes)?;
+            Some((rank, *fingerprint, suspect))
         });
-        let mut counted: Vec<_> =
-            counted.filter(|(_, _, starts)| starts.len() >= self.params.min_crashes).collect();
-        counted.sort_by_key(|(_, refuted, starts)| (*refuted, cmp::Reverse(starts.len())));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_by_key(|(rank, ..)| *rank);
         let mut explained = collections::BTreeSet::new();
         let mut causes = collections::BTreeSet::new();
-        for (fingerprint, _, starts) in counted {
+        for (_, fingerprint, suspect) in ranked {
+            let starts: Vec<_> = suspect.counted_starts(now).collect();
             let unexplained = starts.iter().filter(|start| !explained.contains(*start)).count();
-            if unexplained >= self.params.min_crashes {
+            if unexplained >= min_crashes {
                 causes.insert(fingerprint);
                 explained.extend(starts);
             }
--- a/crates/decide/src/gateway/quarantine/suspect.rs
+++ b/crates/decide/src/gateway/quarantine/suspect.rs
@@ -1,6 +1,6 @@
 //! The requests during which endpoints have crashed.
 
-use std::{collections, time};
+use std::{cmp, collections, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -24,6 +24,19 @@
     pub(super) own: bool,
 }
 
+/// How likely a request is the cause of its crashes; the likeliest cause comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Whether a crash has been refuted. A request that is sent often runs beside most crashes, and
+    /// endpoints complete it in between.
+    is_refuted: bool,
+    /// The number of crashes that count.
+    crashes: cmp::Reverse<usize>,
+    /// When the crash that makes the request suspect expires. A request may still be sent to an
+    /// endpoint that another one has crashed, which is then counted later.
+    suspected: Timestamp,
+}
+
 impl Suspect {
     /// Returns the expiry times of the crashes that count.
     pub(super) fn counted(&self, now: Timestamp) -> Vec<Timestamp> {
@@ -31,9 +44,18 @@
         counted.map(|crash| crash.until).collect()
     }
 
-    /// Returns whether a crash of the request has been refuted.
-    pub(super) fn has_refuted(&self) -> bool {
-        self.crashes.values().any(|crash| crash.refuted)
+    /// Returns the starts of endpoints whose crashes count.
+    pub(super) fn counted_starts(&self, now: Timestamp) -> impl Iterator<Item = &EndpointStart> {
+        self.crashes.iter().filter(move |(_, crash)| crash.counts(now)).map(|(start, _)| start)
+    }
+
+    /// Returns the rank of the request as a cause, or `None` if fewer than `min_crashes` count.
+    pub(super) fn rank(&self, now: Timestamp, min_crashes: usize) -> Option<Rank> {
+        let mut expiries = self.counted(now);
+        expiries.sort_unstable();
+        let suspected = *expiries.get(min_crashes.checked_sub(1)?)?;
+        let is_refuted = self.crashes.values().any(|crash| crash.refuted);
+        Some(Rank { is_refuted, crashes: cmp::Reverse(expiries.len()), suspected })
     }
 
     pub(super) fn latest(&self) -> Option<Timestamp> {
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -110,6 +110,19 @@
     assert!(!is_quarantined(&quarantine, 1));
 }
 
+/// A request may be sent to an endpoint that has already crashed, until that is known.
+#[test]
+fn a_request_that_is_cut_off_later_does_not_release_the_harmful_one() {
+    for (harmful, harmless) in [(1, 2), (2, 1)] {
+        let mut quarantine = quarantine();
+        report_crashes(&mut quarantine, harmful, &["a", "b", "c"]);
+        report_crashes(&mut quarantine, harmless, &["a", "b"]);
+        quarantine.learn(at(300), &[crash(harmless, "c")]);
+        assert!(is_quarantined(&quarantine, harmful));
+        assert!(!is_quarantined(&quarantine, harmless));
+    }
+}
+
 #[test]
 fn a_crash_counts_for_ten_minutes_and_later_crashes_quarantine_the_request_again() {
     let mut quarantine = quarantine();
