decide: of two requests with as many crashes, the one whose last crash came first is quarantined

The latest crash decides now, so that a request that follows the harmful one from crash to crash doesn't release it. The test fails without the change.

--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -193,19 +193,15 @@
     /// A crash does not count for a request if it is explained by another request of higher rank.
     fn find_causes(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
         let min_crashes = self.params.min_crashes;
-        let ranked = self.suspects.iter().filter_map(|(fingerprint, suspect)| {
-            let rank = suspect.rank(now, min_crashes)?;
-            Some((rank, *fingerprint, suspect))
-        });
-        let mut ranked: Vec<_> = ranked.collect();
-        ranked.sort_by_key(|(rank, ..)| *rank);
+        let mut ranked: Vec<_> = self.suspects.iter().collect();
+        ranked.sort_by_cached_key(|(_, suspect)| suspect.rank(now));
         let mut explained = collections::BTreeSet::new();
         let mut causes = collections::BTreeSet::new();
-        for (_, fingerprint, suspect) in ranked {
+        for (fingerprint, suspect) in ranked {
             let starts: Vec<_> = suspect.counted_starts(now).collect();
             let unexplained = starts.iter().filter(|start| !explained.contains(*start)).count();
             if unexplained >= min_crashes {
-                causes.insert(fingerprint);
+                causes.insert(*fingerprint);
                 explained.extend(starts);
             }
         }
--- a/crates/decide/src/gateway/quarantine/suspect.rs
+++ b/crates/decide/src/gateway/quarantine/suspect.rs
@@ -32,9 +32,9 @@
     is_refuted: bool,
     /// The number of crashes that count.
     crashes: cmp::Reverse<usize>,
-    /// When the crash that makes the request suspect expires. A request may still be sent to an
-    /// endpoint that another one has crashed, which is then counted later.
-    suspected: Timestamp,
+    /// When the latest of them expires. A request that is cut off beside the cause is often seen
+    /// later, and may still be sent to the endpoint that has crashed.
+    latest: Option<Timestamp>,
 }
 
 impl Suspect {
@@ -49,13 +49,14 @@
         self.crashes.iter().filter(move |(_, crash)| crash.counts(now)).map(|(start, _)| start)
     }
 
-    /// Returns the rank of the request as a cause, or `None` if fewer than `min_crashes` count.
-    pub(super) fn rank(&self, now: Timestamp, min_crashes: usize) -> Option<Rank> {
-        let mut expiries = self.counted(now);
-        expiries.sort_unstable();
-        let suspected = *expiries.get(min_crashes.checked_sub(1)?)?;
-        let is_refuted = self.crashes.values().any(|crash| crash.refuted);
-        Some(Rank { is_refuted, crashes: cmp::Reverse(expiries.len()), suspected })
+    /// Returns the rank of the request as a cause.
+    pub(super) fn rank(&self, now: Timestamp) -> Rank {
+        let expiries = self.counted(now);
+        Rank {
+            is_refuted: self.crashes.values().any(|crash| crash.refuted),
+            crashes: cmp::Reverse(expiries.len()),
+            latest: expiries.into_iter().max(),
+        }
     }
 
     pub(super) fn latest(&self) -> Option<Timestamp> {
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -123,6 +123,21 @@
     }
 }
 
+/// Otherwise each of the two would release the other, and the harmful one would crash one endpoint
+/// more each time.
+#[test]
+fn a_request_that_follows_the_harmful_one_from_crash_to_crash_does_not_release_it() {
+    for (harmful, harmless) in [(1, 2), (2, 1)] {
+        let mut quarantine = quarantine();
+        report_crashes(&mut quarantine, harmless, &["a", "b", "c"]);
+        quarantine.learn(at(100), &["a", "b", "c", "d"].map(|endpoint| crash(harmful, endpoint)));
+        assert!(is_quarantined(&quarantine, harmful));
+        quarantine.learn(at(108), &[crash(harmless, "d")]);
+        assert!(is_quarantined(&quarantine, harmful));
+        assert!(!is_quarantined(&quarantine, harmless));
+    }
+}
+
 #[test]
 fn a_crash_counts_for_ten_minutes_and_later_crashes_quarantine_the_request_again() {
     let mut quarantine = quarantine();
