decide: a crash does not count for a request sent after a quarantined one had crashed the endpoint

A crash of which the daemon knew when it granted the slot does not count any more, if a quarantined request caused it.

--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -57,16 +57,30 @@
 
     /// Records that an endpoint crashed during a request of this daemon, and returns the message
     /// for the other daemons and the effects.
+    ///
+    /// Returns `None` if a quarantined request had crashed the endpoint before the slot was granted.
     pub fn record_crash(
         &mut self,
         now: Timestamp,
         fingerprint: gateway::Fingerprint,
         grant: &gateway::Grant,
-    ) -> (gateway::Crash, Vec<QuarantineChange>) {
+    ) -> Option<(gateway::Crash, Vec<QuarantineChange>)> {
         let (endpoint, start) = (grant.endpoint.clone(), grant.start);
         let crash = gateway::Crash { fingerprint, endpoint, start, age_ms: 0, refuted: false };
+        if self.had_crashed(now, &crash, grant.at) {
+            return None;
+        }
         self.insert(now, &crash, true);
-        (crash, self.update(now))
+        Some((crash, self.update(now)))
+    }
+
+    /// Returns whether another request, which is quarantined, had crashed the endpoint at `moment`.
+    fn had_crashed(&self, now: Timestamp, crash: &gateway::Crash, moment: Timestamp) -> bool {
+        let start = (crash.endpoint.clone(), crash.start);
+        let elapsed = now.since(moment);
+        let others = self.quarantined.iter().filter(|other| **other != crash.fingerprint);
+        let mut records = others.filter_map(|other| self.suspects.get(other)?.crashes.get(&start));
+        records.any(|record| record.counts(now) && record.age(now, self.params.crash_ttl) > elapsed)
     }
 
     /// Adds crashes reported by another daemon, and returns the effects.
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use trefoildyke_decide::gateway::{
-    Crash, Fingerprint, Quarantine, QuarantineChange, QuarantineParams, Roster,
+    Crash, Fingerprint, Grant, Quarantine, QuarantineChange, QuarantineParams, Roster,
 };
 use trefoildyke_types::time::Timestamp;
 
@@ -138,6 +138,20 @@
     }
 }
 
+/// An endpoint may go on accepting connections for a moment after its crash.
+#[test]
+fn a_crash_does_not_count_for_a_request_sent_after_a_quarantined_one_had_crashed_the_endpoint() {
+    let mut quarantine = quarantine();
+    report_crashes(&mut quarantine, 1, &["a", "b"]);
+    quarantine.learn(at(50), &[crash(1, "c")]);
+    let sent = |name: &str, ms| Grant { at: at(ms), ..support::grant_at(name) };
+    assert!(quarantine.record_crash(at(110), request(2), &sent("c", 100)).is_none());
+    assert!(quarantine.record_crash(at(110), request(2), &sent("c", 40)).is_some());
+    assert!(quarantine.record_crash(at(110), request(2), &sent("d", 100)).is_some());
+    assert!(quarantine.record_crash(at(110), request(1), &sent("c", 100)).is_some());
+    assert_eq!(quarantine.crash_count(at(110), request(2)), 2);
+}
+
 #[test]
 fn a_crash_counts_for_ten_minutes_and_later_crashes_quarantine_the_request_again() {
     let mut quarantine = quarantine();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -69,7 +69,8 @@
     /// Records that a request was cut off at the endpoint of `grant`.
     pub(crate) fn record_crash(&self, fingerprint: gateway::Fingerprint, grant: &gateway::Grant) {
         let now = self.now();
-        let (crash, changes) = self.core().quarantine.record_crash(now, fingerprint, grant);
+        let recorded = self.core().quarantine.record_crash(now, fingerprint, grant);
+        let Some((crash, changes)) = recorded else { return };
         let hubs = self.other_hubs();
         self.send(&gateway::Message::Crashes { crashes: vec![crash], asks: false }, &hubs);
         self.apply_quarantine(&changes);
