--- a/crates/decide/src/gateway/part_quarantine/mod.rs
+++ b/crates/decide/src/gateway/part_quarantine/mod.rs
@@ -61,7 +61,7 @@
     pub request: gateway::Fingerprint,
     /// The service and the parts of its prompt that other requests may share.
     pub parts: &'a [gateway::PartKey],
-    /// The endpoint and the number of its start.
+    /// The endpoint.
     pub endpoint: &'a id::EndpointName,
     /// The number of the endpoint's start that crashed.
     pub start: u64,
--- a/crates/decide/src/gateway/quarantine/mod.rs
+++ b/crates/decide/src/gateway/quarantine/mod.rs
@@ -74,7 +74,7 @@
         Some((crash, self.update(now)))
     }
 
-    /// Returns whether another request, which is quarantined, had crashed the endpoint at `moment`.
+    /// Returns whether another, quarantined request had crashed the endpoint before `moment`.
     fn had_crashed(&self, now: Timestamp, crash: &gateway::Crash, moment: Timestamp) -> bool {
         let start = (crash.endpoint.clone(), crash.start);
         let elapsed = now.since(moment);
@@ -204,7 +204,7 @@
 
     /// Returns the requests that crash endpoints, without those that only ran at the same time.
     ///
-    /// A crash does not count for a request if it is explained by another request of higher rank.
+    /// A crash does not count for a request if another request of higher rank explains it.
     fn find_causes(&self, now: Timestamp) -> collections::BTreeSet<gateway::Fingerprint> {
         let min_crashes = self.params.min_crashes;
         let mut ranked: Vec<_> = self.suspects.iter().collect();
--- a/crates/decide/src/gateway/quarantine/suspect.rs
+++ b/crates/decide/src/gateway/quarantine/suspect.rs
@@ -27,13 +27,11 @@
 /// How likely a request is the cause of its crashes; the likeliest cause comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    /// Whether a crash has been refuted. A request that is sent often runs beside most crashes, and
-    /// endpoints complete it in between.
+    /// Whether a crash has been refuted, as for a request that is sent often and runs beside most.
     is_refuted: bool,
     /// The number of crashes that count.
     crashes: cmp::Reverse<usize>,
-    /// When the latest of them expires. A request that is cut off beside the cause is often seen
-    /// later, and may still be sent to the endpoint that has crashed.
+    /// When the latest of them expires; requests beside the cause are often cut off later.
     latest: Option<Timestamp>,
 }
 
--- a/crates/decide/tests/testsuite/gateway/part_quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/part_quarantine.rs
@@ -9,6 +9,8 @@
 };
 use trefoildyke_types::time::Timestamp;
 
+use super::support;
+
 /// How long a crash counts for a quarantined part, in milliseconds.
 const KEPT_MS: u64 = 600_000;
 
@@ -334,8 +336,7 @@
             .collect();
         let (mut first, mut second) = (quarantine(), quarantine());
         first.learn(at(0), &crashes);
-        let split = if crashes.is_empty() { 0 } else { order.index(crashes.len()) };
-        for crash in crashes[split..].iter().chain(&crashes).rev() {
+        for crash in support::redeliver(&crashes, order) {
             second.learn(at(0), std::slice::from_ref(crash));
         }
         first.refresh(at(0));
--- a/crates/decide/tests/testsuite/gateway/quarantine.rs
+++ b/crates/decide/tests/testsuite/gateway/quarantine.rs
@@ -97,8 +97,7 @@
     assert!(is_quarantined(&quarantine, 1));
 }
 
-/// A request that is sent often is running whenever an endpoint crashes, whatever the cause, so that
-/// more crashes count for it than for the harmful request.
+/// A request that is sent often runs beside most crashes, whatever their cause.
 #[test]
 fn a_request_that_endpoints_complete_in_between_does_not_release_the_harmful_one() {
     let mut quarantine = quarantine();
@@ -123,8 +122,7 @@
     }
 }
 
-/// Otherwise each of the two would release the other, and the harmful one would crash one endpoint
-/// more each time.
+/// Otherwise the two release each other in turns.
 #[test]
 fn a_request_that_follows_the_harmful_one_from_crash_to_crash_does_not_release_it() {
     for (harmful, harmless) in [(1, 2), (2, 1)] {
@@ -268,8 +266,7 @@
             .collect();
         let (mut first, mut second) = (quarantine(), quarantine());
         first.learn(at(0), &crashes);
-        let split = if crashes.is_empty() { 0 } else { order.index(crashes.len()) };
-        for crash in crashes[split..].iter().chain(&crashes).rev() {
+        for crash in support::redeliver(&crashes, order) {
             second.learn(at(0), std::slice::from_ref(crash));
         }
         prop_assert_eq!(first.hash(), second.hash());
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use proptest::sample;
 use trefoildyke_decide::gateway::{
     Admission, EndpointLoad, Grant, LoadReport, Outcome, Pool, PoolParams, PoolRequest,
     QueueDecision, RosterEntry, Ticket,
@@ -62,6 +63,12 @@
     }
 }
 
+/// Returns messages in another order, some of them twice.
+pub(super) fn redeliver<T>(messages: &[T], order: sample::Index) -> impl Iterator<Item = &T> {
+    let split = if messages.is_empty() { 0 } else { order.index(messages.len()) };
+    messages[split..].iter().chain(messages).rev()
+}
+
 /// Creates a grant at an endpoint that was not granted by a pool, to report measurements with.
 pub(super) fn grant_at(name: &str) -> Grant {
     Grant {
