gateway: a line for a request that gets no slot for another send

Nothing told whether an answer that was given up ended because the pool refused a second slot, the other endpoint failed or the retry budget was spent. resend_refused names the last endpoint, the reason and the time to come back. No decision changes.

--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -178,6 +178,14 @@
 
     /// Waits for a slot.
     pub(crate) async fn acquire_slot(&mut self) -> Result<state::Slot, NoSlot> {
+        let slot = self.find_slot().await;
+        if let Err(no_slot) = &slot {
+            self.record_refused_resend(*no_slot);
+        }
+        slot
+    }
+
+    async fn find_slot(&mut self) -> Result<state::Slot, NoSlot> {
         self.check_quarantine()?;
         let now = self.shared.now();
         let service = self.call.service.clone();
@@ -197,6 +205,20 @@
         Ok(slot)
     }
 
+    fn record_refused_resend(&self, no_slot: NoSlot) {
+        let Some(last) = self.last_grant.as_ref() else { return };
+        let (reason, after) = match no_slot {
+            NoSlot::Overload(after) => ("overload", after),
+            NoSlot::Quarantined(after) => (ingress::QUARANTINED, after),
+        };
+        self.shared.journal.write(&record::Event::ResendRefused {
+            id: self.call.id.clone(),
+            endpoint: last.endpoint.clone(),
+            reason,
+            retry_ms: after.as_millis() as u64,
+        });
+    }
+
     fn check_quarantine(&self) -> Result<(), NoSlot> {
         let left = self.shared.quarantined_for(self.call.fingerprint);
         let left = left.or_else(|| self.shared.parts_quarantined_for(&self.call.shared_parts));
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -257,6 +257,17 @@
         /// Maximum number of repeats the retry budget allows this daemon in that window.
         repeat_limit: usize,
     },
+    /// A request that was sent before got no slot at another endpoint.
+    ResendRefused {
+        /// The id of the request.
+        id: String,
+        /// The endpoint of the last send.
+        endpoint: id::EndpointName,
+        /// Why it got no slot.
+        reason: &'static str,
+        /// How long the refusal lasts, in milliseconds.
+        retry_ms: u64,
+    },
     /// An idle endpoint gets a request that is late or would be refused, in spite of the estimates for it.
     EndpointProbed {
         /// The service.
