--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod malformed;
 mod peers;
 mod quotas;
+mod silence;
 mod stops;
 mod streams;
 mod transfers;
