gateway: choose the port for other daemons over TCP, where ended connections occupy ports

A gateway whose port the system chooses did not start, 'peers: cannot listen ... Address already in use': seen four times in 90 runs of the suite before, and once today in fuzz::no_smuggled_request_runs_with_any_framing.

Cause: the port was chosen over UDP and then bound over TCP. The client side of an ended connection keeps its port for a minute, and connect() takes even ports first: beside 15,000 connections that had just ended, none of 1,929 even ports could be bound over TCP, 202 of 1,929 odd ones could not, and 210 of 400 ports chosen over UDP failed.

The limit of 16 attempts stays.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -145,20 +145,26 @@
     }
 }
 
-/// The number of ports to try if the system chooses the port and another process uses it over TCP.
+/// The number of ports to try if the system chooses the port and another process uses it over UDP.
 const PORT_ATTEMPTS: usize = 16;
 
 /// Binds one port over both UDP and TCP.
+///
+/// A port that the system chooses is chosen over TCP, where connections that ended a moment ago still occupy
+/// many ports.
 async fn bind_peers(
     at: std::net::SocketAddr,
 ) -> anyhow::Result<(net::UdpSocket, net::TcpListener)> {
     let mut attempt = 1;
     loop {
-        let peers = net::UdpSocket::bind(at).await;
-        let peers = peers.with_context(|| format!("peers: cannot use {at}"))?;
-        match bind("peers", peers.local_addr()?).await {
+        let transfers = bind("peers", at).await?;
+        let address = transfers.local_addr()?;
+        match net::UdpSocket::bind(address).await {
             Err(_) if at.port() == 0 && attempt < PORT_ATTEMPTS => attempt += 1,
-            transfers => return Ok((peers, transfers?)),
+            peers => {
+                let peers = peers.with_context(|| format!("peers: cannot use {address}"))?;
+                return Ok((peers, transfers));
+            }
         }
     }
 }
