gateway: another endpoint is looked for as long as a stream is silent; an answer under way is not asked for twice

A stream whose endpoint had died hung until its timeout if no other endpoint was free or listed when it fell silent, since only one was looked for; now one is looked for each time the stream has been silent for its limit. A send that is not needed any more leaves a line.

--- a/crates/decide/src/gateway/attempt.rs
+++ b/crates/decide/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 /// The state of one request over all its sends.
 ///
-/// Only [`Attempt::sent`] and [`Attempt::failed`] change the state, so that the answer to the
+/// Only [`Attempt::sent`], [`Attempt::failed`] and [`Attempt::failed_beside`] change the state, so that the answer to the
 /// caller reflects what may have happened at the endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Attempt {
--- a/crates/gateway/src/ingress/driver/pending_send.rs
+++ b/crates/gateway/src/ingress/driver/pending_send.rs
@@ -1,6 +1,6 @@
 //! A send whose answer has not arrived yet.
 
-use std::{sync, time};
+use std::{sync, sync::atomic, time};
 
 use bytes::Bytes;
 use futures::future;
@@ -17,6 +17,8 @@
 pub(crate) struct PendingSend {
     pub(crate) slot: state::Slot,
     answer: future::BoxFuture<'static, Result<Answer, upstream::SendError>>,
+    /// Whether the head of the answer has come.
+    began: sync::Arc<atomic::AtomicBool>,
 }
 
 /// The answer of an endpoint.
@@ -54,12 +56,20 @@
         mode: ReadMode,
     ) -> Self {
         let (service, grant) = (slot.service().clone(), slot.grant().clone());
+        let began = sync::Arc::<atomic::AtomicBool>::default();
+        let set_began = sync::Arc::clone(&began);
         let answer = async move {
             let on_rate_limit = |limit| shared.note_rate_limit(&service, &grant, limit);
             let sent = upstream::send(&shared, &grant, &id, &request, on_rate_limit).await?;
+            set_began.store(true, atomic::Ordering::Relaxed);
             read(sent, mode).await
         };
-        Self { slot, answer: Box::pin(answer) }
+        Self { slot, answer: Box::pin(answer), began }
+    }
+
+    /// Returns whether the head of the answer has come.
+    pub(super) fn has_begun(&self) -> bool {
+        self.began.load(atomic::Ordering::Relaxed)
     }
 
     /// Waits for the answer: the head of a stream, or a whole answer. It must not be called again after it
--- a/crates/gateway/src/ingress/driver/send.rs
+++ b/crates/gateway/src/ingress/driver/send.rs
@@ -40,7 +40,8 @@
             if let Ok(answer) = tokio::time::timeout_at(patience, pending.answer()).await {
                 return self.settle(pending.slot, answer);
             }
-            if self.has_untried_endpoint() && self.reserve_resend() {
+            // An answer that is under way is not asked for twice.
+            if !pending.has_begun() && self.has_untried_endpoint() && self.reserve_resend() {
                 return self.hedge(pending, after, end).await;
             }
         }
@@ -69,7 +70,10 @@
             let mut second = self.start_hedge(slot, after);
             tokio::select! {
                 answer = first.answer() => match self.settle(first.slot, answer) {
-                    Ok(answer) => return Ok(answer),
+                    Ok(answer) => {
+                        self.record_withdrawal(&second.slot);
+                        return Ok(answer);
+                    }
                     Err(failed) => {
                         self.handle_replaced_failure(failed);
                         return self.wait(second, end).await;
--- a/crates/gateway/src/ingress/driver/settle.rs
+++ b/crates/gateway/src/ingress/driver/settle.rs
@@ -69,4 +69,11 @@
         let failed = FailedSend::new(slot.send(), gateway::Failure::Lost, reason);
         self.record_failure(&failed, gateway::RetryAction::Again);
     }
+
+    /// Records that a send beside a late one is not needed any more.
+    pub(crate) fn record_withdrawal(&self, slot: &state::Slot) {
+        let reason = "the earlier endpoint goes on";
+        let failed = FailedSend::new(slot.send(), gateway::Failure::Lost, reason);
+        self.record_failure(&failed, gateway::RetryAction::Wait);
+    }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -52,7 +52,7 @@
     events: gateway::EventSplitter,
     /// When the stream is cut off.
     end: tokio::time::Instant,
-    /// Whether to wait for the next event however long it takes, because no other endpoint can go on.
+    /// Whether to wait for the next event however long it takes, because the request may not be sent again.
     ignores_silence: bool,
 }
 
@@ -149,7 +149,10 @@
     /// The silent endpoint keeps the stream until another one has taken it over. Returns what came of the
     /// silent endpoint meanwhile, or `None` if the wait for the next event goes on.
     async fn replace_source(&mut self) -> Option<Step> {
-        if !self.driver.has_untried_endpoint() || !self.driver.reserve_resend() {
+        if !self.driver.has_untried_endpoint() {
+            return None;
+        }
+        if !self.driver.reserve_resend() {
             self.ignores_silence = true;
             return None;
         }
@@ -167,8 +170,13 @@
             let mut pending = self.driver.start_hedge(slot, after.as_deref());
             let failed = tokio::select! {
                 part = source.next_part() => match self.handle_part(part) {
-                    Some(Step::Broken(failed)) => return self.await_replacement(pending, failed, after).await,
-                    step => return step,
+                    Some(Step::Broken(failed)) => {
+                        return self.await_replacement(pending, failed, after).await;
+                    }
+                    step => {
+                        self.driver.record_withdrawal(&pending.slot);
+                        return step;
+                    }
                 },
                 answer = pending.answer() => {
                     let received = self.driver.settle(pending.slot, answer);
@@ -184,7 +192,6 @@
             }
         }
         self.driver.release_retry();
-        self.ignores_silence = true;
         None
     }
 
@@ -238,6 +245,7 @@
             }
         }
     }
+
     /// Leaves an endpoint that has broken off.
     fn leave_source(&mut self) {
         if let Some(ingress::OpenStream { mut slot, .. }) = self.source.take() {
