gateway: tests of requests in progress beside a change of the configuration

The second hypothesis on the reported LOST is that a change ends requests in progress. Nothing showed it or ruled it out.

Four tests apply eleven changes (the route's timeout shortened and lengthened, routes moved and removed, the service, the key, fewer and more attempts, the endpoint draining, dropped and started again) beside both kinds of streams, both kinds of whole answers, requests that wait for a slot, the next request of a kept connection, and requests whose endpoint then resets its connections. The endpoint stands still for 250 ms and for 1.5 s.

Not covered: several gateways that learn of a change at different times.

--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 
 mod callers;
+mod changes;
 mod crashes;
 mod crashing_parts;
 mod drains;
