gateway: a queued request stays with a placer that still replies to it

A request that waits in another daemon's queue was withdrawn at its next keep-alive as soon as that daemon left any other message unanswered: a query about the store for 100 ms, or a charge for 80 ms. The place was given up before another daemon had accepted the request, and the daemon asked next (often this one, with its own view of the load) may refuse it.

A daemon that replied to the last keep-alive now keeps the request; one that leaves, is no member or did not reply loses it as before. A placer that has failed may be left up to one keep-alive (200 ms) later by requests it had just replied to.

--- a/crates/decide/src/gateway/mesh/placers.rs
+++ b/crates/decide/src/gateway/mesh/placers.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Returns whether a member is not queried only because it left a query unanswered.
+    pub fn is_backed_off(&self, now: Timestamp, address: net::SocketAddr) -> bool {
+        let member = self.members.get(&address);
+        member.is_some_and(|member| !member.leaving && !member.may_answer(now))
+    }
+
     /// Returns the daemons that may place the requests of `service`: the current placer, its
     /// successor, and a recently started daemon that will become the placer.
     ///
--- a/crates/decide/tests/testsuite/gateway/mesh.rs
+++ b/crates/decide/tests/testsuite/gateway/mesh.rs
@@ -231,6 +231,21 @@
     assert!(placers(&mesh, 3_400, PlacingAbility::Able).contains(&address(2)));
 }
 
+/// Guards against requests that stay queued at a daemon which leaves or is gone.
+#[test]
+fn only_an_unanswered_query_backs_a_member_off() {
+    let mut mesh = four_daemons(&[]).remove(0);
+    let now = Timestamp::from_millis(100);
+    assert!(!mesh.is_backed_off(now, address(2)));
+    mesh.record_timeout(now, address(2));
+    assert!(mesh.is_backed_off(now, address(2)));
+    assert!(!mesh.is_backed_off(Timestamp::from_millis(1_150), address(2)), "the time is over");
+    let leaving = Digest { incarnation: 1, number: 9, leaving: true, ..Digest::default() };
+    mesh.note(now, address(2), &leaving);
+    assert!(!mesh.is_backed_off(now, address(2)), "it leaves");
+    assert!(!mesh.is_backed_off(now, address(99)), "it is no member");
+}
+
 #[test]
 fn a_new_daemon_places_last_and_receives_load_reports() {
     let usual = placers(&four_daemons(&[])[0], 100, PlacingAbility::Able);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -107,6 +107,8 @@
     let mut hint = shared.settings.pool.least_retry_after;
     let mut last_reply = started;
     let (mut interval, mut timeout) = (RETRY_INTERVAL, REPLY_TIMEOUT);
+    // Whether the last message that the request still waits was replied to.
+    let mut is_confirmed = false;
     loop {
         let now = tokio::time::Instant::now();
         let wake = end.min(now + interval);
@@ -122,16 +124,35 @@
                 hint = after;
                 last_reply = tokio::time::Instant::now();
                 (interval, timeout) = (KEEPALIVE_INTERVAL, QUEUED_TIMEOUT);
+                is_confirmed = true;
             }
             Err(_) if tokio::time::Instant::now() >= end => return RemotePlacement::Refused(hint),
             Err(_) if last_reply.elapsed() >= timeout => {
                 shared.suspect_peer(peer, "does not answer");
                 return RemotePlacement::PlacerChanged;
             }
-            Err(_) if shared.core().placer(shared.now(), service) != Some(peer) => {
+            Err(_) if has_moved(shared, service, peer, is_confirmed) => {
                 return RemotePlacement::PlacerChanged;
             }
-            Err(_) => remote_request.ask(),
+            Err(_) => {
+                is_confirmed = false;
+                remote_request.ask();
+            }
         }
     }
 }
+
+/// Returns whether a request that waits at `peer` is to be placed by another daemon.
+///
+/// A daemon that still replies for the request keeps it even if it left other messages unanswered, since the
+/// next daemon may refuse the request.
+fn has_moved(
+    shared: &state::Shared,
+    service: &id::PoolName,
+    peer: net::SocketAddr,
+    is_confirmed: bool,
+) -> bool {
+    let (now, core) = (shared.now(), shared.core());
+    let is_kept = is_confirmed && core.mesh.is_backed_off(now, peer);
+    !is_kept && core.placer(now, service) != Some(peer)
+}
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -3,7 +3,8 @@
 use std::{net, sync, sync::atomic, thread, time::Duration};
 
 use trefoildyke_decide::gateway::{
-    AccountUnit, Ask, Charge, Digest, Mesh, Message, Peer, PlaceReply, PoolRequest, Strength,
+    AccountUnit, Ask, Charge, Digest, Mesh, Message, Peer, PlaceReply, Placed, PoolRequest,
+    Strength,
 };
 use trefoildyke_types::time::Timestamp;
 
@@ -326,3 +327,116 @@
     assert!(count >= 4, "{count} requests in 3 s: the limit is not used");
     assert!(other.requests().len() - before_other > 100);
 }
+
+/// A daemon that places requests, but leaves its other messages unanswered.
+struct BusyPlacer {
+    socket: net::UdpSocket,
+    gateway: net::SocketAddr,
+    number: u64,
+}
+
+impl BusyPlacer {
+    fn new(gateway: net::SocketAddr) -> Self {
+        let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        Self { socket, gateway, number: 0 }
+    }
+
+    fn address(&self) -> net::SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+
+    fn send(&self, message: &Message) {
+        self.socket.send_to(&rmp_serde::to_vec(message).unwrap(), self.gateway).unwrap();
+    }
+
+    /// Sends digests, and passes the other daemon's messages to `handle`, for `length`.
+    fn run(&mut self, length: Duration, mut handle: impl FnMut(&Self, Message)) {
+        let end = std::time::Instant::now() + length;
+        let mut buffer = [0; 4_096];
+        while std::time::Instant::now() < end {
+            self.number += 1;
+            let digest = Digest { incarnation: 1, number: self.number, ..Digest::default() };
+            self.send(&Message::Digest(digest));
+            while let Ok((length, _)) = self.socket.recv_from(&mut buffer) {
+                if let Ok(message) = rmp_serde::from_slice(&buffer[..length]) {
+                    handle(self, message);
+                }
+            }
+        }
+    }
+
+    /// Grants a slot to each request that asks for one.
+    fn grant(&mut self, length: Duration) {
+        self.run(length, |placer, message| {
+            if let Message::Ask(ask) = message {
+                placer.reply(ask.number, granted(1));
+            }
+        });
+    }
+
+    /// Queues the requests; returns the number of the last one.
+    fn queue(&mut self, length: Duration) -> Option<u64> {
+        let mut last = None;
+        self.run(length, |placer, message| {
+            if let Message::Ask(ask) = message {
+                last = Some(ask.number);
+                placer.reply(ask.number, PlaceReply::Queued { retry_ms: 100 });
+            }
+        });
+        last
+    }
+
+    fn reply(&self, number: u64, reply: PlaceReply) {
+        self.send(&Message::Placed(Placed { service: "svc".into(), number, reply }));
+    }
+}
+
+fn granted(given: u64) -> PlaceReply {
+    PlaceReply::Granted {
+        endpoint: "e0".into(),
+        given,
+        unread: 0,
+        first_ms: 0,
+        beside: 0,
+        ahead: 0,
+        age_ms: 0,
+    }
+}
+
+/// Guards against a request that gives up its place in the queue of a daemon which still replies to it: the
+/// daemon that is asked next may refuse it.
+#[test]
+fn a_request_stays_queued_at_a_placer_that_is_late_with_other_replies() {
+    let endpoint = Endpoint::start(vec![vec![Step::Hold, Step::Answer("x")]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    // As far as the gateway knows, the first request takes the only slot.
+    let mut list = crate::harness::entries(&[&endpoint]);
+    list[0].slots = 1;
+    gateway.feed.set_endpoints(list);
+    let mut placer = BusyPlacer::new(gateway.addresses.peers);
+    gateway.feed.set_members(&[peer(gateway.addresses.peers), peer(placer.address())]);
+    let send = || {
+        let mut caller = gateway.caller();
+        let headers = [("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")];
+        caller.send("GET /once/", &headers, "");
+        caller
+    };
+    let mut first = send();
+    placer.grant(Duration::from_millis(200));
+    TestGateway::wait_until("the first request runs", || endpoint.requests().len() == 1);
+    let mut second = send();
+    placer.queue(Duration::from_millis(200)).expect("the placer was not asked");
+    let queued = thread::scope(|scope| {
+        let queued = scope.spawn(|| placer.queue(Duration::from_millis(700)));
+        gateway.query_readers();
+        queued.join().unwrap()
+    });
+    if let Some(number) = queued {
+        placer.reply(number, granted(2));
+    }
+    TestGateway::wait_until("the second request runs", || endpoint.requests().len() == 2);
+    (0..2).for_each(|_| endpoint.release_one());
+    assert_eq!(first.read_reply().unwrap().status, 200);
+    assert_eq!(second.read_reply().unwrap().status, 200);
+}
