wire: the start of a stream stays open until its stream is found

An engine that answered a start with no head for 2 s had the start's connection closed, and the daemon asked for the stream on a new one. An engine that stands still reads both when it goes on; if it reads the second first, it answers 404, and the caller got `answer_lost` long before its deadline, though the engine then ran the request. The start was given up before it was replaced.

The start now stays open for up to `give_up` (5 s) while the stream is looked for beside it, and the first of the two is read. It is still sent once. An engine that never answers a start is reported after 10 s instead of 7 s (from the limits; not measured).

The wire test fails before with "nothing came within 100 ms".

--- a/crates/trefoildyked/tests/testsuite/main.rs
+++ b/crates/trefoildyked/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod dispatch_window;
 mod end_to_end;
 mod endpoints;
+mod engine_silence;
 mod freeze;
 mod harness;
 mod kill;
--- a/crates/wire/src/endpoint/engine_client.rs
+++ b/crates/wire/src/endpoint/engine_client.rs
@@ -52,13 +52,36 @@
     }
 
     /// Starts a stream. The request is sent at most once.
+    ///
+    /// If the engine has not answered after [`endpoint::Limits::answer`], the stream is looked for in
+    /// addition. The start itself stays open, since an engine that stands still does not know the stream
+    /// before it has read the start.
     pub async fn start(
         &self,
         generate: &message::Generate,
+    ) -> Result<endpoint::AnswerStream, endpoint::StartError> {
+        let key = generate.key();
+        let mut sending = std::pin::pin!(self.send_start(generate));
+        if let Ok(started) = tokio::time::timeout(self.limits.answer, &mut sending).await {
+            return started;
+        }
+        tokio::select! {
+            started = sending => started,
+            reader = self.find(&key) => {
+                Ok(endpoint::AnswerStream::started(self.clone(), key.clone(), reader))
+            }
+        }
+    }
+
+    /// Sends a start and waits for the head of its answer, for at most [`endpoint::Limits::give_up`].
+    async fn send_start(
+        &self,
+        generate: &message::Generate,
     ) -> Result<endpoint::AnswerStream, endpoint::StartError> {
         let request = http::json_request(Method::POST, &self.uri("/v1/generate"), generate)
             .map_err(|error| endpoint::StartError::NotSent(error.to_string()))?;
-        let response = self.stream_client.open(request, self.limits.answer).await;
+        let limit = self.limits.give_up.max(self.limits.answer);
+        let response = self.stream_client.open(request, limit).await;
         let response = response.map_err(|error| match error {
             http::CallError::NotSent(detail) => endpoint::StartError::NotSent(detail),
             http::CallError::Lost(detail) | http::CallError::Unusable(detail) => {
@@ -123,6 +146,16 @@
         check_order_reply(&sending.await?, &order.order)
     }
 
+    /// Returns the stream of a request from its first token on, as soon as the engine knows it.
+    async fn find(&self, key: &id::RequestKey) -> http::EventReader {
+        loop {
+            if let Ok(Some(reader)) = self.open(key, 0).await {
+                return reader;
+            }
+            tokio::time::sleep(self.limits.retry_delay).await;
+        }
+    }
+
     /// Opens the stream of a request at token `offset`; returns `None` if the engine does not know it.
     pub(super) async fn open(
         &self,
--- a/crates/wire/src/endpoint/limits.rs
+++ b/crates/wire/src/endpoint/limits.rs
@@ -7,15 +7,16 @@
 pub struct Limits {
     /// The longest time for opening a connection.
     pub connect: time::Duration,
-    /// The longest time until the head of a streamed answer has arrived, and the longest time for a
-    /// whole call without a stream.
+    /// The longest time for a whole call without a stream, and until the head of a resumed stream has
+    /// arrived. The stream of a start that takes longer is looked for while the start stays open.
     pub answer: time::Duration,
     /// The longest time a stream may carry neither a chunk nor a heartbeat before its connection is
     /// replaced.
     ///
     /// Engines send a heartbeat every 500 ms.
     pub silence: time::Duration,
-    /// How long attempts to resume a stream continue before reading it fails.
+    /// How long attempts to resume a stream continue before reading it fails, and the longest time
+    /// until the head of the answer to a start has arrived.
     pub give_up: time::Duration,
     /// The delay between two attempts to resume; the first attempts wait only 1 ms.
     pub retry_delay: time::Duration,
--- a/crates/wire/tests/testsuite/endpoint.rs
+++ b/crates/wire/tests/testsuite/endpoint.rs
@@ -142,6 +142,64 @@
     assert!(matches!(not_sent, endpoint::StartError::NotSent(_)), "{not_sent}");
 }
 
+/// The time after which the clients of [`client_of_late_engine`] look for the stream of a start.
+const ANSWER_LIMIT: Duration = Duration::from_millis(100);
+
+/// Starts an engine that handles a start only after a pause, and knows its stream only then.
+///
+/// With `answers_start` it answers the start, otherwise only the calls that resume the stream. Counts the
+/// starts.
+async fn late_engine(answers_start: bool) -> (http::Server, sync::Arc<atomic::AtomicUsize>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let starts = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counted = sync::Arc::clone(&starts);
+    let server = http::Server::start(listener, http::ServerLimits::default(), move |call| {
+        let starts = sync::Arc::clone(&counted);
+        async move {
+            if call.request.method() == hyper::Method::POST {
+                tokio::time::sleep(ANSWER_LIMIT * 3).await;
+                starts.fetch_add(1, atomic::Ordering::SeqCst);
+                if !answers_start {
+                    std::future::pending::<()>().await;
+                }
+            } else if answers_start || starts.load(atomic::Ordering::SeqCst) == 0 {
+                return Ok(http::json(StatusCode::NOT_FOUND, &"no"));
+            }
+            let (sender, response) = http::EventSender::new(16);
+            sender.data(&chunk(ID, 0, 4, true)).await?;
+            Ok(response)
+        }
+    });
+    (server.unwrap(), starts)
+}
+
+/// Guards against a start that is given up before its stream is found in another way.
+#[tokio::test]
+async fn a_late_start_stays_open_until_its_stream_is_found() {
+    for answers_start in [true, false] {
+        let (server, starts) = late_engine(answers_start).await;
+        let limits = endpoint::Limits { answer: ANSWER_LIMIT, ..endpoint::Limits::default() };
+        let client = endpoint::EngineClient::new(server.address(), limits);
+        let mut stream = client.start(&generate()).await.unwrap();
+        let whole = tokio::time::timeout(TIMEOUT, stream.next()).await.unwrap().unwrap().unwrap();
+        assert_eq!(whole.tokens.len(), 4);
+        assert_eq!(starts.load(atomic::Ordering::SeqCst), 1, "sent more than once");
+    }
+}
+
+#[tokio::test]
+async fn a_start_without_any_answer_has_an_unknown_outcome() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let limits = http::ServerLimits::default();
+    let server = http::Server::start(listener, limits, |_call| std::future::pending()).unwrap();
+    let give_up = ANSWER_LIMIT * 5;
+    let limits = endpoint::Limits { answer: ANSWER_LIMIT, give_up, ..Default::default() };
+    let client = endpoint::EngineClient::new(server.address(), limits);
+    let error = tokio::time::timeout(TIMEOUT, client.start(&generate())).await.unwrap();
+    let error = error.unwrap_err();
+    assert!(matches!(error, endpoint::StartError::Unknown(_)), "{error}");
+}
+
 #[tokio::test]
 async fn an_order_whose_answer_is_lost_has_an_unknown_outcome() {
     let server = closing_server().await;
