daemon: a follower without another source keeps calling the coordinator

A retry that follows an answer at its coordinator took one failed read call for the end: if no engine could resume the answer (calls of plain services, unrecorded ids), the caller was told `answer_lost` at once. A coordinator that stands still for 1.5 s can lose the peer connection, which closes after 2 s without a frame, and then answers in full.

Such a follower now calls again every 100 ms, until the coordinator answers, is no member any more, or the deadline passes. Answers that an engine can resume go to the engine at once, as before.

--- a/crates/daemon/src/coordinate/driver.rs
+++ b/crates/daemon/src/coordinate/driver.rs
@@ -190,7 +190,9 @@
             Action::Attach { coordinator, offset } => {
                 self.record_event("attach", || format!("to {coordinator} at {offset}"));
                 self.context.metrics.resumed.add(1, &[KeyValue::new("way", "attach")]);
-                self.operation = operations::attach(context, coordinator, key, offset);
+                let is_only_source = !self.job.state.can_resume_at_endpoint();
+                self.operation =
+                    operations::attach(context, coordinator, key, offset, is_only_source);
             }
             Action::Cancel(endpoint) => self.cancel(&endpoint),
             Action::Deliver(chunk) => self.deliver(chunk),
--- a/crates/daemon/src/coordinate/operations.rs
+++ b/crates/daemon/src/coordinate/operations.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt, stream};
 use trefoildyke_decide::coordinate::Input;
-use trefoildyke_types::{id, request, resource, time::Timestamp};
+use trefoildyke_types::{error, id, request, resource, time::Timestamp};
 use trefoildyke_wire::{endpoint, peer};
 
 use crate::{
@@ -17,6 +17,8 @@
 const READ_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// How much longer than [`READ_WAIT`] the call may take.
 const READ_MARGIN: time::Duration = time::Duration::from_millis(2_000);
+/// How long to wait before the coordinator is called again after it could not be reached.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// A stream of inputs, which ends when the operation ends.
 pub(super) type Operation = stream::BoxStream<'static, Input>;
@@ -163,11 +165,14 @@
 }
 
 /// Follows the answer at its coordinator from token `offset` on.
+///
+/// If `is_only_source`, a coordinator that is not reached is called again for as long as it is a member.
 pub(super) fn attach(
     context: Context,
     coordinator: id::Incarnation,
     key: id::RequestKey,
     offset: u64,
+    is_only_source: bool,
 ) -> Operation {
     let wait_ms = u64::try_from(READ_WAIT.as_millis()).unwrap_or(u64::MAX);
     let first = peer::ReadRequest { key, offset, wait_ms };
@@ -175,7 +180,14 @@
         let context = sync::Arc::clone(&context);
         async move {
             let request = request?;
-            let (inputs, next) = read_once(&context, coordinator, request).await;
+            let (inputs, next) = match read_once(&context, coordinator, request.clone()).await {
+                Err(error) if is_only_source && is_unreached(&error) => {
+                    tokio::time::sleep(READ_PAUSE).await;
+                    (vec![], Some(request))
+                }
+                Err(_) => (vec![Input::AttachFailed], None),
+                Ok(read) => read,
+            };
             Some((stream::iter(inputs), next))
         }
     })
@@ -183,22 +195,27 @@
     .boxed()
 }
 
+/// Returns whether a member could not be reached, so that a later call may be answered.
+const fn is_unreached(error: &error::Error) -> bool {
+    matches!(error.kind, error::ErrorKind::Unavailable)
+}
+
 /// Makes one read call; returns the resulting inputs and the next call, if the answer has not ended.
 async fn read_once(
     context: &handle::Context,
     coordinator: id::Incarnation,
     mut request: peer::ReadRequest,
-) -> (Vec<Input>, Option<peer::ReadRequest>) {
+) -> Result<(Vec<Input>, Option<peer::ReadRequest>), error::Error> {
     let call = (context.peer_calls.read)(coordinator, request.clone(), READ_WAIT + READ_MARGIN);
-    match call.await {
-        Ok(peer::ReadAnswer::Chunks(chunks)) => {
+    Ok(match call.await? {
+        peer::ReadAnswer::Chunks(chunks) => {
             let tokens: usize = chunks.iter().map(|chunk| chunk.tokens.len()).sum();
             request.offset += tokens as u64;
             let is_last = chunks.last().is_some_and(reader::is_last);
             let inputs = chunks.into_iter().map(Input::Chunk).collect();
             (inputs, (!is_last).then_some(request))
         }
-        Ok(peer::ReadAnswer::Refused(refusal)) => (vec![Input::Refused(refusal)], None),
-        Ok(peer::ReadAnswer::Unknown) | Err(_) => (vec![Input::AttachFailed], None),
-    }
+        peer::ReadAnswer::Refused(refusal) => (vec![Input::Refused(refusal)], None),
+        peer::ReadAnswer::Unknown => (vec![Input::AttachFailed], None),
+    })
 }
--- a/crates/decide/src/coordinate/answer.rs
+++ b/crates/decide/src/coordinate/answer.rs
@@ -51,6 +51,15 @@
         actions
     }
 
+    /// Returns whether the rest of the answer can be fetched from an endpoint.
+    pub const fn can_resume_at_endpoint(&self) -> bool {
+        let is_known = matches!(
+            self.phase,
+            Phase::Dispatched { .. } | Phase::Following { endpoint: Some(_), .. }
+        );
+        self.initial.resumable && is_known
+    }
+
     /// Requests the rest of the answer from the coordinator or endpoint that can provide it.
     fn fetch_rest(&mut self) -> Vec<Action> {
         let offset = self.offset;
--- a/crates/trefoildyked/tests/testsuite/freeze.rs
+++ b/crates/trefoildyked/tests/testsuite/freeze.rs
@@ -88,3 +88,59 @@
         assert_eq!(cluster.start_count(id).await, 1);
     }
 }
+
+/// Guards against a caller that is told its answer is lost while the coordinator of the answer is about to go
+/// on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_waits_for_a_coordinator_that_stands_still() {
+    let pauses = [1_500, 2_500].map(async |pause_ms| {
+        let layout = harness::Layout { call_ms: 6_000, ..harness::Layout::default() };
+        let cluster = harness::Cluster::start(&format!("follow_{pause_ms}"), layout).await;
+        let client = harness::Caller::default();
+        let spec = caller::service_request(caller::new_id());
+        let id = spec.id.unwrap();
+        let mut first = client.open(cluster.daemons[0].callers, &spec).await.unwrap();
+        first.wait_accepted().await;
+        harness::wait_until("the call runs", async || {
+            (cluster.start_count(id).await == 1).then_some(())
+        })
+        .await;
+        let retry = request::RequestSpec { attempt: 2, ..spec.clone() };
+        let follower = client.call(cluster.daemons[1].callers, &retry);
+        let (outcome, ()) = futures::join!(follower, async {
+            tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+            cluster.daemons[0].process.signal("STOP");
+            tokio::time::sleep(std::time::Duration::from_millis(pause_ms)).await;
+            cluster.daemons[0].process.signal("CONT");
+        });
+        let first = first.finish().await;
+        assert!(matches!(first, harness::Outcome::Complete(..)), "{pause_ms} ms, first: {first:?}");
+        (pause_ms, outcome)
+    });
+    for (pause_ms, outcome) in futures::future::join_all(pauses).await {
+        assert!(matches!(outcome, harness::Outcome::Complete(..)), "{pause_ms} ms: {outcome:?}");
+    }
+}
+
+/// Guards against a caller that waits until its deadline for an answer whose coordinator is dead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_of_a_dead_coordinator_is_told_that_the_answer_is_lost() {
+    let layout = harness::Layout { call_ms: 30_000, ..harness::Layout::default() };
+    let mut cluster = harness::Cluster::start("follow_dead", layout).await;
+    let client = harness::Caller::default();
+    let spec = caller::service_request(caller::new_id());
+    let mut first = client.open(cluster.daemons[0].callers, &spec).await.unwrap();
+    first.wait_accepted().await;
+    harness::wait_until("the call runs", async || {
+        (cluster.start_count(spec.id.unwrap()).await == 1).then_some(())
+    })
+    .await;
+    let retry = request::RequestSpec { attempt: 2, ..spec.clone() };
+    let mut follower = client.open(cluster.daemons[1].callers, &retry).await.unwrap();
+    follower.wait_accepted().await;
+    cluster.daemons[0].process.kill();
+    let killed = std::time::Instant::now();
+    let refusal = follower.finish().await.unwrap_refusal();
+    assert_eq!(refusal.kind, request::RefusalKind::OutcomeUnknown);
+    assert!(killed.elapsed() < std::time::Duration::from_secs(15), "{:?}", killed.elapsed());
+}
