recovery: a disturbance in which the endpoints stand still

Cause: the model of short disturbances had the daemon that stands still (freeze), but no sound endpoints that stand still and go on.

Change: the kind `standstill` puts off what endpoints do by the rest of the disturbance.

The model places requests that may not be repeated and has no relay of answers: it cannot show a request whose answer is given up.

--- a/testbed/src/recovery/disturbance.rs
+++ b/testbed/src/recovery/disturbance.rs
@@ -22,6 +22,8 @@
     Bursts,
     /// The daemon stands still: events arrive at the end of the disturbance.
     Freeze,
+    /// The endpoints stand still and go on where they were.
+    Standstill,
     /// Endpoints take ten times as long.
     Slow,
     /// Answers are failures.
@@ -38,10 +40,11 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Retransmissions,
         Self::Bursts,
         Self::Freeze,
+        Self::Standstill,
         Self::Slow,
         Self::Failures,
         Self::Refused,
@@ -53,6 +56,7 @@
             Self::Retransmissions => "retransmissions",
             Self::Bursts => "bursts",
             Self::Freeze => "freeze",
+            Self::Standstill => "standstill",
             Self::Slow => "slow",
             Self::Failures => "failures",
             Self::Refused => "refused",
@@ -75,16 +79,28 @@
             Kind::Retransmissions => time + 1_000 + time % 7 * 200,
             Kind::Bursts => time.next_multiple_of(BURST_INTERVAL_MS),
             Kind::Freeze => self.end_ms,
-            Kind::Slow | Kind::Failures | Kind::Refused => time,
+            Kind::Standstill | Kind::Slow | Kind::Failures | Kind::Refused => time,
         }
     }
 
     /// Returns when an endpoint has done what it begins at `time` and usually takes `duration` for, all in
     /// milliseconds.
     pub fn completion(&self, time: u64, duration: u64) -> u64 {
-        if self.kind != Kind::Slow || !self.lasts_at(time) {
+        match self.kind {
+            Kind::Standstill => self.completion_after_standstill(time, duration),
+            Kind::Slow if self.lasts_at(time) => self.slow_completion(time, duration),
+            _ => time + duration,
+        }
+    }
+
+    fn completion_after_standstill(&self, time: u64, duration: u64) -> u64 {
+        if time >= self.end_ms || time + duration <= self.start_ms {
             return time + duration;
         }
+        self.end_ms + duration - self.start_ms.saturating_sub(time)
+    }
+
+    fn slow_completion(&self, time: u64, duration: u64) -> u64 {
         let done = (self.end_ms - time) / SLOW_FACTOR;
         if duration <= done { time + duration * SLOW_FACTOR } else { self.end_ms + duration - done }
     }
--- a/testbed/tests/testsuite/recovery.rs
+++ b/testbed/tests/testsuite/recovery.rs
@@ -26,3 +26,14 @@
         assert!(plot.contains(kind.name()), "{plot}");
     }
 }
+
+#[test]
+fn endpoints_that_stand_still_go_on_where_they_were() {
+    let kind = recovery::Kind::Standstill;
+    let disturbance = recovery::Disturbance { kind, start_ms: 1_000, end_ms: 1_800 };
+    let completion = |time| disturbance.completion(time, 100);
+    assert_eq!(
+        [800, 900, 950, 1_000, 1_500, 1_800].map(completion),
+        [900, 1_000, 1_850, 1_900, 1_900, 1_900]
+    );
+}
