upstream: a limit on the bytes of an answer that hold none of its body

Cause: an endpoint may send without end what is no answer. The HTTP library bounds a head (408 KiB), chunk extensions and trailers (16 KiB each), but neither the number of interim answers nor the blanks after a chunk's size nor leading zeros of it. Such bytes were read until the request's time was up, as fast as they came.

Change: the connection counts what it has read since the last part of a body and fails above 256 KiB, which is handled as an answer that broke off. The endpoint of the tests can send without end, fast or slowly.

Not bounded by this: a body that arrives slowly is waited for until the request's time is up, also on a route that allows another attempt.

--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -57,7 +57,7 @@
 /// An open stream of events and the slot in which the request runs.
 pub(crate) struct OpenStream {
     pub(crate) head: http::response::Parts,
-    pub(crate) body: body::Incoming,
+    pub(crate) body: upstream::AnswerBody,
     /// The part of the body that was already read.
     pub(crate) first: Option<Bytes>,
     /// Whether the answer has a length or chunks; otherwise it ends with its connection.
--- a/crates/gateway/src/ingress/driver/pending_send.rs
+++ b/crates/gateway/src/ingress/driver/pending_send.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use futures::future;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body;
 use trefoildyke_decide::gateway;
 
 use crate::{state, upstream};
@@ -24,15 +23,15 @@
 /// The answer of an endpoint.
 pub(crate) struct Answer {
     pub(super) head: http::response::Parts,
-    pub(super) body: AnswerBody,
+    pub(super) body: ReadBody,
     pub(super) connection: upstream::Connection,
     pub(super) is_framed: bool,
 }
 
 /// The body of an answer.
-pub(crate) enum AnswerBody {
+pub(crate) enum ReadBody {
     /// A stream of events that goes on, and the part of it that was already read.
-    Stream { body: body::Incoming, first: Option<Bytes> },
+    Stream { body: upstream::AnswerBody, first: Option<Bytes> },
     /// The whole body. No byte of it has been sent to the caller.
     Whole(Bytes),
 }
@@ -85,16 +84,16 @@
     let body = if mode.is_stream && head.status.is_success() {
         read_start(body, is_framed, mode.first_wait).await?
     } else {
-        AnswerBody::Whole(collect(body).await?)
+        ReadBody::Whole(collect(body).await?)
     };
     Ok(Answer { head, body, connection: sent.connection, is_framed })
 }
 
 async fn read_start(
-    mut body: body::Incoming,
+    mut body: upstream::AnswerBody,
     is_framed: bool,
     wait: time::Duration,
-) -> Result<AnswerBody, upstream::SendError> {
+) -> Result<ReadBody, upstream::SendError> {
     let mut first = None;
     if !wait.is_zero()
         && let Ok(part) = tokio::time::timeout(wait, upstream::next_part(&mut body)).await
@@ -104,10 +103,10 @@
             return Err(upstream::SendError::cut("no event"));
         }
     }
-    Ok(AnswerBody::Stream { body, first })
+    Ok(ReadBody::Stream { body, first })
 }
 
-async fn collect(body: body::Incoming) -> Result<Bytes, upstream::SendError> {
+async fn collect(body: upstream::AnswerBody) -> Result<Bytes, upstream::SendError> {
     let collected = Limited::new(body, MAX_ANSWER).collect().await;
     collected.map(http_body_util::Collected::to_bytes).map_err(|error| {
         let classified = error.downcast_ref().map(upstream::classify_error);
--- a/crates/gateway/src/ingress/driver/settle.rs
+++ b/crates/gateway/src/ingress/driver/settle.rs
@@ -6,7 +6,7 @@
 use crate::{
     ingress::{
         self, Driver, FailedSend, OpenStream, Received,
-        driver::pending_send::{Answer, AnswerBody},
+        driver::pending_send::{Answer, ReadBody},
     },
     state, upstream,
 };
@@ -27,11 +27,11 @@
         };
         let Answer { head, body, connection, is_framed } = answer;
         match body {
-            AnswerBody::Stream { body, first } => {
+            ReadBody::Stream { body, first } => {
                 self.access.set_answer(&slot.grant().endpoint, is_framed);
                 Ok(Received::Stream(OpenStream { head, body, first, is_framed, connection, slot }))
             }
-            AnswerBody::Whole(body) => {
+            ReadBody::Whole(body) => {
                 self.record_completion(&mut slot, is_framed, head.status.is_success());
                 let endpoint = &slot.grant().endpoint;
                 self.shared.keep_idle(&self.call.service, endpoint, connection);
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -4,11 +4,15 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
-use hyper::{body, client::conn::http1, rt};
-use tokio::task;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use tokio::{io, task};
 use trefoildyke_decide::gateway;
 
-use crate::upstream;
+use crate::{
+    upstream,
+    upstream::framing_limit::{AnswerBody, FramingCount, LimitedStream},
+};
 
 /// The idle time before the first keep-alive probe, and the interval between probes. A connection whose
 /// state was lost without a reset is detected within about three of these.
@@ -17,10 +21,14 @@
 /// How long written bytes may stay unacknowledged before the connection counts as broken.
 const ACK_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
+/// The largest head of an answer, in bytes.
+pub(super) const MAX_HEAD: usize = 64 << 10;
+
 /// A connection to an endpoint; dropping it closes the connection at once, whatever is in progress.
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: task::AbortHandle,
+    framing: FramingCount,
     /// Whether the connection may carry another request.
     reusable: bool,
     /// How long the endpoint keeps the connection open while it is idle.
@@ -33,27 +41,33 @@
     /// Begins HTTP on an open byte stream.
     pub(super) async fn begin(
         pool: &upstream::ConnectionPool,
-        stream: impl rt::Read + rt::Write + Unpin + Send + 'static,
+        stream: impl io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static,
     ) -> std::io::Result<Self> {
-        let handshake = http1::Builder::new().handshake(stream);
+        let framing = FramingCount::default();
+        let stream = LimitedStream { stream, count: framing.clone() };
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_HEAD).handshake(rt::TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
         let driver = pool.spawn(async move {
             // An error of the connection shows at its request.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver, reusable: true, idle_limit: None, idle_until: None })
+        Ok(Self { sender, driver, framing, reusable: true, idle_limit: None, idle_until: None })
     }
 
     /// Sends a request. On failure, the flag tells whether no byte of the request was written.
     pub(super) async fn send(
         &mut self,
         request: hyper::Request<Full<Bytes>>,
-    ) -> Result<hyper::Response<body::Incoming>, (hyper::Error, bool)> {
+    ) -> Result<hyper::Response<AnswerBody>, (hyper::Error, bool)> {
+        self.framing.reset();
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut failed| {
+        let response = sent.map_err(|mut failed| {
             let unsent = failed.take_message().is_some();
             (failed.into_error(), unsent)
-        })
+        })?;
+        self.framing.reset();
+        Ok(response.map(|body| AnswerBody { body, count: self.framing.clone() }))
     }
 
     /// Prevents another request on this connection.
@@ -84,7 +98,7 @@
 }
 
 /// Returns the next part of a body; `None` at its end.
-pub(crate) async fn next_part(body: &mut body::Incoming) -> Option<hyper::Result<Bytes>> {
+pub(crate) async fn next_part(body: &mut AnswerBody) -> Option<hyper::Result<Bytes>> {
     loop {
         match body.frame().await? {
             Ok(frame) => {
--- /dev/null
+++ b/crates/gateway/src/upstream/framing_limit.rs
@@ -0,0 +1,120 @@
+//! Limits what an endpoint may send in place of an answer.
+
+use std::{io, pin, sync, sync::atomic, task};
+
+use bytes::Bytes;
+use hyper::body;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::upstream;
+
+/// The largest number of bytes that may arrive without any of a body among them: interim answers, a head,
+/// or the framing between two parts of a body. It covers what is read ahead of the part that is passed on.
+const MAX_FRAMING: usize = 4 * upstream::MAX_HEAD;
+
+/// The number of bytes that have arrived since the last part of a body. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FramingCount {
+    bytes: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl FramingCount {
+    pub(super) fn reset(&self) {
+        self.bytes.store(0, atomic::Ordering::Relaxed);
+    }
+
+    fn add(&self, length: usize) -> io::Result<()> {
+        let bytes = self.bytes.fetch_add(length, atomic::Ordering::Relaxed) + length;
+        if bytes > MAX_FRAMING {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many bytes without a body",
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// A byte stream whose reads fail when too many bytes have arrived without any of a body.
+pub(super) struct LimitedStream<S> {
+    pub(super) stream: S,
+    pub(super) count: FramingCount,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        task::ready!(pin::Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        task::Poll::Ready(self.count.add(buffer.filled().len() - before))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// The body of an endpoint's answer. It fails when too many bytes arrive between two of its parts.
+pub(crate) struct AnswerBody {
+    pub(super) body: body::Incoming,
+    pub(super) count: FramingCount,
+}
+
+impl body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, hyper::Error>>> {
+        let frame = task::ready!(pin::Pin::new(&mut self.body).poll_frame(context));
+        if matches!(&frame, Some(Ok(frame)) if frame.is_data()) {
+            self.count.reset();
+        }
+        task::Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -2,9 +2,12 @@
 
 mod connection;
 mod dial;
+mod framing_limit;
 mod pool;
 mod send;
 
+use connection::MAX_HEAD;
 pub(crate) use connection::{Connection, classify_error, configure, connect, next_part};
+pub(crate) use framing_limit::AnswerBody;
 pub(crate) use pool::ConnectionPool;
 pub(crate) use send::{Answer, SendError, send};
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -2,7 +2,6 @@
 
 use std::{collections, net, sync, time};
 
-use hyper_util::rt;
 use tokio::task;
 use tokio_util::task as tokio_task;
 use trefoildyke_types::id;
@@ -52,7 +51,7 @@
         address: net::SocketAddr,
     ) -> std::io::Result<upstream::Connection> {
         let stream = upstream::connect(address, self.connect_timeout).await?;
-        upstream::Connection::begin(self, rt::TokioIo::new(stream)).await
+        upstream::Connection::begin(self, stream).await
     }
 
     /// Keeps a connection whose request has ended, unless `limit` idle ones are kept already.
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{StatusCode, body, header};
+use hyper::{StatusCode, header};
 use trefoildyke_decide::gateway;
 
 use crate::{names, names::HeaderNames, state, upstream};
@@ -14,7 +14,7 @@
 
 /// The head of an endpoint's answer that belongs to this request.
 pub(crate) struct Answer {
-    pub(crate) response: hyper::Response<body::Incoming>,
+    pub(crate) response: hyper::Response<upstream::AnswerBody>,
     pub(crate) connection: upstream::Connection,
 }
 
@@ -99,7 +99,7 @@
 fn check_head(
     names: &HeaderNames,
     id: &str,
-    response: hyper::Response<body::Incoming>,
+    response: hyper::Response<upstream::AnswerBody>,
     mut connection: upstream::Connection,
 ) -> Result<Answer, SendError> {
     let headers = response.headers();
@@ -165,7 +165,10 @@
     )
 }
 
-fn keep_alive(response: &hyper::Response<body::Incoming>, connection: &mut upstream::Connection) {
+fn keep_alive(
+    response: &hyper::Response<upstream::AnswerBody>,
+    connection: &mut upstream::Connection,
+) {
     let headers = response.headers();
     let closes = names::text(headers, &header::CONNECTION);
     if closes.is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
--- /dev/null
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -0,0 +1,337 @@
+//! Endpoints that send without end.
+
+use std::time::{Duration, Instant};
+
+use crate::harness::{Endpoint, Reply, Step, TestGateway};
+
+/// The largest answer that is buffered, in bytes.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// The longest event of a stream, in bytes.
+const MAX_EVENT: usize = 256 << 10;
+
+/// The largest number of bytes of an answer among which there is none of its body.
+const MAX_FRAMING: usize = 256 << 10;
+
+/// The time of a request, in milliseconds: much longer than bytes that are no answer may be read.
+const LONG_MS: u64 = 30_000;
+
+/// How soon bytes that are no answer are noticed; far sooner than the time of a request is up.
+const SOON: Duration = Duration::from_secs(5);
+
+/// The kinds of route.
+const ONCE: &str = "POST /once/";
+const AGAIN: &str = "GET /again/";
+const STREAM: &str = "POST /stream/";
+const RESUME: &str = "POST /resume/";
+
+/// The head of an answer in chunks.
+const CHUNKED: Step = Step::Raw(
+    "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+     Transfer-Encoding: chunked\r\n\r\n",
+);
+
+/// The head of an answer that ends with its connection.
+const UNFRAMED: Step = Step::Raw(
+    "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+     Connection: close\r\n\r\n",
+);
+
+/// The head of an answer of a terabyte.
+const HUGE: Step = Step::Raw(
+    "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+     Content-Length: 1099511627776\r\n\r\n",
+);
+
+/// Returns how many bytes of one connection the kernel may hold.
+fn socket_buffers() -> usize {
+    let largest = |name: &str| -> usize {
+        let text = std::fs::read_to_string(format!("/proc/sys/net/ipv4/{name}")).unwrap();
+        text.split_whitespace().next_back().unwrap().parse().unwrap()
+    };
+    largest("tcp_rmem") + largest("tcp_wmem")
+}
+
+/// An endpoint that sends without end, another one, and the gateway before them.
+struct Setup {
+    gateway: TestGateway,
+    first: Endpoint,
+    second: Endpoint,
+}
+
+impl Setup {
+    /// Starts an endpoint that follows `script` at its first request, and another one in another zone.
+    fn start(script: Vec<Step>) -> Self {
+        Self::with_timeout(script, LONG_MS)
+    }
+
+    /// Starts the same with a timeout of each route.
+    fn with_timeout(script: Vec<Step>, timeout_ms: u64) -> Self {
+        let rest = vec![Step::Stream, Step::Events("id: 9\ndata: z\n\n"), Step::EndStream];
+        let first = Endpoint::start(vec![script, rest.clone()]);
+        let second = Endpoint::start(vec![rest]);
+        let gateway = TestGateway::start(&[&first, &second]);
+        gateway.reconfigure(2, |config| {
+            for route in &mut config.routes {
+                route.timeout_ms = timeout_ms;
+            }
+        });
+        let mut entries = crate::harness::entries(&[&first, &second]);
+        entries[1].zone = "b".into();
+        gateway.feed.set_endpoints(entries);
+        Self { gateway, first, second }
+    }
+
+    /// Sends a request; returns the answer, or `None` if the connection ended without one.
+    fn send(&self, line: &str) -> Option<Reply> {
+        let mut caller = self.gateway.caller();
+        let started = Instant::now();
+        let deadline = LONG_MS.to_string();
+        let headers = [
+            ("trefoildyke-request-id", "r1"),
+            ("trefoildyke-key", "k1"),
+            ("trefoildyke-deadline-ms", &deadline),
+        ];
+        caller.send(line, &headers, "");
+        let reply = caller.read_reply();
+        assert!(started.elapsed() < SOON, "{line} was answered after {:?}", started.elapsed());
+        reply
+    }
+
+    /// Returns the number of requests at each endpoint.
+    fn runs(&self) -> (usize, usize) {
+        (self.first.requests().len(), self.second.requests().len())
+    }
+
+    /// Waits until the connection that is written without end is closed, and checks how much was written.
+    fn check_closed(&self, limit: usize, what: &str) {
+        TestGateway::wait_until(what, || self.first.closed() >= 1);
+        let written = self.first.endless_bytes();
+        assert!(written <= limit + socket_buffers(), "{what}: {written} bytes");
+    }
+
+    /// Sends requests after the one that was answered without end.
+    fn check_next(&self, what: &str) {
+        for line in [ONCE, AGAIN, STREAM, RESUME] {
+            let reply = self.send(line).unwrap();
+            assert_eq!((reply.status, reply.is_complete), (200, true), "{what}, then {line}");
+        }
+    }
+}
+
+/// Checks that bytes without end in place of a head count as an answer that has broken off.
+fn check_head(script: &[Step]) {
+    for (line, status, runs) in
+        [(ONCE, 502, (1, 0)), (AGAIN, 200, (1, 1)), (STREAM, 502, (1, 0)), (RESUME, 200, (1, 1))]
+    {
+        let what = format!("{line} {script:?}");
+        let setup = Setup::start(script.to_vec());
+        let reply = setup.send(line).unwrap();
+        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}");
+        assert!(reply.is_complete, "{what}");
+        setup.check_closed(MAX_FRAMING, &what);
+        setup.check_next(&what);
+    }
+}
+
+/// Checks that bytes without end in a body count as an answer that has broken off on each route.
+fn check_body(script: &[Step], limit: usize) {
+    check_whole(script, limit);
+    check_stream(script, limit);
+}
+
+/// Checks that a body without end counts as an answer that has broken off where answers are buffered.
+fn check_whole(script: &[Step], limit: usize) {
+    for (line, status, runs) in [(ONCE, 502, (1, 0)), (AGAIN, 200, (1, 1))] {
+        let what = format!("{line} {script:?}");
+        let setup = Setup::start(script.to_vec());
+        let reply = setup.send(line).unwrap();
+        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}");
+        setup.check_closed(limit, &what);
+        setup.check_next(&what);
+    }
+}
+
+/// Checks that a body without end counts as a stream that has broken off.
+fn check_stream(script: &[Step], limit: usize) {
+    for (line, is_complete, runs) in [(STREAM, false, (1, 0)), (RESUME, true, (1, 1))] {
+        let what = format!("{line} {script:?}");
+        let setup = Setup::start(script.to_vec());
+        let reply = setup.send(line).filter(|reply| reply.is_complete);
+        assert_eq!((reply.is_some(), setup.runs()), (is_complete, runs), "{what}");
+        assert!(reply.is_none_or(|reply| reply.body.ends_with("id: 9\ndata: z\n\n")), "{what}");
+        setup.check_closed(limit, &what);
+        setup.check_next(&what);
+    }
+}
+
+#[test]
+fn a_status_line_without_end_is_no_answer() {
+    check_head(&[Step::Raw("HTTP/1.1 200 "), Step::Endless("x")]);
+}
+
+#[test]
+fn header_lines_without_end_are_no_answer() {
+    check_head(&[Step::Raw("HTTP/1.1 200 OK\r\n"), Step::Endless("a: b\r\n")]);
+}
+
+#[test]
+fn a_header_value_without_end_is_no_answer() {
+    check_head(&[Step::Raw("HTTP/1.1 200 OK\r\na: "), Step::Endless("x")]);
+}
+
+#[test]
+fn interim_answers_without_end_are_no_answer() {
+    check_head(&[Step::Endless("HTTP/1.1 100 Continue\r\n\r\n")]);
+    check_head(&[Step::Endless("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n")]);
+}
+
+#[test]
+fn bytes_without_end_that_are_no_http_are_no_answer() {
+    for bytes in ["x", "\0", "\r\n", "GET / HTTP/1.1\r\n\r\n"] {
+        check_head(&[Step::Endless(bytes)]);
+    }
+}
+
+#[test]
+fn a_chunk_size_without_end_breaks_off_an_answer() {
+    for (start, bytes) in [("5;", "x"), ("5", " "), ("", "0"), ("5;", "a=b;")] {
+        check_body(&[CHUNKED, Step::Raw(start), Step::Endless(bytes)], MAX_FRAMING);
+    }
+}
+
+#[test]
+fn trailers_without_end_break_off_an_answer() {
+    for (start, bytes) in [("0\r\n", "a: b\r\n"), ("0\r\na: ", "x")] {
+        check_body(&[CHUNKED, Step::Raw(start), Step::Endless(bytes)], MAX_FRAMING);
+    }
+}
+
+#[test]
+fn a_body_without_end_breaks_off_an_answer() {
+    let chunk = "100\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+         xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+         xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\
+         xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n";
+    assert_eq!(chunk.len(), 0x100 + 7);
+    // Each chunk of 256 bytes has seven bytes of framing.
+    check_whole(&[CHUNKED, Step::Endless(chunk)], MAX_ANSWER / 0x100 * (0x100 + 7) + MAX_FRAMING);
+    check_whole(&[UNFRAMED, Step::Endless("x")], MAX_ANSWER + MAX_FRAMING);
+    check_whole(&[HUGE, Step::Endless("x")], MAX_ANSWER + MAX_FRAMING);
+}
+
+#[test]
+fn an_event_without_end_breaks_off_a_stream() {
+    check_stream(
+        &[UNFRAMED, Step::Raw("id: 1\ndata: "), Step::Endless("x")],
+        MAX_EVENT + MAX_FRAMING,
+    );
+    check_stream(
+        &[HUGE, Step::Raw("id: 1\n"), Step::Endless("data: x\n")],
+        MAX_EVENT + MAX_FRAMING,
+    );
+}
+
+/// The last bytes of an answer, and the bytes without end after it.
+const EXTRA: [&str; 3] =
+    ["x", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"];
+
+#[test]
+fn bytes_without_end_after_an_answer_close_its_connection() {
+    for extra in EXTRA {
+        for line in [ONCE, AGAIN] {
+            let what = format!("{line} {extra}");
+            let setup = Setup::start(vec![Step::Answer("whole"), Step::Endless(extra)]);
+            let reply = setup.send(line).unwrap();
+            assert_eq!((reply.status, reply.body.as_str()), (200, "whole"), "{what}");
+            setup.check_closed(MAX_FRAMING, &what);
+            setup.check_next(&what);
+        }
+        for line in [STREAM, RESUME] {
+            let what = format!("{line} {extra}");
+            let events = Step::Events("id: 1\ndata: a\n\n");
+            let setup =
+                Setup::start(vec![Step::Stream, events, Step::EndStream, Step::Endless(extra)]);
+            let reply = setup.send(line).unwrap();
+            assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 1\ndata: a\n\n", true));
+            setup.check_closed(MAX_FRAMING, &what);
+            setup.check_next(&what);
+        }
+    }
+}
+
+#[test]
+fn bytes_without_end_are_not_taken_for_the_answer_to_the_next_request() {
+    for extra in EXTRA {
+        for (line, status, runs) in
+            [(ONCE, 502, 0), (AGAIN, 200, 1), (STREAM, 502, 0), (RESUME, 200, 1)]
+        {
+            let what = format!("{line} {extra}");
+            let setup = Setup::start(vec![Step::Answer("whole"), Step::Hold, Step::Endless(extra)]);
+            assert_eq!(setup.send(AGAIN).unwrap().body, "whole");
+            let reply = std::thread::scope(|scope| {
+                let next = scope.spawn(|| setup.send(line));
+                // The endpoint reads no further request. If this one were still unsent when it is released, the
+                // connection would end first.
+                std::thread::sleep(Duration::from_millis(200));
+                setup.first.release_one();
+                next.join().unwrap().unwrap()
+            });
+            assert_eq!((reply.status, setup.runs()), (status, (1, runs)), "{what}");
+            setup.check_closed(MAX_FRAMING, &what);
+            setup.check_next(&what);
+        }
+    }
+}
+
+/// The pause between the bytes of an endpoint that sends slowly.
+const SLOW: Duration = Duration::from_millis(20);
+
+#[test]
+fn a_head_that_arrives_slowly_without_end_is_waited_for_until_the_timeout() {
+    for (line, status, runs) in
+        [(ONCE, 504, (1, 0)), (AGAIN, 200, (1, 1)), (STREAM, 504, (1, 0)), (RESUME, 200, (1, 1))]
+    {
+        let script = vec![Step::Raw("HTTP/1.1 200 OK\r\na: "), Step::Trickle("x", SLOW)];
+        let setup = Setup::with_timeout(script, 1_000);
+        let reply = setup.send(line).unwrap();
+        assert_eq!((reply.status, setup.runs()), (status, runs), "{line}");
+        setup.check_closed(MAX_FRAMING, line);
+        setup.check_next(line);
+    }
+}
+
+#[test]
+fn a_body_that_arrives_slowly_without_end_is_cut_off_at_the_timeout() {
+    for (line, status) in [(ONCE, Some(504)), (STREAM, None)] {
+        let setup =
+            Setup::with_timeout(vec![HUGE, Step::Raw("data: "), Step::Trickle("x", SLOW)], 1_000);
+        let reply = setup.send(line).filter(|reply| reply.is_complete);
+        assert_eq!((reply.map(|reply| reply.status), setup.runs()), (status, (1, 0)), "{line}");
+        setup.check_closed(MAX_EVENT, line);
+        setup.check_next(line);
+    }
+}
+
+/// Guards against a limit that counts what is read ahead of a slow caller.
+#[test]
+fn a_long_answer_that_ends_is_forwarded_whole() {
+    let data = "x".repeat(1 << 10);
+    let events: String = (0..6_000).map(|id| format!("id: {id}\ndata: {data}\n\n")).collect();
+    let events: &str = Box::leak(events.into_boxed_str());
+    for script in [
+        vec![Step::Stream, Step::Events(events), Step::EndStream],
+        vec![UNFRAMED, Step::Raw(events), Step::Close],
+        vec![Step::Answer(events)],
+    ] {
+        for line in [ONCE, STREAM] {
+            let setup = Setup::start(script.clone());
+            let mut caller = setup.gateway.caller();
+            caller.send(line, &[("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")], "");
+            std::thread::sleep(Duration::from_millis(300));
+            let reply = caller.read_reply().unwrap();
+            assert!(reply.is_complete, "{line}: {} bytes", reply.body.len());
+            assert_eq!(reply.body, events, "{line}");
+        }
+    }
+}
--- a/crates/gateway/tests/testsuite/harness/endpoint.rs
+++ b/crates/gateway/tests/testsuite/harness/endpoint.rs
@@ -20,6 +20,10 @@
     EndStream,
     /// Sends these bytes unchanged, except that `{id}` is replaced by the request's id.
     Raw(&'static str),
+    /// Sends these bytes again and again until the connection ends.
+    Endless(&'static str),
+    /// Sends these bytes again and again with a pause before each, until the connection ends.
+    Trickle(&'static str, time::Duration),
     /// Sleeps.
     Pause(time::Duration),
     /// Waits until the test releases one request, in any order.
@@ -37,6 +41,7 @@
     pub(crate) address: net::SocketAddr,
     requests: sync::Arc<sync::Mutex<Vec<String>>>,
     closed: sync::Arc<sync::atomic::AtomicUsize>,
+    endless: sync::Arc<sync::atomic::AtomicUsize>,
     releases: sync::Arc<Releases>,
 }
 
@@ -68,12 +73,14 @@
         let address = listener.local_addr().unwrap();
         let requests = sync::Arc::new(sync::Mutex::new(Vec::new()));
         let closed = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
+        let endless = sync::Arc::new(sync::atomic::AtomicUsize::new(0));
         let scripts = sync::Arc::new(scripts);
         let releases = sync::Arc::<Releases>::default();
         let endpoint = Self {
             address,
             requests: requests.clone(),
             closed: closed.clone(),
+            endless: endless.clone(),
             releases: releases.clone(),
         };
         // The thread ends with the test process.
@@ -81,8 +88,9 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 let (requests, scripts) = (requests.clone(), scripts.clone());
                 let (closed, releases) = (closed.clone(), releases.clone());
+                let endless = endless.clone();
                 thread::spawn(move || {
-                    serve(stream, &requests, &scripts, &releases);
+                    serve(stream, &requests, &scripts, &releases, &endless);
                     closed.fetch_add(1, sync::atomic::Ordering::Relaxed);
                 });
             }
@@ -104,6 +112,11 @@
     pub(crate) fn closed(&self) -> usize {
         self.closed.load(sync::atomic::Ordering::Relaxed)
     }
+
+    /// Returns how many bytes were written without end, on all connections.
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.endless.load(sync::atomic::Ordering::Relaxed)
+    }
 }
 
 fn serve(
@@ -111,6 +124,7 @@
     requests: &sync::Mutex<Vec<String>>,
     scripts: &[Vec<Step>],
     releases: &Releases,
+    endless: &sync::atomic::AtomicUsize,
 ) {
     while let Some(request) = read_request(&mut stream) {
         let number = {
@@ -120,9 +134,13 @@
         };
         let script = scripts.get(number).or(scripts.last()).unwrap();
         for step in script {
-            if matches!(step, Step::Hold) {
-                releases.take();
-            } else if !run_step(&mut stream, step, &header(&request, "trefoildyke-request-id")) {
+            match step {
+                Step::Hold => releases.take(),
+                Step::Endless(bytes) => return send_endless(&mut stream, bytes, endless),
+                Step::Trickle(bytes, pause) => return trickle(&mut stream, bytes, *pause, endless),
+                _ => {}
+            }
+            if !run_step(&mut stream, step, &header(&request, "trefoildyke-request-id")) {
                 return;
             }
         }
@@ -154,7 +172,7 @@
             thread::sleep(*length);
             return true;
         }
-        Step::Hold => return true,
+        Step::Hold | Step::Endless(_) | Step::Trickle(..) => return true,
         Step::AwaitClose => {
             let _ = std::io::copy(stream, &mut std::io::sink());
             return false;
@@ -169,6 +187,38 @@
     stream.write_all(text.as_bytes()).is_ok()
 }
 
+/// The least number of bytes that are written at once without end.
+const ENDLESS_BLOCK: usize = 16 << 10;
+
+/// Writes `bytes` until the connection ends.
+fn send_endless(stream: &mut net::TcpStream, bytes: &str, written: &sync::atomic::AtomicUsize) {
+    let block = bytes.repeat(ENDLESS_BLOCK.div_ceil(bytes.len()));
+    let mut rest = block.as_bytes();
+    while let Ok(length @ 1..) = stream.write(rest) {
+        written.fetch_add(length, sync::atomic::Ordering::Relaxed);
+        rest = &rest[length..];
+        if rest.is_empty() {
+            rest = block.as_bytes();
+        }
+    }
+}
+
+/// Writes `bytes` with a pause before each until the connection ends.
+fn trickle(
+    stream: &mut net::TcpStream,
+    bytes: &str,
+    pause: time::Duration,
+    written: &sync::atomic::AtomicUsize,
+) {
+    loop {
+        thread::sleep(pause);
+        if stream.write_all(bytes.as_bytes()).is_err() {
+            return;
+        }
+        written.fetch_add(bytes.len(), sync::atomic::Ordering::Relaxed);
+    }
+}
+
 pub(super) fn read_request(stream: &mut net::TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod crashing_parts;
 mod drains;
+mod endless;
 mod failures;
 mod fuzz;
 mod keys;
