decide: search only the new bytes of a stream for the end of an event

Cause: each part of an event that had not ended was searched together with all parts before it. An event of 256 KiB in chunks of 4 bytes takes 65,536 searches of 128 KiB on average, on the one thread that serves all requests.

Change: a search begins three bytes before the new ones, as the longest end of an event has four.

--- a/crates/decide/src/gateway/events.rs
+++ b/crates/decide/src/gateway/events.rs
@@ -22,6 +22,9 @@
 /// The byte sequences that end an event.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 
+/// The length of the longest of these sequences, in bytes.
+const MAX_END_BYTES: usize = 4;
+
 impl EventSplitter {
     /// Adds bytes to the stream and returns the complete events among the bytes held so far, if
     /// any.
@@ -34,9 +37,12 @@
         {
             bytes
         } else {
+            // The bytes held so far contain no end, but it may begin among them.
+            let from = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
             self.partial.extend_from_slice(&bytes);
             let end = EVENT_ENDS.iter().filter_map(|end| {
-                memchr::memmem::rfind(&self.partial, end).map(|start| start + end.len())
+                let start = memchr::memmem::rfind(&self.partial[from..], end);
+                start.map(|start| from + start + end.len())
             });
             match end.max() {
                 Some(end) => self.partial.split_to(end).freeze(),
--- a/crates/gateway/tests/testsuite/endless.rs
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -335,3 +335,11 @@
         }
     }
 }
+
+/// Guards against a search of the whole event for its end with each of its parts.
+#[test]
+fn an_event_without_end_in_small_parts_breaks_off_a_stream() {
+    // Each chunk of four bytes has five bytes of framing.
+    let limit = MAX_EVENT / 4 * (4 + 5) + MAX_FRAMING;
+    check_stream(&[CHUNKED, Step::Endless("4\r\nxxxx\r\n")], limit);
+}
