decide: events without a new id are no stream of events without end

Cause: only a single event was bounded. Complete events without an id, the same event again, comments and blank lines were forwarded as fast as they came until the request's time was up; each of them also counted as a sign of life, so that a resumable stream was not continued elsewhere.

Change: the limit of 256 KiB holds for an event with all that precedes it since the last new id. The stream then counts as broken off and, where that is allowed, is resumed after that id.

Streams whose endpoint gives no ids at all now end after 256 KiB; the users' endpoints give each event one.

--- a/crates/decide/src/gateway/events.rs
+++ b/crates/decide/src/gateway/events.rs
@@ -4,19 +4,23 @@
 
 /// Passes on complete events and holds back the bytes of an incomplete one.
 ///
-/// A stream that breaks off therefore ends after a complete event and can be resumed there.
+/// A stream that breaks off therefore ends after a complete event and can be resumed there. Events have
+/// increasing ids; bytes that bring no new id for too long are no stream of events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<String>,
+    /// The number of bytes passed on since the last new id.
+    unnumbered: usize,
 }
 
-/// The maximum length of an event in bytes, a thousand times the usual length.
+/// The maximum length in bytes of an event and what precedes it without a new id, a thousand times the usual
+/// length.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// The error for an event that exceeds the maximum length.
+/// The error for a stream in which no event with a new id ends within the maximum length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event is longer than 256 KiB")]
+#[error("no event with a new id ended within 256 KiB")]
 pub struct EventTooLong;
 
 /// The byte sequences that end an event.
@@ -31,7 +35,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is longer than 256 KiB.
+    /// Fails if no event with a new id ends within 256 KiB.
     pub fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventTooLong> {
         let events = if self.partial.is_empty() && EVENT_ENDS.iter().any(|end| bytes.ends_with(end))
         {
@@ -46,11 +50,20 @@
             });
             match end.max() {
                 Some(end) => self.partial.split_to(end).freeze(),
-                None if self.partial.len() > MAX_EVENT_BYTES => return Err(EventTooLong),
+                None if self.unnumbered + self.partial.len() > MAX_EVENT_BYTES => {
+                    return Err(EventTooLong);
+                }
                 None => return Ok(None),
             }
         };
-        self.record_id(&events);
+        if self.record_id(&events) {
+            self.unnumbered = 0;
+            return Ok(Some(events));
+        }
+        self.unnumbered += events.len();
+        if self.unnumbered > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         Ok(Some(events))
     }
 
@@ -59,9 +72,10 @@
         !self.partial.is_empty()
     }
 
-    /// Discards an incomplete event.
+    /// Discards an incomplete event, so that another source can continue the stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.unnumbered = 0;
     }
 
     /// Returns the id of the last complete event that had one.
@@ -69,11 +83,14 @@
         self.last_id.as_deref()
     }
 
-    fn record_id(&mut self, events: &[u8]) {
+    /// Records the last id among `events`; returns whether it is new.
+    fn record_id(&mut self, events: &[u8]) -> bool {
         // Only the beginnings of lines count, because the data may contain the same characters.
         let id = events.rsplit(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"));
-        if let Some(Ok(id)) = id.map(std::str::from_utf8) {
-            self.last_id = Some(id.trim().to_owned());
-        }
+        let Some(Ok(id)) = id.map(std::str::from_utf8) else { return false };
+        let id = Some(id.trim().to_owned());
+        let is_new = id != self.last_id;
+        self.last_id = id;
+        is_new
     }
 }
--- a/crates/decide/tests/testsuite/gateway/events.rs
+++ b/crates/decide/tests/testsuite/gateway/events.rs
@@ -29,6 +29,26 @@
     assert!(pushed.any(|pushed| pushed == Err(EventTooLong)));
 }
 
+#[test]
+fn a_stream_that_brings_no_new_id_is_an_error() {
+    for events in ["data: x\n\n", ": x\n\n", "\n\n", "\r\n\r\n", "id: 1\ndata: x\n\n", "id\n\n"] {
+        let mut splitter = EventSplitter::default();
+        let piece = Bytes::from(events.repeat((64 << 10) / events.len()));
+        let mut pushed = (0..10).map(|_| splitter.push(piece.clone()));
+        assert!(pushed.any(|pushed| pushed == Err(EventTooLong)), "{events}");
+    }
+}
+
+#[test]
+fn a_long_stream_with_comments_between_its_events_passes() {
+    let mut splitter = EventSplitter::default();
+    let comments = ": x\n\n".repeat(10_000);
+    for id in 0..100 {
+        let piece = format!("{comments}id: {id}\ndata: x\n\n");
+        assert_eq!(splitter.push(Bytes::from(piece.clone())), Ok(Some(Bytes::from(piece))));
+    }
+}
+
 #[test]
 fn the_id_of_the_last_whole_event_is_known() {
     let (complete, events) = feed("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda", &[5]);
--- a/crates/gateway/tests/testsuite/endless.rs
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -343,3 +343,10 @@
     let limit = MAX_EVENT / 4 * (4 + 5) + MAX_FRAMING;
     check_stream(&[CHUNKED, Step::Endless("4\r\nxxxx\r\n")], limit);
 }
+
+#[test]
+fn events_without_end_and_without_a_new_id_break_off_a_stream() {
+    for events in ["data: x\n\n", ": x\n\n", "\n", "\r\n\r\n", "id: 1\ndata: x\n\n", "id\n\n"] {
+        check_stream(&[UNFRAMED, Step::Endless(events)], MAX_EVENT + MAX_FRAMING);
+    }
+}
