relay: bytes that complete no event do not put off the resumption of a stream

Cause: each frame restarted the time after which a silent resumable stream is resumed elsewhere. An endpoint that sends an event byte by byte without an end kept its request until the caller left.

Change: the time runs from the last complete event, as its constant says. The tests also send requests to another service while endless answers arrive on every kind of route.

Unchanged: whole events and comments that arrive slowly count, also without a new id, until 256 KiB of them have come.

--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -36,6 +36,7 @@
         source: Some(opened),
         events: gateway::EventSplitter::default(),
         end,
+        silent_since: tokio::time::Instant::now(),
         ignores_silence: false,
     };
     headers.remove(hyper::header::CONTENT_LENGTH);
@@ -52,6 +53,8 @@
     events: gateway::EventSplitter,
     /// When the stream is cut off.
     end: tokio::time::Instant,
+    /// When the last whole event came, or another endpoint was last asked to go on.
+    silent_since: tokio::time::Instant,
     /// Whether to wait for the next event however long it takes, because the request may not be sent again.
     ignores_silence: bool,
 }
@@ -91,9 +94,8 @@
         loop {
             let silence_limit = self.silence_limit();
             let Some(source) = &mut self.source else { return Step::Abort(BROKEN) };
-            let until = silence_limit.map_or(self.end, |silence_limit| {
-                self.end.min(tokio::time::Instant::now() + silence_limit)
-            });
+            let until = silence_limit
+                .map_or(self.end, |silence_limit| self.end.min(self.silent_since + silence_limit));
             let step = match tokio::time::timeout_at(until, source.next_part()).await {
                 Ok(part) => self.handle_part(part),
                 Err(_) if until >= self.end => Some(Step::Abort(TIMEOUT)),
@@ -126,9 +128,14 @@
         let pause = source.slot.record_part();
         self.driver.access.record_part(pause);
         self.driver.record_progress(&mut source.slot);
-        self.ignores_silence = false;
         match self.events.push(bytes) {
-            Ok(events) => events.map(Step::Part),
+            // Bytes that complete no event do not count.
+            Ok(None) => None,
+            Ok(Some(events)) => {
+                self.silent_since = tokio::time::Instant::now();
+                self.ignores_silence = false;
+                Some(Step::Part(events))
+            }
             Err(error) => {
                 let send = source.slot.send();
                 let failure = gateway::Failure::Lost;
@@ -150,6 +157,7 @@
     /// silent endpoint meanwhile, or `None` if the wait for the next event goes on.
     async fn replace_source(&mut self) -> Option<Step> {
         if !self.driver.has_untried_endpoint() {
+            self.silent_since = tokio::time::Instant::now();
             return None;
         }
         if !self.driver.reserve_resend() {
@@ -167,32 +175,51 @@
                 slot = self.driver.acquire_slot() => slot,
             };
             let Ok(slot) = slot else { break };
-            let mut pending = self.driver.start_hedge(slot, after.as_deref());
-            let failed = tokio::select! {
+            let pending = self.driver.start_hedge(slot, after.as_deref());
+            let failed = match self.race(pending, after.as_deref()).await {
+                Ok(step) => return step,
+                Err(failed) => failed,
+            };
+            if self.driver.handle_failure_beside(failed) != gateway::RetryAction::Again {
+                break;
+            }
+        }
+        self.driver.release_retry();
+        self.silent_since = tokio::time::Instant::now();
+        None
+    }
+
+    /// Waits for the next event of the silent endpoint or the first one of the endpoint that was asked to go
+    /// on, whichever comes first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint that was asked cannot go on; the silent one still has the stream.
+    async fn race(
+        &mut self,
+        mut pending: ingress::PendingSend,
+        after: Option<&str>,
+    ) -> Result<Option<Step>, ingress::FailedSend> {
+        loop {
+            let Some(source) = &mut self.source else { return Ok(None) };
+            tokio::select! {
                 part = source.next_part() => match self.handle_part(part) {
+                    None => {}
                     Some(Step::Broken(failed)) => {
-                        return self.await_replacement(pending, failed, after).await;
+                        return Ok(self.await_replacement(pending, failed, after).await);
                     }
                     step => {
                         self.driver.record_withdrawal(&pending.slot);
-                        return step;
+                        return Ok(step);
                     }
                 },
                 answer = pending.answer() => {
                     let received = self.driver.settle(pending.slot, answer);
-                    match self.take_over(received, after.as_deref()) {
-                        Ok(()) => return None,
-                        Err(failed) => failed,
-                    }
+                    return self.take_over(received, after).map(|()| None);
                 }
-                () = tokio::time::sleep_until(self.end) => return Some(Step::Abort(TIMEOUT)),
-            };
-            if self.driver.handle_failure_beside(failed) != gateway::RetryAction::Again {
-                break;
+                () = tokio::time::sleep_until(self.end) => return Ok(Some(Step::Abort(TIMEOUT))),
             }
         }
-        self.driver.release_retry();
-        None
     }
 
     /// Waits for the endpoint that was asked to go on, after the silent one has broken off.
@@ -200,12 +227,12 @@
         &mut self,
         pending: ingress::PendingSend,
         failed: ingress::FailedSend,
-        after: Option<String>,
+        after: Option<&str>,
     ) -> Option<Step> {
         self.leave_source();
         self.driver.handle_replaced_failure(failed);
         let received = self.driver.wait(pending, self.end).await;
-        self.take_over(received, after.as_deref()).err().map(Step::Broken)
+        self.take_over(received, after).err().map(Step::Broken)
     }
 
     /// Aborts a stream that cannot be resumed.
@@ -267,6 +294,7 @@
             }
         };
         self.events.discard_partial();
+        self.silent_since = tokio::time::Instant::now();
         let endpoint = std::mem::replace(&mut self.endpoint, opened.slot.grant().endpoint.clone());
         if let Some(silent) = self.source.replace(opened) {
             self.driver.abandon(silent.slot, "no event for too long");
--- a/crates/gateway/tests/testsuite/endless.rs
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use trefoildyke_decide::gateway::Service;
+
 use crate::harness::{Endpoint, Reply, Step, TestGateway};
 
 /// The largest answer that is buffered, in bytes.
@@ -313,6 +315,62 @@
     }
 }
 
+/// Guards against taking each byte of an event that does not end for a sign of life.
+#[test]
+fn an_event_that_arrives_slowly_without_end_is_resumed_elsewhere() {
+    let start = Step::Raw("id: 1\ndata: a\n\nid: 2\ndata: ");
+    let setup = Setup::start(vec![UNFRAMED, start, Step::Trickle("x", SLOW)]);
+    let reply = setup.send(RESUME).unwrap();
+    assert_eq!(reply.body, "id: 1\ndata: a\n\nid: 9\ndata: z\n\n");
+    assert_eq!((reply.is_complete, setup.runs()), (true, (1, 1)));
+    setup.check_closed(MAX_EVENT, RESUME);
+    setup.check_next(RESUME);
+}
+
+/// The longest time of a request to another service while answers without end arrive.
+const OTHERS: Duration = Duration::from_secs(1);
+
+/// Sends requests to another service while several endless answers arrive at a time.
+fn check_others(script: &[Step]) {
+    let endless = Endpoint::start(vec![script.to_vec()]);
+    let other = Endpoint::start(vec![vec![Step::Answer("other")]]);
+    let gateway = TestGateway::start(&[]);
+    gateway.reconfigure(2, |config| {
+        config.routes[4].targets[0].service = "other".into();
+        config.services.push(Service { name: "other".into(), ..config.services[0].clone() });
+    });
+    let mut entries = crate::harness::entries(&[&endless, &other]);
+    entries[1].service = "other".into();
+    gateway.feed.set_endpoints(entries);
+    std::thread::scope(|scope| {
+        let senders: Vec<_> = [ONCE, AGAIN, STREAM, RESUME]
+            .map(|line| {
+                let gateway = &gateway;
+                scope.spawn(move || drop(gateway.request(line)))
+            })
+            .into();
+        while !senders.iter().all(std::thread::ScopedJoinHandle::is_finished) {
+            let started = Instant::now();
+            let reply = gateway.request("POST /open/").unwrap();
+            assert_eq!((reply.status, reply.body.as_str()), (200, "other"), "{script:?}");
+            assert!(started.elapsed() < OTHERS, "{script:?}: {:?}", started.elapsed());
+        }
+    });
+    assert!(!endless.requests().is_empty());
+}
+
+#[test]
+fn other_requests_are_served_while_answers_without_end_arrive() {
+    check_others(&[Step::Endless("x")]);
+    check_others(&[Step::Endless("HTTP/1.1 100 Continue\r\n\r\n")]);
+    check_others(&[CHUNKED, Step::Raw("5"), Step::Endless(" ")]);
+    check_others(&[CHUNKED, Step::Endless("4\r\nxxxx\r\n")]);
+    check_others(&[UNFRAMED, Step::Endless("\n")]);
+    check_others(&[HUGE, Step::Endless("x")]);
+    check_others(&[HUGE, Step::Trickle("x", SLOW)]);
+    check_others(&[Step::Answer("whole"), Step::Endless("x")]);
+}
+
 /// Guards against a limit that counts what is read ahead of a slow caller.
 #[test]
 fn a_long_answer_that_ends_is_forwarded_whole() {
