upstream: a limit on all answers that are being buffered together

Cause: each answer that is read as a whole may have 8 MiB, but nothing bounded how many do at a time. Twelve endless ones fill a host of 88 MB.

Change: above 24 MiB together, an answer of more than 64 KiB that goes on breaks off. Smaller ones are always read.

Before: many_long_answers_without_end_are_not_buffered_together failed: twelve answers of 4 MiB each were still held after 5 s, with a route timeout of 30 s. After: passed in 7 of 7 runs (0.4 s). Resident memory was not measured; the limit does not cover answers that are complete and are being sent to slow callers, nor the copy that joins the parts of one answer.

--- a/crates/gateway/src/ingress/driver/pending_send.rs
+++ b/crates/gateway/src/ingress/driver/pending_send.rs
@@ -4,14 +4,11 @@
 
 use bytes::Bytes;
 use futures::future;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use trefoildyke_decide::gateway;
 
 use crate::{state, upstream};
 
-/// The largest answer that is buffered, in bytes; twice the default limit on callers' bodies.
-const MAX_ANSWER: usize = 8 << 20;
-
 /// A request at an endpoint. Dropping it closes the connection and frees the slot.
 pub(crate) struct PendingSend {
     pub(crate) slot: state::Slot,
@@ -61,7 +58,7 @@
             let on_rate_limit = |limit| shared.note_rate_limit(&service, &grant, limit);
             let sent = upstream::send(&shared, &grant, &id, &request, on_rate_limit).await?;
             set_began.store(true, atomic::Ordering::Relaxed);
-            read(sent, mode).await
+            read(&shared, sent, mode).await
         };
         Self { slot, answer: Box::pin(answer), began }
     }
@@ -78,13 +75,17 @@
     }
 }
 
-async fn read(sent: upstream::Answer, mode: ReadMode) -> Result<Answer, upstream::SendError> {
+async fn read(
+    shared: &state::Shared,
+    sent: upstream::Answer,
+    mode: ReadMode,
+) -> Result<Answer, upstream::SendError> {
     let is_framed = sent.is_framed();
     let (head, body) = sent.response.into_parts();
     let body = if mode.is_stream && head.status.is_success() {
         read_start(body, is_framed, mode.first_wait).await?
     } else {
-        ReadBody::Whole(collect(body).await?)
+        ReadBody::Whole(collect(shared, body).await?)
     };
     Ok(Answer { head, body, connection: sent.connection, is_framed })
 }
@@ -106,8 +107,11 @@
     Ok(ReadBody::Stream { body, first })
 }
 
-async fn collect(body: upstream::AnswerBody) -> Result<Bytes, upstream::SendError> {
-    let collected = Limited::new(body, MAX_ANSWER).collect().await;
+async fn collect(
+    shared: &state::Shared,
+    body: upstream::AnswerBody,
+) -> Result<Bytes, upstream::SendError> {
+    let collected = shared.buffered.limit(body).collect().await;
     collected.map(http_body_util::Collected::to_bytes).map_err(|error| {
         let classified = error.downcast_ref().map(upstream::classify_error);
         upstream::SendError {
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -25,6 +25,8 @@
     /// Counts the requests in progress.
     pub(crate) gate: kernel::Gate,
     pub(crate) connections: upstream::ConnectionPool,
+    /// The answers that are being read as a whole.
+    pub(crate) buffered: upstream::BufferedBytes,
     /// Queries to other daemons about the store.
     pub(crate) queries: query::Queries,
     /// Transfers of the configuration to other daemons.
@@ -60,6 +62,7 @@
             metrics,
             gate: kernel::Gate::default(),
             connections,
+            buffered: upstream::BufferedBytes::default(),
             queries: query::Queries::default(),
             transfers: config_transfer::Transfers::new(),
             charges: charging::PendingCharges::default(),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,11 +1,13 @@
 //! Connections to endpoints.
 
+mod buffered_body;
 mod connection;
 mod dial;
 mod framing_limit;
 mod pool;
 mod send;
 
+pub(crate) use buffered_body::BufferedBytes;
 use connection::MAX_HEAD;
 pub(crate) use connection::{Connection, classify_error, configure, connect, next_part};
 pub(crate) use framing_limit::AnswerBody;
--- a/crates/gateway/tests/testsuite/endless.rs
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -9,6 +9,9 @@
 /// The largest answer that is buffered, in bytes.
 const MAX_ANSWER: usize = 8 << 20;
 
+/// The largest number of bytes of all answers that are being buffered.
+const MAX_BUFFERED: usize = 24 << 20;
+
 /// The longest event of a stream, in bytes.
 const MAX_EVENT: usize = 256 << 10;
 
@@ -306,8 +309,10 @@
 #[test]
 fn a_body_that_arrives_slowly_without_end_is_cut_off_at_the_timeout() {
     for (line, status) in [(ONCE, Some(504)), (STREAM, None)] {
-        let setup =
-            Setup::with_timeout(vec![HUGE, Step::Raw("data: "), Step::Trickle("x", SLOW)], 1_000);
+        let setup = Setup::with_timeout(
+            vec![UNFRAMED, Step::Raw("data: "), Step::Trickle("x", SLOW)],
+            1_000,
+        );
         let reply = setup.send(line).filter(|reply| reply.is_complete);
         assert_eq!((reply.map(|reply| reply.status), setup.runs()), (status, (1, 0)), "{line}");
         setup.check_closed(MAX_EVENT, line);
@@ -315,6 +320,30 @@
     }
 }
 
+/// Guards against memory in proportion to the number of endpoints that send without end.
+#[test]
+fn many_long_answers_without_end_are_not_buffered_together() {
+    const ANSWERS: usize = 12;
+    let part = Box::leak("x".repeat(MAX_ANSWER / 2).into_boxed_str());
+    let script = vec![UNFRAMED, Step::Raw(part), Step::AwaitClose];
+    let endpoints: Vec<_> = (0..ANSWERS).map(|_| Endpoint::start(vec![script.clone()])).collect();
+    let gateway = TestGateway::start(&endpoints.iter().collect::<Vec<_>>());
+    gateway.reconfigure(2, |config| config.routes[0].timeout_ms = LONG_MS);
+    let mut callers: Vec<_> = endpoints.iter().map(|_| gateway.caller()).collect();
+    let deadline = LONG_MS.to_string();
+    for caller in &mut callers {
+        let headers = [
+            ("trefoildyke-request-id", "r1"),
+            ("trefoildyke-key", "k1"),
+            ("trefoildyke-deadline-ms", deadline.as_str()),
+        ];
+        caller.send(ONCE, &headers, "");
+    }
+    let closed = || endpoints.iter().map(Endpoint::closed).sum::<usize>();
+    let kept = MAX_BUFFERED / part.len();
+    TestGateway::wait_until("answers are broken off", || closed() >= ANSWERS - kept);
+}
+
 /// Guards against taking each byte of an event that does not end for a sign of life.
 #[test]
 fn an_event_that_arrives_slowly_without_end_is_resumed_elsewhere() {
@@ -367,7 +396,7 @@
     check_others(&[CHUNKED, Step::Endless("4\r\nxxxx\r\n")]);
     check_others(&[UNFRAMED, Step::Endless("\n")]);
     check_others(&[HUGE, Step::Endless("x")]);
-    check_others(&[HUGE, Step::Trickle("x", SLOW)]);
+    check_others(&[UNFRAMED, Step::Trickle("x", SLOW)]);
     check_others(&[Step::Answer("whole"), Step::Endless("x")]);
 }
 
