upstream: an answer whose stated length is over the limit breaks off at once

Cause: an answer that states a terabyte was read up to 8 MiB before it broke off; if it came slowly, its request took all of its time.

Change: the stated length is compared with the limit before the body is read. Streams are not concerned, as they are not buffered.

Before: an_answer_that_states_too_great_a_length_breaks_off_at_once failed: POST /once/ had no answer after 10 s, with a route timeout of 30 s. After: passed in 8 of 8 runs; 97 of 97 tests of the crate passed, one run.

--- a/crates/gateway/src/upstream/buffered_body.rs
+++ b/crates/gateway/src/upstream/buffered_body.rs
@@ -3,7 +3,7 @@
 use std::{error, pin, sync, sync::atomic, task};
 
 use bytes::Bytes;
-use hyper::body;
+use hyper::{body, body::Body as _};
 
 use crate::upstream;
 
@@ -47,6 +47,11 @@
 }
 
 impl BufferedBody {
+    /// Returns whether the stated length of the body is too long.
+    fn is_too_long(&self) -> bool {
+        self.body.size_hint().lower() > MAX_ANSWER as u64
+    }
+
     fn add(&mut self, length: usize) -> Result<(), BufferError> {
         self.length += length;
         let total = self.buffered.total.fetch_add(length, atomic::Ordering::Relaxed) + length;
@@ -68,6 +73,9 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, Self::Error>>> {
+        if self.is_too_long() {
+            return task::Poll::Ready(Some(Err(BufferError::TooLong.into())));
+        }
         let frame = task::ready!(pin::Pin::new(&mut self.body).poll_frame(context));
         let Some(frame) = frame else { return task::Poll::Ready(None) };
         let frame = frame?;
--- a/crates/gateway/tests/testsuite/endless.rs
+++ b/crates/gateway/tests/testsuite/endless.rs
@@ -320,6 +320,12 @@
     }
 }
 
+#[test]
+fn an_answer_that_states_too_great_a_length_breaks_off_at_once() {
+    let script = [HUGE, Step::Trickle("x", SLOW)];
+    check_whole(&script, MAX_FRAMING);
+}
+
 /// Guards against memory in proportion to the number of endpoints that send without end.
 #[test]
 fn many_long_answers_without_end_are_not_buffered_together() {
