gateway: a test of bytes without end behind a tunnel

The limits hold at the gateway that has the request; the one that forwards its connection copies bytes and ends with it.

--- a/crates/gateway/tests/testsuite/unreachable.rs
+++ b/crates/gateway/tests/testsuite/unreachable.rs
@@ -141,6 +141,21 @@
     assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
 }
 
+/// Guards against bytes without end that are no answer, which the forwarding gateway does not check.
+#[test]
+fn bytes_without_end_behind_a_tunnel_are_no_answer() {
+    for bytes in ["x", "HTTP/1.1 100 Continue\r\n\r\n"] {
+        let cut = Cut::start(&[Step::Endless(bytes)]);
+        cut.isolated.reconfigure(2, |config| config.routes[0].timeout_ms = 30_000);
+        let mut callers = cut.send_until_one_runs();
+        TestGateway::wait_until("the connections are closed", || cut.closed() == cut.received());
+        let statuses: Vec<_> =
+            callers.iter_mut().filter_map(Caller::read_reply).map(|reply| reply.status).collect();
+        assert!(statuses.contains(&502), "{bytes}: {statuses:?}");
+        assert!(!statuses.contains(&200), "{bytes}: {statuses:?}");
+    }
+}
+
 /// Guards against cutting off requests of other hosts during a planned stop.
 #[test]
 fn a_stopping_gateway_finishes_the_requests_that_it_forwards() {
