--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -18,6 +18,7 @@
 mod recent_ranks;
 mod request;
 mod reservations;
+mod restrictions;
 mod settle;
 mod state;
 mod token_bucket;
@@ -67,6 +68,8 @@
     rate_limit_changes: Vec<RateLimitChange>,
     /// The probes since the last call of `take_probes`.
     probes: Vec<Probe>,
+    /// What endpoints have told this daemon about further requests.
+    restrictions: restrictions::Restrictions,
 }
 
 impl Pool {
@@ -87,6 +90,7 @@
             has_roster_change: true,
             rate_limit_changes: Vec::new(),
             probes: Vec::new(),
+            restrictions: restrictions::Restrictions::default(),
         }
     }
 
@@ -180,6 +184,16 @@
         has_changed
     }
 
+    /// Records that an endpoint has said in an answer that it is about to stop; returns whether that is new.
+    pub fn note_leaving(&mut self, now: Timestamp, grant: &Grant) -> bool {
+        self.restrictions.note_leaving(now, &grant.endpoint, grant.start)
+    }
+
+    /// Records that an endpoint has rejected a request and wants none from this host for a time of `length`.
+    pub fn note_backoff(&mut self, now: Timestamp, grant: &Grant, length: std::time::Duration) {
+        self.restrictions.note_backoff(now, &grant.endpoint, grant.start, now + length);
+    }
+
     /// Returns the rate limit changes since the last call.
     pub fn take_rate_limit_changes(&mut self) -> Vec<RateLimitChange> {
         std::mem::take(&mut self.rate_limit_changes)
--- /dev/null
+++ b/crates/decide/src/gateway/pool/restrictions.rs
@@ -0,0 +1,74 @@
+//! What endpoints have told this daemon about further requests.
+
+use std::{collections, time};
+
+use trefoildyke_types::{id, time::Timestamp};
+
+/// How long a restriction is kept after it was last told. Endpoints that leave are gone by then.
+const RETENTION: time::Duration = time::Duration::from_secs(3_600);
+
+/// The restrictions that endpoints have told this daemon.
+///
+/// They outlast the endpoint's entry in the list, which may lapse and return while the endpoint runs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Restrictions {
+    by_endpoint: collections::BTreeMap<id::EndpointName, Restriction>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Restriction {
+    /// The start of the endpoint that has told it; later ones know nothing of it.
+    start: u64,
+    told_at: Timestamp,
+    /// Whether the endpoint is about to stop, which is never withdrawn.
+    leaving: bool,
+    /// The endpoint wants no requests from this host before this time.
+    backoff_until: Timestamp,
+}
+
+impl Restrictions {
+    /// Records that an endpoint is about to stop; returns whether that is new.
+    pub(super) fn note_leaving(
+        &mut self,
+        now: Timestamp,
+        endpoint: &id::EndpointName,
+        start: u64,
+    ) -> bool {
+        let Some(restriction) = self.entry(now, endpoint, start) else { return false };
+        !std::mem::replace(&mut restriction.leaving, true)
+    }
+
+    /// Records that an endpoint wants no requests from this host until `until`.
+    pub(super) fn note_backoff(
+        &mut self,
+        now: Timestamp,
+        endpoint: &id::EndpointName,
+        start: u64,
+        until: Timestamp,
+    ) {
+        if let Some(restriction) = self.entry(now, endpoint, start) {
+            restriction.backoff_until = restriction.backoff_until.max(until);
+        }
+    }
+
+    /// Returns the restriction of a start of an endpoint; `None` if a later start has told one.
+    fn entry(
+        &mut self,
+        now: Timestamp,
+        endpoint: &id::EndpointName,
+        start: u64,
+    ) -> Option<&mut Restriction> {
+        let is_kept = |_: &id::EndpointName, restriction: &mut Restriction| {
+            now.since(restriction.told_at) < RETENTION
+        };
+        self.by_endpoint.retain(is_kept);
+        let new =
+            Restriction { start, told_at: now, leaving: false, backoff_until: Timestamp::ZERO };
+        let restriction = self.by_endpoint.entry(endpoint.clone()).or_insert(new);
+        if restriction.start < start {
+            *restriction = new;
+        }
+        restriction.told_at = now;
+        (restriction.start == start).then_some(restriction)
+    }
+}
--- a/crates/gateway/src/ingress/driver/pending_send.rs
+++ b/crates/gateway/src/ingress/driver/pending_send.rs
@@ -55,8 +55,8 @@
         let began = sync::Arc::<atomic::AtomicBool>::default();
         let set_began = sync::Arc::clone(&began);
         let answer = async move {
-            let on_rate_limit = |limit| shared.note_rate_limit(&service, &grant, limit);
-            let sent = upstream::send(&shared, &grant, &id, &request, on_rate_limit).await?;
+            let on_notices = |notices| shared.apply_notices(&service, &grant, notices);
+            let sent = upstream::send(&shared, &grant, &id, &request, on_notices).await?;
             set_began.store(true, atomic::Ordering::Relaxed);
             read(&shared, sent, mode).await
         };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     part_quarantines: metrics::Counter<u64>,
     rollouts: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
+    backoffs: metrics::Counter<u64>,
     passed_over: metrics::Gauge<u64>,
     first_byte: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
@@ -68,6 +69,10 @@
                 "gateway_probes",
                 "Requests sent to idle endpoints in spite of the estimates, by service.",
             ),
+            backoffs: counter(
+                "gateway_backoffs",
+                "Rejections that ask for no further requests for a while, by service.",
+            ),
             passed_over: meter
                 .u64_gauge("gateway_passed_over")
                 .with_description("Endpoints that are idle while requests wait, by service.")
@@ -123,6 +128,10 @@
         self.rollouts.add(1, &labels);
     }
 
+    pub(crate) fn backed_off(&self, service: &str) {
+        self.backoffs.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     pub(crate) fn probed(&self, service: &str) {
         self.probes.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -22,6 +22,8 @@
     /// The endpoint's limit on requests per second from all hosts combined; a sealed answer without it
     /// removes the limit.
     pub rate_limit: HeaderName,
+    /// Set to 1 if the endpoint is about to stop; it gets no new requests then.
+    pub leaving: HeaderName,
     /// The prompt's tokens and the maximum number of tokens to generate, separated by a comma.
     pub tokens: HeaderName,
     /// The model that the request is for.
@@ -47,6 +49,7 @@
             seal: HeaderName::from_static("trefoildyke-seal"),
             not_run: HeaderName::from_static("trefoildyke-not-run"),
             rate_limit: HeaderName::from_static("trefoildyke-rate-limit"),
+            leaving: HeaderName::from_static("trefoildyke-leaving"),
             tokens: HeaderName::from_static("trefoildyke-tokens"),
             model: HeaderName::from_static("trefoildyke-model"),
             prompt_parts: HeaderName::from_static("trefoildyke-prompt-parts"),
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -144,6 +144,18 @@
         /// Whether the endpoint gets no new work.
         draining: bool,
     },
+    /// An endpoint has said in an answer that it is about to stop.
+    EndpointLeaving {
+        /// The endpoint.
+        endpoint: id::EndpointName,
+    },
+    /// An endpoint has rejected a request and wants none from this host for a while.
+    EndpointBackoff {
+        /// The endpoint.
+        endpoint: id::EndpointName,
+        /// For how long, in milliseconds.
+        backoff_ms: u64,
+    },
     /// The rate limit that an endpoint reports has changed.
     EndpointRateLimit {
         /// The endpoint.
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -189,6 +189,48 @@
         });
     }
 
+    /// Applies what an endpoint says of itself in the head of an answer.
+    pub(crate) fn apply_notices(
+        &self,
+        service: &id::PoolName,
+        grant: &gateway::Grant,
+        notices: upstream::Notices,
+    ) {
+        if let Some(limit) = notices.rate_limit {
+            self.note_rate_limit(service, grant, limit);
+        }
+        if notices.leaving {
+            self.note_leaving(service, grant);
+        }
+        if let Some(length) = notices.backoff {
+            self.note_backoff(service, grant, length);
+        }
+    }
+
+    /// Records that an endpoint is about to stop, and logs it once.
+    fn note_leaving(&self, service: &id::PoolName, grant: &gateway::Grant) {
+        let is_new = self.core().service(service).pool.note_leaving(self.now(), grant);
+        if is_new {
+            let endpoint = grant.endpoint.clone();
+            self.journal.write(&record::Event::EndpointLeaving { endpoint });
+        }
+    }
+
+    /// Records for how long an endpoint wants no requests from this host, and logs it.
+    fn note_backoff(
+        &self,
+        service: &id::PoolName,
+        grant: &gateway::Grant,
+        length: std::time::Duration,
+    ) {
+        self.core().service(service).pool.note_backoff(self.now(), grant, length);
+        self.metrics.backed_off(service.as_str());
+        self.journal.write(&record::Event::EndpointBackoff {
+            endpoint: grant.endpoint.clone(),
+            backoff_ms: length.as_millis() as u64,
+        });
+    }
+
     /// Records an endpoint's rate limit in requests per second, `None` if it sets none. Logs a change
     /// and reports it to the daemon that places the requests.
     pub(crate) fn note_rate_limit(
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod dial;
 mod framing_limit;
+mod notices;
 mod pool;
 mod send;
 
@@ -11,5 +12,6 @@
 use connection::MAX_HEAD;
 pub(crate) use connection::{Connection, classify_error, configure, connect, next_part};
 pub(crate) use framing_limit::AnswerBody;
+pub(crate) use notices::Notices;
 pub(crate) use pool::ConnectionPool;
 pub(crate) use send::{Answer, SendError, send};
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -61,14 +61,13 @@
 ///
 /// If an idle connection turns out to be closed before a byte was written, another connection is used.
 ///
-/// Calls `on_rate_limit` with the endpoint's rate limit, or with `None` if the answer shows that the
-/// endpoint sets none. It is not called if the answer does not tell or the value is invalid.
+/// Calls `on_notices` with what the endpoint says of itself in the head of its answer.
 pub(crate) async fn send(
     shared: &sync::Arc<state::Shared>,
     grant: &gateway::Grant,
     id: &str,
     request: &hyper::Request<Full<Bytes>>,
-    on_rate_limit: impl Fn(Option<f64>),
+    on_notices: impl Fn(upstream::Notices),
 ) -> Result<Answer, SendError> {
     let names = &shared.settings.names;
     loop {
@@ -83,9 +82,7 @@
         };
         match connection.send(request.clone()).await {
             Ok(response) => {
-                if let Some(limit) = rate_limit(names, &response) {
-                    on_rate_limit(limit);
-                }
+                on_notices(upstream::Notices::read(names, &response));
                 return check_head(names, id, response, connection);
             }
             Err((_, true)) if !is_new => {}
@@ -133,27 +130,6 @@
     Ok(Answer { response, connection })
 }
 
-/// Reads the endpoint's rate limit in requests per second: `Some(None)` if the endpoint sets none, `None`
-/// if the answer does not tell or the value is invalid.
-///
-/// A missing header means that there is no limit only if the answer is sealed: an unsealed answer may
-/// come from an intermediary.
-fn rate_limit<B>(names: &HeaderNames, response: &hyper::Response<B>) -> Option<Option<f64>> {
-    let headers = response.headers();
-    if !headers.contains_key(&names.rate_limit) {
-        return headers.contains_key(&names.seal).then_some(None);
-    }
-    let text = names::text(headers, &names.rate_limit);
-    let limit = text.and_then(|text| text.parse::<f64>().ok());
-    let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
-    if limit.is_none() {
-        log::warn!(
-            "ignoring an endpoint's rate limit {text:?}: expected a finite, non-negative number of requests per second"
-        );
-    }
-    limit.map(Some)
-}
-
 /// Returns whether callers take the status as a guarantee that nothing ran.
 pub(crate) const fn implies_not_run(status: StatusCode) -> bool {
     matches!(
