--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod failures;
 mod fuzz;
 mod keys;
+mod leaving;
 mod malformed;
 mod peers;
 mod quotas;
