--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod harness;
 
+mod backoffs;
 mod callers;
 mod changes;
 mod crashes;
