gateway: an endpoint that says in an answer that it leaves gets no new requests

The class: what the other side says itself is not read, because another source usually tells.

A daemon that gets such an answer (a head of any status but 421, which another endpoint sends) sends that start of the endpoint nothing more: it is not placed there, a slot that was granted is not used, also if the connection is open by then, idle connections are closed, and no tunnel leads there. That outlasts the endpoint's entry in the list. Load reports tell the daemons that place requests, so that the others keep away from it as well; that is a byte for each endpoint in a report.

--- a/crates/decide/src/gateway/message/load.rs
+++ b/crates/decide/src/gateway/message/load.rs
@@ -50,6 +50,9 @@
     pub rate_limit: Option<RateLimitReport>,
     /// The answers since the sender's last report, while there is a canary version of the service.
     pub answers: Vec<RouteAnswers>,
+    /// Whether the endpoint has said in an answer that it is about to stop.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A rate limit that the sender received from an endpoint.
--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -23,6 +23,11 @@
     /// The number of requests that it runs at once; at least 1.
     pub(super) slots: u32,
     pub(super) draining: bool,
+    /// Whether it has said in an answer, to this daemon or to one that has reported it, that it is about to
+    /// stop.
+    pub(super) leaving: bool,
+    /// Whether the other daemons have yet to be told that it is about to stop.
+    unreported_leaving: bool,
     /// The load that this daemon has sent.
     pub(super) own: Load,
     /// The value of `own` when it was last reported to the other daemons.
@@ -92,6 +97,8 @@
             version: entry.version.clone(),
             slots: entry.slots.max(1),
             draining: entry.draining,
+            leaving: false,
+            unreported_leaving: false,
             own: Load::default(),
             reported: Load::default(),
             reserved: Load::default(),
@@ -122,6 +129,12 @@
         self.draining = entry.draining;
     }
 
+    /// Records that the endpoint has said to this daemon that it is about to stop.
+    pub(super) const fn set_leaving(&mut self) {
+        self.unreported_leaving |= !self.leaving;
+        self.leaving = true;
+    }
+
     /// Records a request that is sent to the endpoint. `load` is the estimated load there before it, and
     /// `uncached` the number of its prompt tokens that have to be read.
     pub(super) fn add_request(
@@ -162,6 +175,7 @@
         load: &gateway::EndpointLoad,
         params: &gateway::PoolParams,
     ) {
+        self.leaving |= load.leaving;
         let learned = &load.learned.unwrap_or_default();
         let silent_for = time::Duration::from_millis(u64::from(load.silent_ms));
         let responded_at =
@@ -207,8 +221,11 @@
         let answers = self.answers.take();
         let rate_limit = self.rate_limit.report(now);
         let has_limit_change = self.rate_limit.take_unreported_change();
-        let has_news = has_changed || has_limit_change || learned.is_some() || !answers.is_empty();
-        let should_report = has_news || (all && (self.own.running > 0 || rate_limit.is_some()));
+        let has_left = std::mem::take(&mut self.unreported_leaving);
+        let has_news =
+            has_changed || has_limit_change || has_left || learned.is_some() || !answers.is_empty();
+        let should_report =
+            has_news || (all && (self.own.running > 0 || rate_limit.is_some() || self.leaving));
         should_report.then(|| gateway::EndpointLoad {
             learned,
             rate_limit,
@@ -296,7 +313,7 @@
 
     /// Returns whether the endpoint may get new requests at all.
     pub(super) fn is_usable(&self, now: Timestamp) -> bool {
-        !self.draining && now >= self.paused_until
+        !self.draining && !self.leaving && now >= self.paused_until
     }
 
     /// Returns how long the endpoint has been silent while it had `load`.
@@ -362,6 +379,7 @@
             learned: None,
             rate_limit: None,
             answers: Vec::new(),
+            leaving: self.leaving,
         }
     }
 
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -114,6 +114,11 @@
                 self.endpoints.insert(entry.endpoint.clone(), endpoint);
             }
         }
+        if self.restrictions.is_leaving(&entry.endpoint, entry.start)
+            && let Some(endpoint) = self.endpoints.get_mut(&entry.endpoint)
+        {
+            endpoint.set_leaving();
+        }
         self.has_roster_change = true;
     }
 
@@ -186,9 +191,23 @@
 
     /// Records that an endpoint has said in an answer that it is about to stop; returns whether that is new.
     pub fn note_leaving(&mut self, now: Timestamp, grant: &Grant) -> bool {
+        if let Some(endpoint) = self.granted_endpoint(grant) {
+            endpoint.set_leaving();
+        }
         self.restrictions.note_leaving(now, &grant.endpoint, grant.start)
     }
 
+    /// Returns whether an endpoint has said that it is about to stop.
+    pub fn is_leaving(&self, endpoint: &id::EndpointName) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|endpoint| endpoint.leaving)
+    }
+
+    /// Returns whether a request may still be sent to the endpoint of its grant.
+    pub fn accepts(&self, grant: &Grant) -> bool {
+        !self.restrictions.is_leaving(&grant.endpoint, grant.start)
+            && !self.is_leaving(&grant.endpoint)
+    }
+
     /// Records that an endpoint has rejected a request and wants none from this host for a time of `length`.
     pub fn note_backoff(&mut self, now: Timestamp, grant: &Grant, length: std::time::Duration) {
         self.restrictions.note_backoff(now, &grant.endpoint, grant.start, now + length);
@@ -266,12 +285,14 @@
         endpoints.filter_map(|(name, endpoint)| endpoint.take_report(now, name, all)).collect()
     }
 
-    /// Returns whether this daemon has requests at an endpoint, or a rate limit to repeat to the other
-    /// daemons.
+    /// Returns whether this daemon has requests at an endpoint, or a rate limit or the leaving of an endpoint to
+    /// repeat to the other daemons.
     pub fn has_work(&self, now: Timestamp) -> bool {
-        self.endpoints
-            .values()
-            .any(|endpoint| endpoint.own.running > 0 || endpoint.rate_limit.report(now).is_some())
+        self.endpoints.values().any(|endpoint| {
+            endpoint.own.running > 0
+                || endpoint.leaving
+                || endpoint.rate_limit.report(now).is_some()
+        })
     }
 
     /// Returns how long a request is expected to run at an endpoint of mean speed.
--- a/crates/decide/src/gateway/pool/restrictions.rs
+++ b/crates/decide/src/gateway/pool/restrictions.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Returns whether an endpoint has said that it is about to stop.
+    pub(super) fn is_leaving(&self, endpoint: &id::EndpointName, start: u64) -> bool {
+        self.get(endpoint, start).is_some_and(|restriction| restriction.leaving)
+    }
+
+    fn get(&self, endpoint: &id::EndpointName, start: u64) -> Option<&Restriction> {
+        self.by_endpoint.get(endpoint).filter(|restriction| restriction.start == start)
+    }
+
     /// Returns the restriction of a start of an endpoint; `None` if a later start has told one.
     fn entry(
         &mut self,
--- a/crates/decide/tests/testsuite/gateway/reports.rs
+++ b/crates/decide/tests/testsuite/gateway/reports.rs
@@ -40,3 +40,23 @@
     assert_eq!((reported[0].running, reported[0].learned.unwrap().served), (0, 1));
     assert!(pool.report(at(6), true).is_empty());
 }
+
+/// The daemon that places a service's requests learns it from the others, each time that they report all.
+#[test]
+fn an_endpoint_that_told_another_daemon_that_it_leaves_gets_no_requests() {
+    let mut told = pool(&["one"]);
+    let grant = granted(told.submit(at(0), request(0, 0)));
+    assert!(told.note_leaving(at(1), &grant));
+    assert!(!told.note_leaving(at(2), &grant));
+    assert!(!told.accepts(&grant));
+    told.end_request(at(3), &grant, grant.prompt, Outcome::Served);
+    let endpoints = told.report(at(4), true);
+    assert!(endpoints[0].leaving);
+    assert!(told.report(at(5), false).is_empty());
+    assert!(told.report(at(6), true)[0].leaving);
+    let mut placing = pool(&["one", "two"]);
+    placing.apply_report(at(10), peer(2), &LoadReport { endpoints, ..report(1, &[], 0) });
+    for _ in 0..2 {
+        assert_eq!(granted(placing.submit(at(20), request(0, 0))).endpoint.as_str(), "two");
+    }
+}
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -134,6 +134,7 @@
         learned: None,
         rate_limit: None,
         answers: Vec::new(),
+        leaving: false,
     };
     let endpoints = running.iter().map(load).collect();
     LoadReport { incarnation: 1, number, service: service(), is_full: true, placed, endpoints }
--- a/crates/gateway/src/ingress/driver/pending_send.rs
+++ b/crates/gateway/src/ingress/driver/pending_send.rs
@@ -55,8 +55,7 @@
         let began = sync::Arc::<atomic::AtomicBool>::default();
         let set_began = sync::Arc::clone(&began);
         let answer = async move {
-            let on_notices = |notices| shared.apply_notices(&service, &grant, notices);
-            let sent = upstream::send(&shared, &grant, &id, &request, on_notices).await?;
+            let sent = upstream::send(&shared, &service, &grant, &id, &request).await?;
             set_began.store(true, atomic::Ordering::Relaxed);
             read(&shared, sent, mode).await
         };
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -413,6 +413,11 @@
         Some((finding, self.rollouts.next(now, service, finding)?))
     }
 
+    /// Returns whether an endpoint has said that it is about to stop.
+    pub(crate) fn is_leaving(&self, endpoint: &id::EndpointName) -> bool {
+        self.services.values().any(|service| service.pool.is_leaving(endpoint))
+    }
+
     /// Returns the pool of a service, if the service is known.
     pub(crate) fn pool(&self, service: &id::PoolName) -> Option<&gateway::Pool> {
         self.services.get(service).map(|service| &service.pool)
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -207,10 +207,19 @@
         }
     }
 
-    /// Records that an endpoint is about to stop, and logs it once.
+    /// Records that an endpoint is about to stop. Logs it once, and reports it to the daemons that place the
+    /// requests.
     fn note_leaving(&self, service: &id::PoolName, grant: &gateway::Grant) {
-        let is_new = self.core().service(service).pool.note_leaving(self.now(), grant);
+        let now = self.now();
+        let is_new = self.update(|core| {
+            let is_new = core.service(service).pool.note_leaving(now, grant);
+            if is_new {
+                core.report(now, service);
+            }
+            is_new
+        });
         if is_new {
+            self.connections.forget(&grant.endpoint);
             let endpoint = grant.endpoint.clone();
             self.journal.write(&record::Event::EndpointLeaving { endpoint });
         }
@@ -320,7 +329,10 @@
         endpoint: &id::EndpointName,
         connection: upstream::Connection,
     ) {
-        let core = self.core();
+        let mut core = self.core();
+        if core.service(service).pool.is_leaving(endpoint) {
+            return;
+        }
         let table = core.table.as_ref();
         let accepted = table.and_then(|table| table.service(service)).map_or(0, |s| s.connections);
         let share = f64::from(accepted) * IDLE_SHARE / core.mesh.count() as f64;
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -39,6 +39,9 @@
         if core.links.is_isolated() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
+        if core.is_leaving(&endpoint) {
+            return Err(StatusCode::NOT_FOUND);
+        }
         core.roster.address(&endpoint).ok_or(StatusCode::NOT_FOUND)?
     };
     let pass = shared.gate.enter().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::{StatusCode, header};
 use trefoildyke_decide::gateway;
+use trefoildyke_types::id;
 
 use crate::{names, names::HeaderNames, state, upstream};
 
@@ -51,6 +52,11 @@
         Self { failure, outcome, detail: detail.into() }
     }
 
+    fn withheld() -> Self {
+        let (failure, outcome) = (gateway::Failure::NotSent, gateway::Outcome::Unused);
+        Self { failure, outcome, detail: "the endpoint takes no requests any more".to_owned() }
+    }
+
     fn not_sent(detail: impl Into<String>) -> Self {
         let (failure, outcome) = (gateway::Failure::NotSent, gateway::Outcome::Unreachable);
         Self { failure, outcome, detail: detail.into() }
@@ -61,13 +67,13 @@
 ///
 /// If an idle connection turns out to be closed before a byte was written, another connection is used.
 ///
-/// Calls `on_notices` with what the endpoint says of itself in the head of its answer.
+/// What the endpoint says of itself in the head of its answer is applied.
 pub(crate) async fn send(
     shared: &sync::Arc<state::Shared>,
+    service: &id::PoolName,
     grant: &gateway::Grant,
     id: &str,
     request: &hyper::Request<Full<Bytes>>,
-    on_notices: impl Fn(upstream::Notices),
 ) -> Result<Answer, SendError> {
     let names = &shared.settings.names;
     loop {
@@ -80,9 +86,14 @@
                 opened.map_err(|error| SendError::not_sent(format!("connect: {error}")))?
             }
         };
+        // Another answer may have said so while the connection was opened.
+        if !shared.core().service(service).pool.accepts(grant) {
+            return Err(SendError::withheld());
+        }
         match connection.send(request.clone()).await {
             Ok(response) => {
-                on_notices(upstream::Notices::read(names, &response));
+                let notices = upstream::Notices::read(names, &response);
+                shared.apply_notices(service, grant, notices);
                 return check_head(names, id, response, connection);
             }
             Err((_, true)) if !is_new => {}
