gateway: the Retry-After of an endpoint's rejection is obeyed

Cause: Retry-After was not read. A rejection left the endpoint out for 400 ms, doubled with further ones, and what other daemons reported of it reset that.

A host now sends nothing to the endpoint until the longest time that it has named is over: neither placed here nor by the daemon that places for all, which is told to leave the endpoint out for requests of this host alone, nor over a slot that was granted or a connection that was opened before. If all endpoints want none, a request waits if the first of them takes it in time, and else is refused at once with that time as Retry-After.

--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -313,7 +313,12 @@
 
     /// Returns whether the endpoint may get new requests at all.
     pub(super) fn is_usable(&self, now: Timestamp) -> bool {
-        !self.draining && !self.leaving && now >= self.paused_until
+        !self.is_stopping() && now >= self.paused_until
+    }
+
+    /// Returns whether the endpoint gets no new requests any more.
+    pub(super) const fn is_stopping(&self) -> bool {
+        self.draining || self.leaving
     }
 
     /// Returns how long the endpoint has been silent while it had `load`.
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -202,12 +202,35 @@
         self.endpoints.get(endpoint).is_some_and(|endpoint| endpoint.leaving)
     }
 
-    /// Returns whether a request may still be sent to the endpoint of its grant.
-    pub fn accepts(&self, grant: &Grant) -> bool {
+    /// Returns whether a request of this daemon may still be sent to the endpoint of its grant.
+    pub fn accepts(&self, now: Timestamp, grant: &Grant) -> bool {
         !self.restrictions.is_leaving(&grant.endpoint, grant.start)
+            && self.restrictions.backoff(now, &grant.endpoint, grant.start).is_none()
             && !self.is_leaving(&grant.endpoint)
     }
 
+    /// Returns the endpoints that want no requests from this host now. Other daemons may send to them.
+    pub fn backing_off(&self, now: Timestamp) -> Vec<id::EndpointName> {
+        let backs_off = |(name, endpoint): &(&id::EndpointName, &endpoint::Endpoint)| {
+            self.restrictions.backoff(now, name, endpoint.start).is_some()
+        };
+        self.endpoints.iter().filter(backs_off).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the time until the first endpoint takes requests of this host again, if all that could have a
+    /// request want none now; `tried` are those that cannot.
+    pub fn shortest_backoff(
+        &self,
+        now: Timestamp,
+        tried: &[id::EndpointName],
+    ) -> Option<std::time::Duration> {
+        let untried = self.untried(tried);
+        let backoffs = untried.map(|(name, endpoint)| {
+            self.restrictions.backoff(now, name, endpoint.start).unwrap_or_default()
+        });
+        backoffs.min().filter(|shortest| !shortest.is_zero())
+    }
+
     /// Records that an endpoint has rejected a request and wants none from this host for a time of `length`.
     pub fn note_backoff(&mut self, now: Timestamp, grant: &Grant, length: std::time::Duration) {
         self.restrictions.note_backoff(now, &grant.endpoint, grant.start, now + length);
--- a/crates/decide/src/gateway/pool/placement.rs
+++ b/crates/decide/src/gateway/pool/placement.rs
@@ -188,7 +188,9 @@
     ) -> Option<Grant> {
         let may_run = |endpoint: &&endpoint::Endpoint| {
             let access = self.versions.access(&endpoint.version);
-            endpoint.is_usable(now) && access != gateway::Access::None
+            endpoint.is_usable(now)
+                && access != gateway::Access::None
+                && self.restrictions.backoff(now, name, endpoint.start).is_none()
         };
         self.endpoints.get(name).filter(may_run)?;
         self.start_request(now, name.clone(), request, uncached.min(request.prompt))
--- a/crates/decide/src/gateway/pool/restrictions.rs
+++ b/crates/decide/src/gateway/pool/restrictions.rs
@@ -56,6 +56,17 @@
         self.get(endpoint, start).is_some_and(|restriction| restriction.leaving)
     }
 
+    /// Returns for how long an endpoint wants no requests from this host; `None` if it takes them.
+    pub(super) fn backoff(
+        &self,
+        now: Timestamp,
+        endpoint: &id::EndpointName,
+        start: u64,
+    ) -> Option<time::Duration> {
+        let until = self.get(endpoint, start)?.backoff_until;
+        (now < until).then(|| until.since(now))
+    }
+
     fn get(&self, endpoint: &id::EndpointName, start: u64) -> Option<&Restriction> {
         self.by_endpoint.get(endpoint).filter(|restriction| restriction.start == start)
     }
--- a/crates/decide/src/gateway/pool/versions.rs
+++ b/crates/decide/src/gateway/pool/versions.rs
@@ -151,10 +151,23 @@
 
     /// Returns whether an endpoint outside `tried` may run requests.
     pub fn has_untried(&self, now: Timestamp, tried: &[id::EndpointName]) -> bool {
-        let may_run = |endpoint: &endpoint::Endpoint| {
-            endpoint.is_usable(now) && self.versions.has_full_access(&endpoint.version)
+        let may_run = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
+            let backoff = self.restrictions.backoff(now, name, endpoint.start);
+            endpoint.is_usable(now) && backoff.is_none()
         };
-        self.endpoints.iter().any(|(name, endpoint)| !tried.contains(name) && may_run(endpoint))
+        self.untried(tried).any(may_run)
+    }
+
+    /// Returns the endpoints outside `tried` that may run requests now or later.
+    pub(super) fn untried<'a>(
+        &'a self,
+        tried: &'a [id::EndpointName],
+    ) -> impl Iterator<Item = (&'a id::EndpointName, &'a endpoint::Endpoint)> {
+        self.endpoints.iter().filter(move |(name, endpoint)| {
+            !tried.contains(*name)
+                && !endpoint.is_stopping()
+                && self.versions.has_full_access(&endpoint.version)
+        })
     }
 
     /// Returns the measurements of a rollout of the version `to`.
--- a/crates/decide/tests/testsuite/gateway/reports.rs
+++ b/crates/decide/tests/testsuite/gateway/reports.rs
@@ -48,7 +48,7 @@
     let grant = granted(told.submit(at(0), request(0, 0)));
     assert!(told.note_leaving(at(1), &grant));
     assert!(!told.note_leaving(at(2), &grant));
-    assert!(!told.accepts(&grant));
+    assert!(!told.accepts(at(2), &grant));
     told.end_request(at(3), &grant, grant.prompt, Outcome::Served);
     let endpoints = told.report(at(4), true);
     assert!(endpoints[0].leaving);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -30,6 +30,8 @@
 }
 
 /// Gets a slot, waiting until `end` at most.
+///
+/// Endpoints that want no requests from this host are left out, also by the daemon that places the requests.
 pub(crate) async fn place(
     shared: &sync::Arc<state::Shared>,
     service: &id::PoolName,
@@ -37,14 +39,27 @@
     end: tokio::time::Instant,
 ) -> Placement {
     loop {
+        if let Some(backoff) = shortest_backoff(shared, service, &pool_request) {
+            if tokio::time::Instant::now() + backoff >= end {
+                return Placement { placer: None, result: Err(backoff) };
+            }
+            tokio::time::sleep(backoff).await;
+            continue;
+        }
         let placer = shared.core().placer(shared.now(), service);
+        let candidate = without_backing_off(shared, service, &pool_request);
         let Some(peer) = placer else {
-            return Placement {
-                placer,
-                result: place_locally(shared, service, pool_request, end).await,
-            };
+            let result = place_locally(shared, service, candidate, end).await;
+            match result {
+                Ok(grant) if !accepts(shared, service, &grant) => {
+                    pool_request.tried.push(grant.endpoint.clone());
+                    shared.release(service, &grant, grant.prompt, gateway::Outcome::Unused);
+                    continue;
+                }
+                result => return Placement { placer, result },
+            }
         };
-        match place_remotely(shared, service, &pool_request, peer, end).await {
+        match place_remotely(shared, service, &candidate, peer, end).await {
             RemotePlacement::Granted(grant) => return Placement { placer, result: Ok(grant) },
             RemotePlacement::Refused(after) => return Placement { placer, result: Err(after) },
             RemotePlacement::Unusable(endpoint) => pool_request.tried.push(endpoint),
@@ -53,6 +68,29 @@
     }
 }
 
+fn shortest_backoff(
+    shared: &state::Shared,
+    service: &id::PoolName,
+    pool_request: &gateway::PoolRequest,
+) -> Option<time::Duration> {
+    let now = shared.now();
+    shared.core().service(service).pool.shortest_backoff(now, &pool_request.tried)
+}
+
+fn without_backing_off(
+    shared: &state::Shared,
+    service: &id::PoolName,
+    pool_request: &gateway::PoolRequest,
+) -> gateway::PoolRequest {
+    let mut candidate = pool_request.clone();
+    candidate.tried.extend(shared.core().service(service).pool.backing_off(shared.now()));
+    candidate
+}
+
+fn accepts(shared: &state::Shared, service: &id::PoolName, grant: &gateway::Grant) -> bool {
+    shared.core().service(service).pool.accepts(shared.now(), grant)
+}
+
 async fn place_locally(
     shared: &sync::Arc<state::Shared>,
     service: &id::PoolName,
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -54,7 +54,7 @@
 
     fn withheld() -> Self {
         let (failure, outcome) = (gateway::Failure::NotSent, gateway::Outcome::Unused);
-        Self { failure, outcome, detail: "the endpoint takes no requests any more".to_owned() }
+        Self { failure, outcome, detail: "the endpoint takes no requests now".to_owned() }
     }
 
     fn not_sent(detail: impl Into<String>) -> Self {
@@ -87,7 +87,7 @@
             }
         };
         // Another answer may have said so while the connection was opened.
-        if !shared.core().service(service).pool.accepts(grant) {
+        if !shared.core().service(service).pool.accepts(shared.now(), grant) {
             return Err(SendError::withheld());
         }
         match connection.send(request.clone()).await {
