--- a/crates/gateway/src/ingress/driver/send.rs
+++ b/crates/gateway/src/ingress/driver/send.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Sends the request while another endpoint still has it.
+    /// Sends the request while another endpoint still has it: a hedged request.
     pub(crate) fn start_hedge(&self, slot: state::Slot, after: Option<&str>) -> PendingSend {
         self.start_send(slot, after, FIRST_EVENT_WAIT)
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -81,8 +81,9 @@
             }
             Step::Abort(reason) => return relay.abort(reason),
             Step::Broken(failed) => {
+                let reason = if failed.is_late { TIMEOUT } else { BROKEN };
                 if !relay.resume(failed).await {
-                    return relay.abort(BROKEN);
+                    return relay.abort(reason);
                 }
             }
         }
