--- a/crates/gateway/tests/testsuite/endless/setup.rs
+++ b/crates/gateway/tests/testsuite/endless/setup.rs
@@ -106,6 +106,11 @@
         (self.first.requests().len(), self.second.requests().len())
     }
 
+    /// Returns the requests at the second endpoint.
+    fn requests(&self) -> Vec<String> {
+        self.second.requests()
+    }
+
     /// Waits until the connection that is written without end is closed, and checks how much was written.
     pub(super) fn check_closed(&self, limit: usize, what: &str) {
         TestGateway::wait_until(what, || self.first.closed() >= 1);
@@ -130,7 +135,7 @@
         let what = format!("{line} {script:?}");
         let setup = Setup::start(script.to_vec());
         let reply = setup.send(line).unwrap();
-        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}");
+        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}\n{:?}", setup.requests());
         assert!(reply.is_complete, "{what}");
         setup.check_closed(MAX_FRAMING, &what);
         setup.check_next(&what);
@@ -149,7 +154,7 @@
         let what = format!("{line} {script:?}");
         let setup = Setup::start(script.to_vec());
         let reply = setup.send(line).unwrap();
-        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}");
+        assert_eq!((reply.status, setup.runs()), (status, runs), "{what}\n{:?}", setup.requests());
         setup.check_closed(limit, &what);
         setup.check_next(&what);
     }
@@ -161,7 +166,12 @@
         let what = format!("{line} {script:?}");
         let setup = Setup::start(script.to_vec());
         let reply = setup.send(line).filter(|reply| reply.is_complete);
-        assert_eq!((reply.is_some(), setup.runs()), (is_complete, runs), "{what}");
+        assert_eq!(
+            (reply.is_some(), setup.runs()),
+            (is_complete, runs),
+            "{what}\n{:?}",
+            setup.requests()
+        );
         assert!(reply.is_none_or(|reply| reply.body.ends_with("id: 9\ndata: z\n\n")), "{what}");
         setup.check_closed(limit, &what);
         setup.check_next(&what);
