gateway: a request that waits is placed anew when the pause of an endpoint ends

A waiting request whose endpoint asked for a pause lost that endpoint for good, as the pause was taken for an endpoint that cannot be used; one that waited for another endpoint did not get one whose pause had ended meanwhile. Both got 503 although the endpoint was free.

Endpoints that back off are now left out only until the first of them takes requests again, when the request is placed anew; requests that wait for the end of all pauses look every 100 ms for endpoints that have come. A daemon refuses tunnels to endpoints that take no requests from its host, before and after it connects, and is asked for other endpoints all the same.

--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -202,6 +202,13 @@
         self.endpoints.get(endpoint).is_some_and(|endpoint| endpoint.leaving)
     }
 
+    /// Returns whether an endpoint takes requests from this host; also if it is not listed here.
+    pub fn accepts_at(&self, now: Timestamp, name: &id::EndpointName) -> bool {
+        self.endpoints.get(name).is_none_or(|endpoint| {
+            !endpoint.leaving && self.restrictions.backoff(now, name, endpoint.start).is_none()
+        })
+    }
+
     /// Returns whether a request of this daemon may still be sent to the endpoint of its grant.
     pub fn accepts(&self, now: Timestamp, grant: &Grant) -> bool {
         !self.restrictions.is_leaving(&grant.endpoint, grant.start)
@@ -209,16 +216,18 @@
             && !self.is_leaving(&grant.endpoint)
     }
 
-    /// Returns the endpoints that want no requests from this host now. Other daemons may send to them.
-    pub fn backing_off(&self, now: Timestamp) -> Vec<id::EndpointName> {
-        let backs_off = |(name, endpoint): &(&id::EndpointName, &endpoint::Endpoint)| {
-            self.restrictions.backoff(now, name, endpoint.start).is_some()
+    /// Returns the endpoints that want no requests from this host now, and for how long. Other daemons may send
+    /// to them.
+    pub fn backing_off(&self, now: Timestamp) -> Vec<(id::EndpointName, std::time::Duration)> {
+        let backoff = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
+            let backoff = self.restrictions.backoff(now, name, endpoint.start)?;
+            Some((name.clone(), backoff))
         };
-        self.endpoints.iter().filter(backs_off).map(|(name, _)| name.clone()).collect()
+        self.endpoints.iter().filter_map(backoff).collect()
     }
 
-    /// Returns the time until the first endpoint takes requests of this host again, if all that could have a
-    /// request want none now; `tried` are those that cannot.
+    /// Returns the time until the first endpoint takes requests of this host again, if all endpoints outside
+    /// `tried` back off.
     pub fn shortest_backoff(
         &self,
         now: Timestamp,
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -29,9 +29,13 @@
     pub(crate) result: Result<gateway::Grant, time::Duration>,
 }
 
+/// How often a request that waits for the end of a backoff looks for endpoints that have come meanwhile.
+const BACKOFF_CHECK: time::Duration = time::Duration::from_millis(100);
+
 /// Gets a slot, waiting until `end` at most.
 ///
 /// Endpoints that want no requests from this host are left out, also by the daemon that places the requests.
+/// The request is placed anew when one of them takes requests again.
 pub(crate) async fn place(
     shared: &sync::Arc<state::Shared>,
     service: &id::PoolName,
@@ -43,27 +47,25 @@
             if tokio::time::Instant::now() + backoff >= end {
                 return Placement { placer: None, result: Err(backoff) };
             }
-            tokio::time::sleep(backoff).await;
+            tokio::time::sleep(backoff.min(BACKOFF_CHECK)).await;
             continue;
         }
         let placer = shared.core().placer(shared.now(), service);
-        let candidate = without_backing_off(shared, service, &pool_request);
-        let Some(peer) = placer else {
-            let result = place_locally(shared, service, candidate, end).await;
-            match result {
-                Ok(grant) if !accepts(shared, service, &grant) => {
-                    pool_request.tried.push(grant.endpoint.clone());
-                    shared.release(service, &grant, grant.prompt, gateway::Outcome::Unused);
-                    continue;
+        let (candidate, until) = without_backing_off(shared, service, &pool_request, end);
+        let placed = match placer {
+            Some(peer) => place_remotely(shared, service, &candidate, peer, until).await,
+            None => place_locally(shared, service, candidate, until).await,
+        };
+        match placed {
+            Placed::Granted(grant) => return Placement { placer, result: Ok(grant) },
+            Placed::Refused(_) if until < end && tokio::time::Instant::now() >= until => {}
+            Placed::Refused(after) => return Placement { placer, result: Err(after) },
+            Placed::Unusable(endpoint) => {
+                if !is_backing_off(shared, service, &endpoint) {
+                    pool_request.tried.push(endpoint);
                 }
-                result => return Placement { placer, result },
             }
-        };
-        match place_remotely(shared, service, &candidate, peer, end).await {
-            RemotePlacement::Granted(grant) => return Placement { placer, result: Ok(grant) },
-            RemotePlacement::Refused(after) => return Placement { placer, result: Err(after) },
-            RemotePlacement::Unusable(endpoint) => pool_request.tried.push(endpoint),
-            RemotePlacement::PlacerChanged => {}
+            Placed::PlacerChanged => {}
         }
     }
 }
@@ -77,31 +79,61 @@
     shared.core().service(service).pool.shortest_backoff(now, &pool_request.tried)
 }
 
+fn is_backing_off(
+    shared: &state::Shared,
+    service: &id::PoolName,
+    endpoint: &id::EndpointName,
+) -> bool {
+    let backing_off = shared.core().service(service).pool.backing_off(shared.now());
+    backing_off.iter().any(|(name, _)| name == endpoint)
+}
+
+/// Leaves the endpoints out that back off; returns the request, and when the first of them takes requests
+/// again, `end` at most.
 fn without_backing_off(
     shared: &state::Shared,
     service: &id::PoolName,
     pool_request: &gateway::PoolRequest,
-) -> gateway::PoolRequest {
+    end: tokio::time::Instant,
+) -> (gateway::PoolRequest, tokio::time::Instant) {
     let mut candidate = pool_request.clone();
-    candidate.tried.extend(shared.core().service(service).pool.backing_off(shared.now()));
-    candidate
+    let mut until = end;
+    let backing_off = shared.core().service(service).pool.backing_off(shared.now());
+    for (endpoint, backoff) in backing_off {
+        if !candidate.tried.contains(&endpoint) {
+            until = until.min(tokio::time::Instant::now() + backoff);
+            candidate.tried.push(endpoint);
+        }
+    }
+    (candidate, until)
 }
 
 fn accepts(shared: &state::Shared, service: &id::PoolName, grant: &gateway::Grant) -> bool {
     shared.core().service(service).pool.accepts(shared.now(), grant)
 }
 
+/// The result of asking this daemon or another one.
+enum Placed {
+    Granted(gateway::Grant),
+    /// A slot of an endpoint to which this daemon may not send.
+    Unusable(id::EndpointName),
+    Refused(time::Duration),
+    /// The daemon does not reply, cannot place requests or no longer places those of this service, so the
+    /// placer must be looked up again.
+    PlacerChanged,
+}
+
 async fn place_locally(
     shared: &sync::Arc<state::Shared>,
     service: &id::PoolName,
     pool_request: gateway::PoolRequest,
     end: tokio::time::Instant,
-) -> Result<gateway::Grant, time::Duration> {
+) -> Placed {
     let rank = pool_request.rank;
     let admission = shared.core().service(service).ask(shared.now(), pool_request);
-    match admission {
-        state::Admission::Granted(grant) => Ok(grant),
-        state::Admission::Refused(after) => Err(after),
+    let grant = match admission {
+        state::Admission::Granted(grant) => grant,
+        state::Admission::Refused(after) => return Placed::Refused(after),
         state::Admission::Queued(ticket, settled) => {
             let queued = state::QueuedRequest::new(
                 sync::Arc::clone(shared),
@@ -110,22 +142,23 @@
                 settled,
             );
             match queued.settled(end).await {
-                Some(gateway::QueueDecision::Granted(grant)) => Ok(grant),
-                Some(gateway::QueueDecision::Refused(refused)) => Err(refused.retry_after),
-                None => Err(shared.core().service(service).pool.retry_hint(shared.now(), rank)),
+                Some(gateway::QueueDecision::Granted(grant)) => grant,
+                Some(gateway::QueueDecision::Refused(refused)) => {
+                    return Placed::Refused(refused.retry_after);
+                }
+                None => {
+                    let hint = shared.core().service(service).pool.retry_hint(shared.now(), rank);
+                    return Placed::Refused(hint);
+                }
             }
         }
+    };
+    // The endpoint may have said so while the request waited.
+    if !accepts(shared, service, &grant) {
+        shared.release(service, &grant, grant.prompt, gateway::Outcome::Unused);
+        return Placed::Unusable(grant.endpoint);
     }
-}
-
-/// The result of asking another daemon.
-enum RemotePlacement {
-    Granted(gateway::Grant),
-    Unusable(id::EndpointName),
-    Refused(time::Duration),
-    /// The daemon does not reply, cannot place requests or no longer places those of this service, so the
-    /// placer must be looked up again.
-    PlacerChanged,
+    Placed::Granted(grant)
 }
 
 async fn place_remotely(
@@ -134,7 +167,7 @@
     pool_request: &gateway::PoolRequest,
     peer: net::SocketAddr,
     end: tokio::time::Instant,
-) -> RemotePlacement {
+) -> Placed {
     let started = tokio::time::Instant::now();
     let mut remote_request = state::RemoteRequest::start(
         sync::Arc::clone(shared),
@@ -151,12 +184,12 @@
         let now = tokio::time::Instant::now();
         let wake = end.min(now + interval);
         match tokio::time::timeout_at(wake, remote_request.reply()).await {
-            Ok(state::Reply::Granted(grant)) => return RemotePlacement::Granted(grant),
-            Ok(state::Reply::Unusable(endpoint)) => return RemotePlacement::Unusable(endpoint),
-            Ok(state::Reply::Refused(after)) => return RemotePlacement::Refused(after),
+            Ok(state::Reply::Granted(grant)) => return Placed::Granted(grant),
+            Ok(state::Reply::Unusable(endpoint)) => return Placed::Unusable(endpoint),
+            Ok(state::Reply::Refused(after)) => return Placed::Refused(after),
             Ok(state::Reply::Unable) => {
                 shared.suspect_peer(peer, "cannot place requests");
-                return RemotePlacement::PlacerChanged;
+                return Placed::PlacerChanged;
             }
             Ok(state::Reply::Queued(after)) => {
                 hint = after;
@@ -164,13 +197,13 @@
                 (interval, timeout) = (KEEPALIVE_INTERVAL, QUEUED_TIMEOUT);
                 is_confirmed = true;
             }
-            Err(_) if tokio::time::Instant::now() >= end => return RemotePlacement::Refused(hint),
+            Err(_) if tokio::time::Instant::now() >= end => return Placed::Refused(hint),
             Err(_) if last_reply.elapsed() >= timeout => {
                 shared.suspect_peer(peer, "does not answer");
-                return RemotePlacement::PlacerChanged;
+                return Placed::PlacerChanged;
             }
             Err(_) if has_moved(shared, service, peer, is_confirmed) => {
-                return RemotePlacement::PlacerChanged;
+                return Placed::PlacerChanged;
             }
             Err(_) => {
                 is_confirmed = false;
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -413,9 +413,10 @@
         Some((finding, self.rollouts.next(now, service, finding)?))
     }
 
-    /// Returns whether an endpoint has said that it is about to stop.
-    pub(crate) fn is_leaving(&self, endpoint: &id::EndpointName) -> bool {
-        self.services.values().any(|service| service.pool.is_leaving(endpoint))
+    /// Returns whether an endpoint takes requests from this host, as far as it has told this daemon.
+    pub(crate) fn accepts(&self, now: Timestamp, endpoint: &id::EndpointName) -> bool {
+        let accepts = |service: &state::Service| service.pool.accepts_at(now, endpoint);
+        self.services.values().all(accepts)
     }
 
     /// Returns the pool of a service, if the service is known.
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -41,7 +41,10 @@
                 return Ok(upgraded);
             }
             Err(error) => {
-                shared.core().links.avoid(shared.now(), peer);
+                // Such a daemon may still reach the other endpoints.
+                if error.kind() != io::ErrorKind::PermissionDenied {
+                    shared.core().links.avoid(shared.now(), peer);
+                }
                 last = io::Error::new(error.kind(), format!("through {peer}: {error}"));
             }
         }
@@ -83,6 +86,10 @@
         .body(Empty::<Bytes>::new())
         .map_err(io::Error::other)?;
     let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    if response.status() == tunnel::NOT_ACCEPTED {
+        let reason = "the endpoint takes no requests from it";
+        return Err(io::Error::new(io::ErrorKind::PermissionDenied, reason));
+    }
     if response.status() != StatusCode::SWITCHING_PROTOCOLS {
         return Err(io::Error::other(format!("answered {}", response.status().as_u16())));
     }
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -17,3 +17,6 @@
 
 /// The protocol to which a connection is upgraded.
 const PROTOCOL: &str = "trefoildyke-tunnel";
+
+/// The answer if the endpoint takes no requests from the daemon that was asked.
+const NOT_ACCEPTED: hyper::StatusCode = hyper::StatusCode::CONFLICT;
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -39,19 +39,25 @@
         if core.links.is_isolated() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        if core.is_leaving(&endpoint) {
-            return Err(StatusCode::NOT_FOUND);
-        }
         core.roster.address(&endpoint).ok_or(StatusCode::NOT_FOUND)?
     };
+    check_accepts(shared, &endpoint)?;
     let pass = shared.gate.enter().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let connected = upstream::connect(address, shared.settings.connect_timeout).await;
     shared.record_link(&endpoint, connected.is_ok());
     let stream = connected.map_err(|_| StatusCode::BAD_GATEWAY)?;
+    // Another answer may have said so while the connection was opened.
+    check_accepts(shared, &endpoint)?;
     let upgrade = upgrade::on(request);
     Ok(Tunnel { shared: sync::Arc::clone(shared), peer, endpoint, stream, upgrade, _pass: pass })
 }
 
+/// Checks whether the endpoint takes requests from this host, as far as its answers to this daemon tell.
+fn check_accepts(shared: &state::Shared, endpoint: &id::EndpointName) -> Result<(), StatusCode> {
+    let accepts = shared.core().accepts(shared.now(), endpoint);
+    if accepts { Ok(()) } else { Err(tunnel::NOT_ACCEPTED) }
+}
+
 impl Tunnel {
     /// Answers that the connection is open.
     pub(crate) fn switch_protocols<B: Default>() -> hyper::Response<B> {
--- a/crates/gateway/tests/testsuite/backoffs.rs
+++ b/crates/gateway/tests/testsuite/backoffs.rs
@@ -112,3 +112,50 @@
     assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
     assert_eq!(endpoint.requests().len(), 1);
 }
+
+/// A gateway whose endpoints have one slot each; the first one is preferred.
+fn start_with_single_slots(endpoints: &[&Endpoint]) -> TestGateway {
+    let gateway = TestGateway::start(&[]);
+    let mut entries = crate::harness::entries(endpoints);
+    for (number, entry) in entries.iter_mut().enumerate() {
+        entry.slots = 1;
+        entry.zone = if number == 0 { "a" } else { "b" }.into();
+    }
+    gateway.feed.set_endpoints(entries);
+    gateway
+}
+
+#[test]
+fn a_request_that_waits_when_its_only_endpoint_pauses_is_served_after_the_pause() {
+    let script = vec![vec![Step::Hold, rejection("0.6")], vec![Step::Answer("x")]];
+    let endpoint = Endpoint::start(script);
+    let gateway = start_with_single_slots(&[&endpoint]);
+    thread::scope(|scope| {
+        let rejected = scope.spawn(|| gateway.request("GET /again/"));
+        TestGateway::wait_until("the first request is sent", || endpoint.requests().len() == 1);
+        let queued = scope.spawn(|| gateway.request("GET /again/"));
+        TestGateway::wait_until("the second request waits", || {
+            gateway.feed.waiting_count(&"svc".into()) == 1
+        });
+        endpoint.release_one();
+        assert_eq!(rejected.join().unwrap().unwrap().status, 503);
+        assert_eq!(queued.join().unwrap().unwrap().body, "x");
+    });
+}
+
+/// The pause ends while the request waits for the slot of the other endpoint.
+#[test]
+fn a_request_that_waits_for_another_endpoint_gets_one_whose_pause_has_ended() {
+    let stream = vec![Step::Stream, Step::Events("id: 1\n\n"), Step::AwaitClose];
+    let busy = Endpoint::start(vec![stream]);
+    let pausing = Endpoint::start(vec![vec![rejection("2")], vec![Step::Answer("x")]]);
+    let gateway = start_with_single_slots(&[&busy, &pausing]);
+    gateway.reconfigure(2, |config| config.routes[2].timeout_ms = 10_000);
+    let mut caller = gateway.caller();
+    let headers = [("trefoildyke-request-id", "busy"), ("trefoildyke-key", "k1")];
+    caller.send("POST /stream/", &headers, "");
+    caller.read_first_event();
+    assert_eq!(gateway.request("GET /again/").unwrap().status, 503);
+    assert_eq!(gateway.request("GET /again/").unwrap().body, "x");
+    assert_eq!(busy.requests().len(), 1);
+}
