--- a/crates/decide/src/gateway/pool/endpoint.rs
+++ b/crates/decide/src/gateway/pool/endpoint.rs
@@ -26,7 +26,7 @@
     /// Whether it has said in an answer, to this daemon or to one that has reported it, that it is about to
     /// stop.
     pub(super) leaving: bool,
-    /// Whether the other daemons have yet to be told that it is about to stop.
+    /// Whether it has yet to be reported to the other daemons that it is about to stop.
     unreported_leaving: bool,
     /// The load that this daemon has sent.
     pub(super) own: Load,
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -68,7 +68,7 @@
     rate_limit_changes: Vec<RateLimitChange>,
     /// The probes since the last call of `take_probes`.
     probes: Vec<Probe>,
-    /// What endpoints have told this daemon about further requests.
+    /// Restrictions that endpoints state in their answers to this daemon.
     restrictions: restrictions::Restrictions,
 }
 
--- a/crates/decide/src/gateway/pool/restrictions.rs
+++ b/crates/decide/src/gateway/pool/restrictions.rs
@@ -1,13 +1,13 @@
-//! What endpoints have told this daemon about further requests.
+//! Restrictions that endpoints state in their answers to this daemon.
 
 use std::{collections, time};
 
 use trefoildyke_types::{id, time::Timestamp};
 
-/// How long a restriction is kept after it was last told. Endpoints that leave are gone by then.
+/// How long a restriction is kept after it was last received. Endpoints that leave are gone by then.
 const RETENTION: time::Duration = time::Duration::from_secs(3_600);
 
-/// The restrictions that endpoints have told this daemon.
+/// The restrictions that this daemon has received from endpoints.
 ///
 /// They outlast the endpoint's entry in the list, which may lapse and return while the endpoint runs.
 #[derive(Clone, Debug, Default)]
@@ -17,9 +17,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Restriction {
-    /// The start of the endpoint that has told it; later ones know nothing of it.
+    /// The start of the endpoint that stated it; it does not apply to later ones.
     start: u64,
-    told_at: Timestamp,
+    received_at: Timestamp,
     /// Whether the endpoint is about to stop, which is never withdrawn.
     leaving: bool,
     /// The endpoint wants no requests from this host before this time.
@@ -71,7 +71,7 @@
         self.by_endpoint.get(endpoint).filter(|restriction| restriction.start == start)
     }
 
-    /// Returns the restriction of a start of an endpoint; `None` if a later start has told one.
+    /// Returns the restriction of a start of an endpoint; `None` if there is one of a later start.
     fn entry(
         &mut self,
         now: Timestamp,
@@ -79,16 +79,16 @@
         start: u64,
     ) -> Option<&mut Restriction> {
         let is_kept = |_: &id::EndpointName, restriction: &mut Restriction| {
-            now.since(restriction.told_at) < RETENTION
+            now.since(restriction.received_at) < RETENTION
         };
         self.by_endpoint.retain(is_kept);
         let new =
-            Restriction { start, told_at: now, leaving: false, backoff_until: Timestamp::ZERO };
+            Restriction { start, received_at: now, leaving: false, backoff_until: Timestamp::ZERO };
         let restriction = self.by_endpoint.entry(endpoint.clone()).or_insert(new);
         if restriction.start < start {
             *restriction = new;
         }
-        restriction.told_at = now;
+        restriction.received_at = now;
         (restriction.start == start).then_some(restriction)
     }
 }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -413,7 +413,7 @@
         Some((finding, self.rollouts.next(now, service, finding)?))
     }
 
-    /// Returns whether an endpoint takes requests from this host, as far as it has told this daemon.
+    /// Returns whether an endpoint takes requests from this host, as far as this daemon knows.
     pub(crate) fn accepts(&self, now: Timestamp, endpoint: &id::EndpointName) -> bool {
         let accepts = |service: &state::Service| service.pool.accepts_at(now, endpoint);
         self.services.values().all(accepts)
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -52,7 +52,7 @@
     Ok(Tunnel { shared: sync::Arc::clone(shared), peer, endpoint, stream, upgrade, _pass: pass })
 }
 
-/// Checks whether the endpoint takes requests from this host, as far as its answers to this daemon tell.
+/// Checks whether the endpoint takes requests from this host, as far as this daemon knows.
 fn check_accepts(shared: &state::Shared, endpoint: &id::EndpointName) -> Result<(), StatusCode> {
     let accepts = shared.core().accepts(shared.now(), endpoint);
     if accepts { Ok(()) } else { Err(tunnel::NOT_ACCEPTED) }
