gateway: the line at a request's end says who ended it

Callers and operators saw: `caller_left` for requests that the host itself had cut off. An on-call engineer could not tell a caller that leaves from a host that gives up.

Cause: the outcome of an access log entry was preset to `caller_left` and stayed so for whatever dropped the entry; a whole answer and a refusal counted before they were written.

Change: an entry without an outcome of its own takes the reason for which its connection ended, as seen on the connection: `caller_left`, `cut_by_stop`, `connection_failed`, else `dropped`. An entry whose answer is complete ends once the HTTP library has written everything; if that fails, it takes the reason of the connection, too. New fields `ended_by` (also a label of gateway_requests_ended), `limit_ms` and `deadline_ms`, so that a stream cut off at the timeout of its route shows which limit it reached.

The literals of callers::metrics_contain_* have the new label in addition; nothing else of the test changed.

--- a/crates/cli/src/report/request.rs
+++ b/crates/cli/src/report/request.rs
@@ -135,7 +135,8 @@
     match &*ended.outcome {
         "served" if is_late => Status::Late,
         "served" => Status::InTime,
-        "caller_left" | "stream_broken" | "stream_timeout" => Status::Broken,
+        "caller_left" | "connection_failed" | "cut_by_stop" | "dropped" | "stream_broken"
+        | "stream_timeout" => Status::Broken,
         _ if ended.retry_ms.is_some() => Status::Refused,
         _ => Status::Failed,
     }
--- a/crates/gateway/src/ingress/access.rs
+++ b/crates/gateway/src/ingress/access.rs
@@ -6,11 +6,12 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{names, record, state};
+use crate::{ingress::CallerConnection, names, record, state};
 
 /// Collects the data of one request; logs them when dropped.
 pub(crate) struct AccessLogEntry {
     shared: sync::Arc<state::Shared>,
+    connection: sync::Arc<CallerConnection>,
     id: String,
     arrived: Timestamp,
     route: String,
@@ -20,8 +21,8 @@
     asked: record::RequestInputs,
     /// The other daemon that granted or refused the last slot.
     placer: Option<std::net::SocketAddr>,
-    /// How the request ended; a request that is dropped without an outcome was abandoned by its caller.
-    outcome: &'static str,
+    /// How the request ended; `None` if it ends with its connection.
+    outcome: Option<record::Outcome>,
     status: u16,
     endpoint: Option<id::EndpointName>,
     sends: u32,
@@ -36,7 +37,11 @@
 }
 
 impl AccessLogEntry {
-    pub(crate) fn new(shared: sync::Arc<state::Shared>, headers: &HeaderMap) -> Self {
+    pub(crate) fn new(
+        shared: sync::Arc<state::Shared>,
+        connection: sync::Arc<CallerConnection>,
+        headers: &HeaderMap,
+    ) -> Self {
         let id = names::text(headers, &shared.settings.names.request_id).unwrap_or_default();
         Self {
             id: id.to_owned(),
@@ -46,7 +51,7 @@
             version: 0,
             asked: record::RequestInputs::default(),
             placer: None,
-            outcome: "caller_left",
+            outcome: None,
             status: 0,
             endpoint: None,
             sends: 0,
@@ -55,6 +60,7 @@
             max_pause: None,
             events: 0,
             unframed: false,
+            connection,
             shared,
         }
     }
@@ -123,9 +129,20 @@
         self.unframed = !is_framed;
     }
 
-    /// Records how the request ended.
-    pub(crate) const fn set_outcome(&mut self, outcome: &'static str) {
-        self.outcome = outcome;
+    /// Records how the request ended, and by whom.
+    pub(crate) const fn set_outcome(&mut self, outcome: &'static str, ended_by: record::EndedBy) {
+        self.outcome = Some(record::Outcome::new(outcome, ended_by));
+    }
+
+    /// Forgets how the request ended, because its answer cannot be written any more.
+    pub(super) const fn clear_outcome(&mut self) {
+        self.outcome = None;
+    }
+
+    /// Keeps the request in progress until its answer, which is now complete, has been written.
+    pub(crate) fn await_write(self) {
+        let connection = sync::Arc::clone(&self.connection);
+        connection.await_write(self);
     }
 
     /// Records an answer that the gateway made itself.
@@ -135,7 +152,7 @@
         status: u16,
         retry_after: Option<time::Duration>,
     ) {
-        self.outcome = reason;
+        self.set_outcome(reason, record::EndedBy::Gateway);
         self.status = status;
         self.retry_after = retry_after;
     }
@@ -143,7 +160,8 @@
 
 impl Drop for AccessLogEntry {
     fn drop(&mut self) {
-        self.shared.metrics.ended(&self.route, self.outcome);
+        let outcome = self.outcome.unwrap_or_else(|| self.connection.outcome());
+        self.shared.metrics.ended(&self.route, outcome);
         let ms = |length: time::Duration| length.as_millis() as u64;
         self.shared.journal.write(&record::Event::Ended {
             id: std::mem::take(&mut self.id),
@@ -152,7 +170,7 @@
             version: self.version,
             asked: std::mem::take(&mut self.asked),
             placer: self.placer,
-            outcome: self.outcome,
+            outcome,
             status: self.status,
             endpoint: self.endpoint.take(),
             sends: self.sends,
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -105,6 +105,8 @@
             cost: cost as u32,
             returning: !time_spent.is_zero(),
             objective_ms: route.objective_ms,
+            limit_ms: limit.as_millis() as u64,
+            deadline_ms: wait_limit.as_millis() as u64,
         });
         // Checked before the charge, so that a quarantined request, which is not sent to any endpoint, costs
         // its account nothing.
--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -8,7 +8,14 @@
 use tokio_util::sync as tokio_sync;
 use trefoildyke_decide::gateway;
 
-use crate::{ingress, state};
+use crate::{
+    ingress,
+    ingress::{
+        caller_connection::{CallerConnection, CloseReason},
+        watched_stream::WatchedStream,
+    },
+    state,
+};
 
 /// Serves callers until `draining` is cancelled; then closes idle connections and lets the requests in
 /// progress end until `shutdown` is cancelled.
@@ -25,8 +32,13 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) if connections.len() < shared.settings.max_connections => {
-                    let served = serve_one(sync::Arc::clone(&shared), stream, draining.clone());
-                    connections.spawn(served);
+                    let shared = sync::Arc::clone(&shared);
+                    connections.spawn(serve_one(
+                        shared,
+                        stream,
+                        draining.clone(),
+                        shutdown.clone(),
+                    ));
                 }
                 Ok(_) => log::warn!("connection refused: as many as settings allow are open"),
                 Err(error) => {
@@ -37,10 +49,7 @@
         }
     }
     drop(listener);
-    tokio::select! {
-        () = shutdown.cancelled() => connections.shutdown().await,
-        () = async { while connections.join_next().await.is_some() {} } => {}
-    }
+    while connections.join_next().await.is_some() {}
     Ok(())
 }
 
@@ -54,23 +63,46 @@
     shared: sync::Arc<state::Shared>,
     stream: net::TcpStream,
     draining: tokio_sync::CancellationToken,
+    shutdown: tokio_sync::CancellationToken,
 ) {
     // A failure only delays small writes.
     let _ = stream.set_nodelay(true);
     let limits = shared.core().table.as_ref().map(|table| table.config().limits.clone());
     let builder = builder(&limits.unwrap_or_default());
+    // Dropped after the connection, whose requests end with it.
+    let caller = OpenConnection::default();
+    let state = sync::Arc::clone(&caller.state);
     let service = service::service_fn(move |request| {
-        let shared = sync::Arc::clone(&shared);
-        async move { Ok::<_, std::convert::Infallible>(ingress::handle(shared, request).await) }
+        let (shared, state) = (sync::Arc::clone(&shared), sync::Arc::clone(&state));
+        async move { Ok::<_, std::convert::Infallible>(ingress::handle(shared, state, request).await) }
     });
+    let stream = WatchedStream { stream, connection: sync::Arc::clone(&caller.state) };
     let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    // Errors of a connection concern only its caller.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = draining.cancelled() => connection.as_mut().graceful_shutdown(),
+    let mut result = tokio::select! {
+        result = connection.as_mut() => Some(result),
+        () = draining.cancelled() => None,
+    };
+    if result.is_none() {
+        connection.as_mut().graceful_shutdown();
+        result = tokio::select! {
+            result = connection.as_mut() => Some(result),
+            () = shutdown.cancelled() => None,
+        };
+    }
+    caller.state.close(result.map_or(CloseReason::Stop, |result| CloseReason::of(&result)));
+}
+
+/// Ends the requests of a connection with it.
+#[derive(Default)]
+struct OpenConnection {
+    state: sync::Arc<CallerConnection>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.state.discard_unwritten();
     }
-    let _ = connection.await;
 }
 
 fn builder(limits: &gateway::Limits) -> http1::Builder {
--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -18,6 +18,17 @@
 /// `Retry-After` only up to a third of their time left.
 const RETRY_SHARE: std::ops::Range<f64> = 0.24..0.32;
 
+/// Forwards an endpoint's own error answer.
+fn forward_failure(
+    mut access: ingress::AccessLogEntry,
+    response: hyper::Response<ingress::Body>,
+) -> hyper::Response<ingress::Body> {
+    access.begin_answer(response.status().as_u16());
+    access.set_outcome("endpoint_failed", record::EndedBy::Endpoint);
+    access.await_write();
+    response
+}
+
 impl Driver {
     /// Decides and logs what follows a failed send.
     pub(crate) fn handle_failure(&mut self, failed: FailedSend) -> gateway::RetryAction {
@@ -112,38 +123,34 @@
         if next == gateway::RetryAction::NotRun {
             self.refund();
             let reply = ingress::Reply::not_run("not_sent", self.retry_hint());
-            return refuse(&mut self.access, reply);
+            return refuse(self.access, reply);
         }
         if let Some(response) = self.last_response.take() {
-            self.access.begin_answer(response.status().as_u16());
-            self.access.set_outcome("endpoint_failed");
-            return *response;
+            return forward_failure(self.access, *response);
         }
         let reply = if is_late {
             ingress::Reply::new(StatusCode::GATEWAY_TIMEOUT, "timeout")
         } else {
             ingress::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost")
         };
-        refuse(&mut self.access, reply)
+        refuse(self.access, reply)
     }
 
     /// Answers a request that got no slot.
     pub(super) fn finish_without_slot(mut self, no_slot: NoSlot) -> hyper::Response<ingress::Body> {
         if let Some(response) = self.last_response.take() {
-            self.access.begin_answer(response.status().as_u16());
-            self.access.set_outcome("endpoint_failed");
-            return *response;
+            return forward_failure(self.access, *response);
         }
         if self.attempt.may_have_run() {
             let reply = ingress::Reply::new(StatusCode::BAD_GATEWAY, "answer_lost");
-            return refuse(&mut self.access, reply);
+            return refuse(self.access, reply);
         }
         self.refund();
         let reply = match no_slot {
             NoSlot::Overload(wait) => ingress::Reply::not_run("overload", wait.max(self.jitter())),
             NoSlot::Quarantined(after) => ingress::Reply::not_run(ingress::QUARANTINED, after),
         };
-        refuse(&mut self.access, reply)
+        refuse(self.access, reply)
     }
 
     /// Returns a random share of the caller's time left, as the `Retry-After` of a refusal.
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -116,23 +116,26 @@
 /// Answers one request.
 pub(crate) async fn handle(
     shared: sync::Arc<state::Shared>,
+    connection: sync::Arc<ingress::CallerConnection>,
     request: hyper::Request<body::Incoming>,
 ) -> hyper::Response<ingress::Body> {
-    let mut access = ingress::AccessLogEntry::new(sync::Arc::clone(&shared), request.headers());
+    let mut access =
+        ingress::AccessLogEntry::new(sync::Arc::clone(&shared), connection, request.headers());
     let Some(pass) = shared.gate.enter() else {
-        return refuse(&mut access, ingress::Reply::not_run("stopping", STOPPING_RETRY).closing());
+        return refuse(access, ingress::Reply::not_run("stopping", STOPPING_RETRY).closing());
     };
     match ingress::Call::read(&shared, &mut access, request).await {
         Ok(call) => Driver::new(shared, call, access, pass).run().await,
-        Err(reply) => refuse(&mut access, reply),
+        Err(reply) => refuse(access, reply),
     }
 }
 
 fn refuse(
-    access: &mut ingress::AccessLogEntry,
+    mut access: ingress::AccessLogEntry,
     reply: ingress::Reply,
 ) -> hyper::Response<ingress::Body> {
     access.set_refusal(reply.reason, reply.status.as_u16(), reply.retry_after);
+    access.await_write();
     reply.response()
 }
 
@@ -166,7 +169,7 @@
         if self.outlasts_stop() {
             self.refund();
             let reply = ingress::Reply::not_run("stopping", STOPPING_RETRY).closing();
-            return refuse(&mut self.access, reply);
+            return refuse(self.access, reply);
         }
         let now = self.shared.now();
         self.shared.core().service(&self.call.service).budget.request(now);
@@ -193,7 +196,8 @@
         response: hyper::Response<ingress::Body>,
     ) -> hyper::Response<ingress::Body> {
         self.access.begin_answer(response.status().as_u16());
-        self.access.set_outcome("served");
+        self.access.set_outcome("served", record::EndedBy::Endpoint);
+        self.access.await_write();
         response
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,5 +33,7 @@
 pub use gateway::Gateway;
 pub use names::HeaderNames;
 pub use query::ReaderStatus;
-pub use record::{ConfigRead, DropCounter, Event, Journal, RequestInputs, TrialStats};
+pub use record::{
+    ConfigRead, DropCounter, EndedBy, Event, Journal, Outcome, RequestInputs, TrialStats,
+};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,7 +46,10 @@
             .with_callback(move |counter| counter.observe(dropped.count(), &[]))
             .build();
         Ok(Self {
-            ended: counter("gateway_requests_ended", "Requests by route and outcome."),
+            ended: counter(
+                "gateway_requests_ended",
+                "Requests by route, outcome and who ended them.",
+            ),
             sends: counter("gateway_sends", "Sends to endpoints."),
             failures: counter("gateway_send_failures", "Failed sends by kind."),
             charges_alone: counter(
@@ -96,8 +99,12 @@
         })
     }
 
-    pub(crate) fn ended(&self, route: &str, outcome: &'static str) {
-        let labels = [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
+    pub(crate) fn ended(&self, route: &str, outcome: record::Outcome) {
+        let labels = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("outcome", outcome.outcome),
+            KeyValue::new("ended_by", outcome.ended_by.name()),
+        ];
         self.ended.add(1, &labels);
     }
 
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -3,7 +3,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::id;
 
-use crate::query;
+use crate::{query, record::Outcome};
 
 /// What a request asked for: the inputs of the decisions on its quota, rank and slot.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
@@ -25,6 +25,11 @@
     pub returning: bool,
     /// The latency objective for the first event, in milliseconds.
     pub objective_ms: u64,
+    /// The time allowed for the whole answer: the timeout of the route or `deadline_ms`, whichever is
+    /// shorter, in milliseconds.
+    pub limit_ms: u64,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: u64,
 }
 
 /// The measurements of a canary version.
@@ -376,8 +381,9 @@
         asked: RequestInputs,
         /// The other daemon that granted or refused its last slot, by its address for messages.
         placer: Option<std::net::SocketAddr>,
-        /// How it ended.
-        outcome: &'static str,
+        /// How it ended, and by whom.
+        #[serde(flatten)]
+        outcome: Outcome,
         /// The status that was answered.
         status: u16,
         /// The endpoint of the last send.
--- a/crates/gateway/src/record/journal.rs
+++ b/crates/gateway/src/record/journal.rs
@@ -1,7 +1,7 @@
 //! Writes log lines without blocking the caller.
 
 use std::sync::atomic;
-use std::{io::Write as _, sync, thread};
+use std::{sync, thread};
 
 use trefoildyke_types::id;
 
@@ -21,7 +21,7 @@
     }
 }
 
-/// Writes events as JSON lines to standard output, on its own thread.
+/// Writes events as JSON lines, to standard output by default, on its own thread.
 ///
 /// A line that does not fit into the queue is dropped and counted, so that a slow reader never delays a
 /// request.
@@ -51,15 +51,28 @@
 }
 
 impl Journal {
-    /// Starts the writer thread for the log of `host`; the thread ends with the last clone of the journal.
+    /// Starts the writer thread for the log of `host` on standard output; the thread ends with the last clone
+    /// of the journal.
     ///
     /// # Errors
     ///
     /// Fails if the thread cannot be started.
     pub fn start(host: id::HostName) -> std::io::Result<(Self, thread::JoinHandle<()>)> {
+        Self::start_with(host, std::io::stdout())
+    }
+
+    /// Does the same with `out` in place of standard output.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread cannot be started.
+    pub fn start_with(
+        host: id::HostName,
+        out: impl std::io::Write + Send + 'static,
+    ) -> std::io::Result<(Self, thread::JoinHandle<()>)> {
         let (lines, queue) = sync::mpsc::sync_channel(CAPACITY);
         let writer = thread::Builder::new().name("journal".to_owned());
-        let writer = writer.spawn(move || write_lines(&queue))?;
+        let writer = writer.spawn(move || write_lines(&queue, out))?;
         Ok((Self { host, lines, dropped: DropCounter::default() }, writer))
     }
 
@@ -113,8 +126,7 @@
 }
 
 /// Writes queued lines, many at a time.
-fn write_lines(queue: &sync::mpsc::Receiver<Vec<u8>>) {
-    let mut out = std::io::stdout();
+fn write_lines(queue: &sync::mpsc::Receiver<Vec<u8>>, mut out: impl std::io::Write) {
     while let Ok(mut lines) = queue.recv() {
         while lines.len() < 32 << 10
             && let Ok(line) = queue.try_recv()
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -17,9 +17,9 @@
 /// leave after two seconds or more.
 const MIN_SILENCE: time::Duration = time::Duration::from_millis(1_200);
 
-/// The outcomes of streams that are not complete, for logs.
-const BROKEN: &str = "stream_broken";
-const TIMEOUT: &str = "stream_timeout";
+/// The outcomes of streams that are not complete.
+const BROKEN: record::Outcome = record::Outcome::new("stream_broken", record::EndedBy::Endpoint);
+const TIMEOUT: record::Outcome = record::Outcome::new("stream_timeout", record::EndedBy::Gateway);
 
 /// Starts forwarding a stream.
 pub(crate) fn stream(
@@ -65,7 +65,7 @@
     End,
     Broken(ingress::FailedSend),
     /// The caller's connection is closed, for this reason.
-    Abort(&'static str),
+    Abort(record::Outcome),
 }
 
 type NextPart = Option<(Result<Bytes, ingress::Aborted>, Option<Relay>)>;
@@ -237,8 +237,8 @@
     }
 
     /// Aborts a stream that cannot be resumed.
-    fn abort(mut self, reason: &'static str) -> NextPart {
-        self.driver.access.set_outcome(reason);
+    fn abort(mut self, reason: record::Outcome) -> NextPart {
+        self.driver.access.set_outcome(reason.outcome, reason.ended_by);
         Some((Err(ingress::Aborted), None))
     }
 
@@ -253,7 +253,8 @@
             let service = &self.driver.call.service;
             self.driver.shared.keep_idle(service, &slot.grant().endpoint, connection);
         }
-        self.driver.access.set_outcome("served");
+        self.driver.access.set_outcome("served", record::EndedBy::Endpoint);
+        self.driver.access.await_write();
     }
 
     /// Resumes a stream that has broken off at another endpoint; returns whether that was allowed and
--- a/crates/gateway/tests/testsuite/callers.rs
+++ b/crates/gateway/tests/testsuite/callers.rs
@@ -105,8 +105,8 @@
     scrape.send("GET /metrics", &[], "");
     let text = scrape.read_reply().unwrap().body;
     for line in [
-        "gateway_requests_ended_total{outcome=\"served\",route=\"once\"",
-        "gateway_requests_ended_total{outcome=\"no_route\",route=\"\"",
+        "gateway_requests_ended_total{ended_by=\"endpoint\",outcome=\"served\",route=\"once\"",
+        "gateway_requests_ended_total{ended_by=\"gateway\",outcome=\"no_route\",route=\"\"",
         "gateway_sends_total",
         "gateway_first_byte_ms_count",
         "gateway_wait_ms_count",
--- /dev/null
+++ b/crates/gateway/tests/testsuite/endings.rs
@@ -0,0 +1,82 @@
+//! Which party a log line and a metric name as the one that ended a request.
+
+use std::{net, time::Duration};
+
+use crate::harness::{Caller, Endpoint, Step, TestGateway};
+
+/// The length of an answer in bytes that the buffers of a connection do not hold.
+const LONG: usize = 6 << 20;
+
+/// Longer than any test.
+const FOREVER: Duration = Duration::from_secs(30);
+
+/// Returns how many requests have ended with `outcome`, and by whom, according to the metrics.
+fn count_ended(metrics: net::SocketAddr, outcome: &str, ended_by: &str) -> usize {
+    let mut scrape = Caller::connect(metrics);
+    scrape.send("GET /metrics", &[], "");
+    let text = scrape.read_reply().unwrap().body;
+    let labels = [format!("outcome=\"{outcome}\""), format!("ended_by=\"{ended_by}\"")];
+    let lines = text.lines().filter(|line| line.starts_with("gateway_requests_ended"));
+    let lines = lines.filter(|line| labels.iter().all(|label| line.contains(label)));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok()).sum()
+}
+
+fn wait_for(gateway: &TestGateway, outcome: &str, ended_by: &str) {
+    let metrics = gateway.addresses.metrics.unwrap();
+    let what = format!("{outcome} by {ended_by}");
+    TestGateway::wait_until(&what, || count_ended(metrics, outcome, ended_by) == 1);
+}
+
+fn send(gateway: &TestGateway, route: &str) -> Caller {
+    let mut caller = gateway.caller();
+    let headers = [("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")];
+    caller.send(&format!("POST /{route}/"), &headers, "");
+    caller
+}
+
+fn stopping(grace: Duration, endpoint: &Endpoint) -> TestGateway {
+    let gateway = TestGateway::unconfigured(|settings| settings.stop_grace = grace);
+    gateway.configure(&[endpoint]);
+    gateway
+}
+
+/// Returns a whole answer of `LONG` bytes.
+fn long_answer() -> &'static str {
+    let head = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: r\r\ntrefoildyke-seal: s\r\n";
+    format!("{head}Content-Length: {LONG}\r\n\r\n{}", "x".repeat(LONG)).leak()
+}
+
+/// Guards against a stop that cuts requests off and reports that their callers have left.
+#[test]
+fn requests_cut_off_by_a_stop_are_not_reported_as_left_by_their_callers() {
+    let pause = Step::Pause(FOREVER);
+    let begun = vec![Step::Stream, Step::Events("id: 1\n\n"), pause.clone()];
+    let endpoint = Endpoint::start(vec![begun, vec![pause]]);
+    let gateway = stopping(Duration::from_secs(1), &endpoint);
+    let mut stream = send(&gateway, "stream");
+    stream.read_first_event();
+    let mut whole = send(&gateway, "once");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 2);
+    let log = gateway.stop_and_read_log();
+    assert!(stream.read_reply().is_some_and(|reply| !reply.is_complete));
+    assert!(whole.read_reply().is_none());
+    let ended = log.iter().filter(|event| event["event"] == "ended");
+    let ended: Vec<_> = ended.map(|event| (&event["outcome"], &event["ended_by"])).collect();
+    assert_eq!(ended.len(), 2, "{log:?}");
+    assert!(
+        ended.iter().all(|end| *end == (&"cut_by_stop".into(), &"gateway".into())),
+        "{ended:?}"
+    );
+}
+
+/// Guards against an answer that its caller did not wait for and that counts as served.
+#[test]
+fn a_whole_answer_that_cannot_be_written_does_not_count_as_served() {
+    let endpoint = Endpoint::start(vec![vec![Step::Raw(long_answer())]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    let caller = send(&gateway, "once");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 1);
+    std::thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    wait_for(&gateway, "caller_left", "caller");
+}
--- a/crates/gateway/tests/testsuite/harness/mod.rs
+++ b/crates/gateway/tests/testsuite/harness/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod endpoint;
 mod engine;
+mod log;
 mod test_gateway;
 
 pub(crate) use caller::{Caller, Reply};
--- a/crates/gateway/tests/testsuite/harness/test_gateway.rs
+++ b/crates/gateway/tests/testsuite/harness/test_gateway.rs
@@ -1,6 +1,6 @@
 //! A gateway with a configuration for tests.
 
-use std::{net, time};
+use std::{net, thread, time};
 
 use trefoildyke_decide::gateway::{
     Account, AccountUnit, Config, Limits, Peer, RosterEntry, Route, RouteKind, Service, Strength,
@@ -9,7 +9,7 @@
 use trefoildyke_gateway::{Feed, Gateway, Journal, Listen, Settings};
 use trefoildyke_kernel as kernel;
 
-use crate::harness::{Caller, Endpoint, Reply};
+use crate::harness::{Caller, Endpoint, Reply, log::Log};
 
 /// A running gateway.
 pub(crate) struct TestGateway {
@@ -17,6 +17,8 @@
     running: Option<(kernel::Kernel, Gateway)>,
     pub(crate) feed: Feed,
     pub(crate) addresses: Listen,
+    log: Log,
+    writer: Option<thread::JoinHandle<()>>,
 }
 
 impl TestGateway {
@@ -32,10 +34,11 @@
         settings.retry_ratio = 5.0;
         change(&mut settings);
         let kernel = kernel::Kernel::builder().with_traffic_threads(1).start().unwrap();
-        let (journal, _) = Journal::start("host-1".into()).unwrap();
+        let log = Log::default();
+        let (journal, writer) = Journal::start_with("host-1".into(), log.clone()).unwrap();
         let gateway = Gateway::start(&kernel, settings, journal).unwrap();
         let (feed, addresses) = (gateway.feed(), *gateway.addresses());
-        Self { running: Some((kernel, gateway)), feed, addresses }
+        Self { running: Some((kernel, gateway)), feed, addresses, log, writer: Some(writer) }
     }
 
     /// Starts a gateway with the default configuration and `endpoints`.
@@ -83,6 +86,20 @@
 
     /// Stops gracefully and returns how many requests were cut off.
     pub(crate) fn stop(mut self) -> usize {
+        self.stop_running()
+    }
+
+    /// Stops gracefully and returns the events of the log.
+    pub(crate) fn stop_and_read_log(mut self) -> Vec<serde_json::Value> {
+        self.stop_running();
+        let (log, writer) = (self.log.clone(), self.writer.take().unwrap());
+        // The writer ends with the gateway's state.
+        drop(self);
+        writer.join().unwrap();
+        log.events()
+    }
+
+    fn stop_running(&mut self) -> usize {
         let (kernel, gateway) = self.running.take().unwrap();
         let cut = kernel.block_on(gateway.stop());
         assert!(kernel.close().is_empty());
@@ -172,7 +189,7 @@
         let end = time::Instant::now() + time::Duration::from_secs(5);
         while !condition() {
             assert!(time::Instant::now() < end, "not within five seconds: {what}");
-            std::thread::sleep(time::Duration::from_millis(5));
+            thread::sleep(time::Duration::from_millis(5));
         }
     }
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod crashing_parts;
 mod drains;
+mod endings;
 mod endless;
 mod failures;
 mod fuzz;
