gateway: a stop waits until whole answers have been written

Callers saw: a planned stop broke off an answer that its endpoint had completed, if the caller had not read it by then. Of 6,291,456 bytes 3,919,761 arrived, though 4 s of the grace period were left.

Cause: a request counted as in progress until its answer was handed to the connection; the stop then waited 20 ms and closed all connections. The class: something counts as done when it is handed on, not when it is done.

Change: the pass that delays the stop belongs to the access log entry, which ends once the answer has been written. A caller that does not read holds the stop up until its grace period ends.

endings::a_stop_waits_until_a_whole_answer_has_been_written failed before with the figures above.

--- a/crates/gateway/src/ingress/access.rs
+++ b/crates/gateway/src/ingress/access.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use trefoildyke_decide::gateway;
+use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::{ingress::CallerConnection, names, record, state};
@@ -12,6 +13,8 @@
 pub(crate) struct AccessLogEntry {
     shared: sync::Arc<state::Shared>,
     connection: sync::Arc<CallerConnection>,
+    /// Delays the end of a graceful stop until the answer has been written.
+    pass: Option<kernel::Pass>,
     id: String,
     arrived: Timestamp,
     route: String,
@@ -61,10 +64,16 @@
             events: 0,
             unframed: false,
             connection,
+            pass: None,
             shared,
         }
     }
 
+    /// Makes a graceful stop wait for the end of the request.
+    pub(crate) fn hold(&mut self, pass: kernel::Pass) {
+        self.pass = Some(pass);
+    }
+
     pub(crate) fn id(&self) -> &str {
         &self.id
     }
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use hyper::body;
 use trefoildyke_decide::gateway;
-use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::{ingress, placing, record, relay, state, upstream};
@@ -42,8 +41,6 @@
     last_response: Option<Box<hyper::Response<ingress::Body>>>,
     /// The retry that is reserved in the retry budget and has not been sent yet.
     retry_reservation: Option<state::RetryReservation>,
-    /// Delays the end of a graceful stop.
-    _pass: kernel::Pass,
 }
 
 /// What an endpoint has answered.
@@ -124,8 +121,9 @@
     let Some(pass) = shared.gate.enter() else {
         return refuse(access, ingress::Reply::not_run("stopping", STOPPING_RETRY).closing());
     };
+    access.hold(pass);
     match ingress::Call::read(&shared, &mut access, request).await {
-        Ok(call) => Driver::new(shared, call, access, pass).run().await,
+        Ok(call) => Driver::new(shared, call, access).run().await,
         Err(reply) => refuse(access, reply),
     }
 }
@@ -144,7 +142,6 @@
         shared: sync::Arc<state::Shared>,
         call: ingress::Call,
         access: ingress::AccessLogEntry,
-        pass: kernel::Pass,
     ) -> Self {
         let is_idempotent = call.kind.is_idempotent();
         let policy = if is_idempotent {
@@ -161,7 +158,6 @@
             tried: Vec::new(),
             last_response: None,
             retry_reservation: None,
-            _pass: pass,
         }
     }
 
--- a/crates/gateway/tests/testsuite/endings.rs
+++ b/crates/gateway/tests/testsuite/endings.rs
@@ -1,6 +1,9 @@
 //! Which party a log line and a metric name as the one that ended a request.
 
-use std::{net, time::Duration};
+use std::{
+    net,
+    time::{Duration, Instant},
+};
 
 use crate::harness::{Caller, Endpoint, Step, TestGateway};
 
@@ -80,3 +83,20 @@
     drop(caller);
     wait_for(&gateway, "caller_left", "caller");
 }
+
+/// Guards against a stop that ends before a whole answer has been written.
+#[test]
+fn a_stop_waits_until_a_whole_answer_has_been_written() {
+    let endpoint = Endpoint::start(vec![vec![Step::Raw(long_answer())]]);
+    let gateway = stopping(Duration::from_secs(8), &endpoint);
+    let mut caller = send(&gateway, "once");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 1);
+    let started = Instant::now();
+    let stopped = std::thread::spawn(move || gateway.stop());
+    // Past the time for which a stop serves new requests.
+    std::thread::sleep(Duration::from_millis(4_000));
+    let reply = caller.read_reply().unwrap();
+    assert!(reply.is_complete, "{} bytes of {LONG}", reply.body.len());
+    assert_eq!(stopped.join().unwrap(), 0);
+    assert!(started.elapsed() < Duration::from_secs(8));
+}
