decide: keep the permit of a dispatched request that a second asker hands back

Two daemons that ask for the same request get the same permit. What callers see: nothing at once, but the endpoint is given more requests than it has slots, so that answers come later or the endpoint rejects them.

Cause: the second asker finds the record of the first one, follows it and hands its permit back (or is gone and its ask is cancelled). The scheduler released the permit by the request's key alone, although the first daemon had reported the dispatch and the request still ran.

Evidence: `a_permit_handed_back_by_one_asker_keeps_the_slot_of_a_running_request`, one endpoint with one slot: before, the hand-back granted the slot to the next request while the first one ran; now it is granted after the first one's end.

Why it works: only the daemon that dispatches reports the end, and an end is sent again until it has arrived. A permit that is not reported as dispatched is still returned or expires.

--- a/crates/decide/src/schedule/report.rs
+++ b/crates/decide/src/schedule/report.rs
@@ -36,12 +36,13 @@
         /// How it ended.
         outcome: schedule::Outcome,
     },
-    /// The permit was not used and will not be used.
+    /// The permit was not used and will not be used; has no effect on a request that was dispatched.
     HandBack {
         /// The request.
         key: id::RequestKey,
     },
-    /// The coordinator no longer needs the request, whether it is waiting or permitted.
+    /// The coordinator no longer needs the request, whether it is waiting or permitted; has no effect on a
+    /// request that was dispatched.
     Cancel {
         /// The request.
         key: id::RequestKey,
--- a/crates/decide/src/schedule/shard/reports.rs
+++ b/crates/decide/src/schedule/shard/reports.rs
@@ -105,13 +105,17 @@
         }
     }
 
-    /// Releases a permit that is not or no longer used, and refunds its cost unless tokens have
-    /// been generated.
+    /// Releases a permit that was not used, and refunds its cost.
+    ///
+    /// The permit of a request that was dispatched stays: two coordinators that ask for the same request get
+    /// the same permit, and only the one that dispatches the request reports its end.
     pub(super) fn return_permit(&mut self, now: Timestamp, key: &id::RequestKey) {
-        let Some(permitted) = self.release(now, key) else { return };
-        if !permitted.is_streaming() {
-            self.queue.charge(permitted.rank, &key.account, -permitted.cost, false);
+        let permitted = self.permitted.get(key);
+        if permitted.is_some_and(|permitted| permitted.dispatched_at().is_some()) {
+            return;
         }
+        let Some(permitted) = self.release(now, key) else { return };
+        self.queue.charge(permitted.rank, &key.account, -permitted.cost, false);
     }
 
     /// Removes a permitted request from its endpoint.
--- a/crates/decide/tests/testsuite/schedule_basics.rs
+++ b/crates/decide/tests/testsuite/schedule_basics.rs
@@ -210,6 +210,21 @@
     assert_eq!(driver.shard.permitted_count(), 1);
 }
 
+/// Guards against a slot that is granted twice because an asker returns the permit of another daemon's request.
+#[test]
+fn a_permit_handed_back_by_one_asker_keeps_the_slot_of_a_running_request() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    let mut second = ask(1, 0);
+    second.coordinator = id::Incarnation::from_u64(2);
+    assert_eq!(granted(&driver.ask(second)), [key(1)]);
+    driver.ask(ask(2, 0));
+    assert_eq!(granted(&driver.report(schedule::Report::HandBack { key: key(1) })), []);
+    assert_eq!(granted(&driver.report(schedule::Report::Cancel { key: key(1) })), []);
+    assert_eq!(granted(&driver.finished(&key(1), 10)), [key(2)]);
+}
+
 #[test]
 fn extreme_settings_are_tolerated() {
     let params = schedule::Params {
