decide: answer the asker of a request that another daemon runs

What callers see: a coordinator was frozen and went on; callers whose requests still waited there get no answer until their deadline, then `outcome_unknown`, although another daemon has answered their retries.

Cause: after its pause the coordinator is the scheduler again, and the other daemon reports the requests that it runs. `Shard::take_over` took them out of the queue of waiting requests and gave no output, so that the daemon's own asks for the same requests stayed unanswered. In the lines of a run of 62 s, four requests wait, four `TakeOver` empty the queue 0.1 s after the pause, the other daemon answers 0.7 s later, and the four asks end with `DeadlinePassed` 57 s after that.

Evidence: `an_asker_is_answered_once_another_daemon_runs_its_request` got no grant before. The test now also checks that no caller waits for its deadline.

Why it works: the asker gets the permit of the running request, as one that asks later does. It then finds the record of the dispatch, follows the answer, and hands the permit back, which leaves the request's slot alone.

--- a/crates/decide/src/schedule/shard/asks.rs
+++ b/crates/decide/src/schedule/shard/asks.rs
@@ -108,7 +108,16 @@
         }
     }
 
-    pub(super) fn take_over(&mut self, now: Timestamp, taken_over: schedule::TakenOver) {
+    /// Counts a request as running that another scheduler permitted.
+    ///
+    /// A coordinator that waits for a permit for it gets the permit of the running request. It finds the
+    /// record of the dispatch and follows the answer.
+    pub(super) fn take_over(
+        &mut self,
+        now: Timestamp,
+        taken_over: schedule::TakenOver,
+        outputs: &mut Vec<schedule::Output>,
+    ) {
         let schedule::TakenOver { mut ask, endpoint, tokens } = taken_over;
         let Some(index) = self.fleet.index_of(&endpoint) else { return };
         if let Some(permitted) = self.permitted.get_mut(&ask.key) {
@@ -116,9 +125,7 @@
             permitted.coordinator = ask.coordinator;
             return;
         }
-        if let Some(number) = self.queue.number(&ask.key) {
-            self.queue.take(number);
-        }
+        let asked = self.queue.number(&ask.key).and_then(|number| self.queue.take(number));
         let checkpoints = prefix::checkpoints(&std::mem::take(&mut ask.prefix));
         let phase = if tokens == 0 {
             permitted::Phase::Dispatched(now)
@@ -127,6 +134,7 @@
         };
         let prefill = if tokens == 0 { ask.prompt_tokens } else { 0 };
         let permit = self.permit(&ask, endpoint, 0);
+        outputs.extend(asked.map(|_| schedule::Output::Grant(permit.clone())));
         let permitted = permitted::Permitted {
             permit,
             coordinator: ask.coordinator,
--- a/crates/decide/src/schedule/shard/mod.rs
+++ b/crates/decide/src/schedule/shard/mod.rs
@@ -150,7 +150,7 @@
         match input {
             schedule::Input::Ask(ask) => self.ask(now, ask, outputs),
             schedule::Input::Report(report) => self.report(now, &report),
-            schedule::Input::TakeOver(taken_over) => self.take_over(now, taken_over),
+            schedule::Input::TakeOver(taken_over) => self.take_over(now, taken_over, outputs),
             schedule::Input::CoordinatorLost(lost) => self.coordinator_lost(now, lost),
             schedule::Input::Load { endpoint, as_of, report } => {
                 self.load(&endpoint, as_of, &report);
--- a/crates/decide/tests/testsuite/schedule_basics.rs
+++ b/crates/decide/tests/testsuite/schedule_basics.rs
@@ -225,6 +225,23 @@
     assert_eq!(granted(&driver.finished(&key(1), 10)), [key(2)]);
 }
 
+/// Guards against an asker that waits until its deadline because another daemon has dispatched its request.
+#[test]
+fn an_asker_is_answered_once_another_daemon_runs_its_request() {
+    let mut driver = Driver::new(1, 1);
+    driver.ask(ask(1, 0));
+    driver.started(&key(1));
+    driver.ask(ask(2, 0));
+    let mut other = ask(2, 0);
+    other.coordinator = id::Incarnation::from_u64(2);
+    let taken_over = schedule::TakenOver { ask: other, endpoint: "e0".into(), tokens: 0 };
+    assert_eq!(granted(&driver.step(schedule::Input::TakeOver(taken_over.clone()))), [key(2)]);
+    assert_eq!(granted(&driver.step(schedule::Input::TakeOver(taken_over))), []);
+    assert_eq!(driver.shard.waiting_count(), 0);
+    driver.report(schedule::Report::HandBack { key: key(2) });
+    assert_eq!(driver.shard.permitted_count(), 2);
+}
+
 #[test]
 fn extreme_settings_are_tolerated() {
     let params = schedule::Params {
--- a/crates/trefoildyked/tests/testsuite/freeze.rs
+++ b/crates/trefoildyked/tests/testsuite/freeze.rs
@@ -48,12 +48,15 @@
         assert_eq!(outcome.unwrap_tokens(), caller::expected_tokens(id, 0, TOKENS));
     }
     // Answers that the first coordinator still sends to its callers must be correct if they are complete.
+    let answered = std::time::Instant::now();
     for (spec, stream) in specs.iter().zip(frozen) {
         if let harness::Outcome::Complete(id, tokens) = stream.finish().await {
             assert_eq!(Some(id), spec.id);
             assert_eq!(tokens, caller::expected_tokens(id, 0, TOKENS));
         }
     }
+    // The answers exist by now, so that no caller may wait for its deadline of 60 s.
+    assert!(answered.elapsed() < std::time::Duration::from_secs(20), "{:?}", answered.elapsed());
     let starts = cluster.start_counts().await;
     assert_eq!(starts.len(), specs.len());
     assert!(starts.values().all(|count| *count == 1), "{starts:?}");
