wire: end the calls of a connection that ends while they are sent

What callers see: a request whose daemon calls another one at the moment when the connection to it breaks waits until its own deadline, whatever the timeout of the call; it ends as `outcome_unknown` in place of an answer or an early refusal.

Cause: tarpc's queue of calls is dropped with the connection. A call that is put into the queue just then is neither sent nor failed, and its timeout is kept by the task that has ended, so that nothing wakes it.

Why it works: each call also waits for the end of its connection's driver, and fails as it does when the connection has ended before. An answer that has arrived comes first.

--- a/crates/wire/src/peer/connect.rs
+++ b/crates/wire/src/peer/connect.rs
@@ -7,10 +7,11 @@
 use hyper_util::rt;
 use tarpc::transport::channel;
 use tokio::{io::AsyncWriteExt, net as tokio_net, time};
+use tokio_util::sync;
 use trefoildyke_types::id;
 
 use crate::peer::{
-    Error, Identity, Limits, PROTOCOL, PeerClient, Role, Transcript, frame_io, headers,
+    Error, Identity, Limits, PROTOCOL, PeerClient, Role, Transcript, calls, frame_io, headers,
 };
 
 type Socket = rt::TokioIo<hyper::upgrade::Upgraded>;
@@ -45,16 +46,20 @@
         .await
         .map_err(|_| Error::HandshakeTimeout)??;
     let (client_end, frame_end) = channel::bounded(frame_io::QUEUE_CAPACITY);
-    let new_client = PeerClient::new(tarpc::client::Config::default(), client_end);
+    let new_client = tarpc::client::new(tarpc::client::Config::default(), client_end);
     let dispatch = new_client.dispatch;
     let clock = identity.clock.clone();
+    let ended = sync::CancellationToken::new();
+    let client = PeerClient::from(calls::Calls::new(new_client.client, ended.clone()));
+    let guard = ended.drop_guard();
     let driver = async move {
+        let _guard = guard;
         tokio::select! {
             result = frame_io::run(socket, frame_end, limits, &clock) => result,
             _ = dispatch => Ok(()),
         }
     };
-    Ok(Connection { client: new_client.client, incarnation, driver: driver.boxed() })
+    Ok(Connection { client, incarnation, driver: driver.boxed() })
 }
 
 async fn perform_handshake(
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -10,6 +10,7 @@
 //! keeps unknown clients out, and the network between the hosts is trusted not to alter messages.
 
 mod activity;
+mod calls;
 mod clock;
 mod connect;
 mod error;
@@ -23,6 +24,7 @@
 mod serve;
 mod service;
 
+pub use calls::{Calls, PeerClient};
 pub use clock::Clock;
 pub use connect::{Connection, connect};
 pub use error::Error;
@@ -35,4 +37,4 @@
 };
 pub use methods::{Caller, Method, Methods};
 pub use serve::{Identity, serve};
-pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, within};
+pub use service::{Peer, PeerRequest, PeerResponse, within};
