gateway: the rest of a refused request is read, not reset

What callers see: a request that is refused by its head (401, 404, 400 without an id, 503) or for its size (413) while its body still arrives: the connection is reset under the caller's writes, also if the refusal doesn't say Connection: close, and the reset may overtake the answer.

Cause: the body is dropped with the refusal. The HTTP library then reads what is already there once, gives up on the rest and closes the connection; closing with unread bytes resets it.

Fix: the refusal is written at once. The body outlives the answer, and the connection reads and discards its rest, for at most the time and size that the limits allow a body. Then the connection is used again, or closed if the refusal said so. Discarding before the answer was ruled out: it delays each refusal by the transfer, and by the time limit for a caller that never sends the rest. The discarding begins after the head of the answer is written, so that a caller with Expect: 100-continue isn't asked for the body; its refusal says Connection: close, as it may not send the body. A body that states a length over the limit is refused before it is read. Callers that send more than the limit after a refusal are still cut off; answers of the HTTP library itself (431, malformed heads) close as before.

Tests: Caller::try_write returns whether the bytes were taken; its callers ignore it as before.

--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{StatusCode, body, header};
+use hyper::{StatusCode, body, body::Body as _, header};
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -17,6 +17,10 @@
 /// which most likely can check it.
 const KEY_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// The answer to a request whose body is over the limit.
+const TOO_LARGE: ingress::Reply =
+    ingress::Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large").closing();
+
 /// The deadline of a caller that sends none.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(60);
 
@@ -71,16 +75,17 @@
     pub(crate) async fn read(
         shared: &state::Shared,
         access: &mut ingress::AccessLogEntry,
-        request: hyper::Request<body::Incoming>,
+        head: &http::request::Parts,
+        body: &mut body::Incoming,
     ) -> Result<Self, ingress::Reply> {
-        let (head, body) = request.into_parts();
         let names = &shared.settings.names;
-        let admission = admit(shared, access, &head)?;
+        let admitted = admit(shared, access, head);
+        let admission = admitted.map_err(|reply| refuse_unread(reply, head))?;
         let id = access.id().to_owned();
         let wait_limit = names::number(&head.headers, &names.deadline);
         let wait_limit = wait_limit.map_or(DEFAULT_DEADLINE, time::Duration::from_millis);
         let body = read_body(&admission, body).await?;
-        let fingerprint = admission.fingerprint(&head, &body);
+        let fingerprint = admission.fingerprint(head, &body);
         let tokens = parse_tokens(names::text(&head.headers, &names.tokens));
         let arrived = access.arrived();
         let route = &admission.route;
@@ -115,7 +120,7 @@
             return Err(ingress::Reply::not_run(ingress::QUARANTINED, after));
         }
         let reservation = charge(shared, &admission, cost).await?;
-        let mut request = ingress::endpoint_request(names, &head, body);
+        let mut request = ingress::endpoint_request(names, head, body);
         if let Some(account) = &admission.account
             && let Ok(value) = header::HeaderValue::from_str(account.name.as_str())
         {
@@ -212,13 +217,23 @@
     })
 }
 
-async fn read_body(admission: &Admission, body: body::Incoming) -> Result<Bytes, ingress::Reply> {
+/// Makes the connection of a refused request close if its caller waits before it sends the body, as that
+/// caller may not send the body any more.
+fn refuse_unread(reply: ingress::Reply, head: &http::request::Parts) -> ingress::Reply {
+    if head.headers.contains_key(header::EXPECT) { reply.closing() } else { reply }
+}
+
+async fn read_body(
+    admission: &Admission,
+    body: &mut body::Incoming,
+) -> Result<Bytes, ingress::Reply> {
+    if body.size_hint().lower() > admission.body_limit as u64 {
+        return Err(TOO_LARGE);
+    }
     let body = Limited::new(body, admission.body_limit).collect();
     match tokio::time::timeout(admission.body_timeout, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ingress::Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large").closing())
-        }
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(TOO_LARGE),
         Ok(Err(_)) => Err(ingress::Reply::new(StatusCode::BAD_REQUEST, "body_broken").closing()),
         Err(_) => Err(ingress::Reply::new(StatusCode::REQUEST_TIMEOUT, "body_slow").closing()),
     }
--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -2,9 +2,9 @@
 
 use std::{sync, time};
 
-use hyper::{server::conn::http1, service};
+use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
-use tokio::{net, task};
+use tokio::{net, sync::mpsc, task};
 use tokio_util::sync as tokio_sync;
 use trefoildyke_decide::gateway;
 
@@ -67,26 +67,30 @@
 ) {
     // A failure only delays small writes.
     let _ = stream.set_nodelay(true);
-    let limits = shared.core().table.as_ref().map(|table| table.config().limits.clone());
-    let builder = builder(&limits.unwrap_or_default());
+    let builder = builder(&limits(&shared));
     // Dropped after the connection, whose requests end with it.
     let caller = OpenConnection::default();
     let state = sync::Arc::clone(&caller.state);
+    let (sender, unread) = mpsc::unbounded_channel();
+    let discarding = ingress::discard_unread(sync::Arc::clone(&shared), unread);
     let service = service::service_fn(move |request| {
-        let (shared, state) = (sync::Arc::clone(&shared), sync::Arc::clone(&state));
-        async move { Ok::<_, std::convert::Infallible>(ingress::handle(shared, state, request).await) }
+        answer(sync::Arc::clone(&shared), sync::Arc::clone(&state), request, sender.clone())
     });
     let stream = WatchedStream { stream, connection: sync::Arc::clone(&caller.state) };
     let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // It ends only after the connection, which owns the sender.
+    let mut discarding = std::pin::pin!(discarding);
     let mut result = tokio::select! {
         result = connection.as_mut() => Some(result),
+        () = discarding.as_mut() => None,
         () = draining.cancelled() => None,
     };
     if result.is_none() {
         connection.as_mut().graceful_shutdown();
         result = tokio::select! {
             result = connection.as_mut() => Some(result),
+            () = discarding.as_mut() => None,
             () = shutdown.cancelled() => None,
         };
     }
@@ -105,6 +109,29 @@
     }
 }
 
+/// Answers one request and passes on its body, of which a part may not have been read.
+///
+/// The body is passed on last, so that its rest is read after the answer has begun and a caller that waits
+/// for `100 Continue` is not asked for it.
+async fn answer(
+    shared: sync::Arc<state::Shared>,
+    connection: sync::Arc<CallerConnection>,
+    request: hyper::Request<body::Incoming>,
+    unread: mpsc::UnboundedSender<body::Incoming>,
+) -> Result<hyper::Response<ingress::Body>, std::convert::Infallible> {
+    let (head, mut body) = request.into_parts();
+    let response = ingress::handle(shared, connection, head, &mut body).await;
+    // The receiver is dropped only with the connection.
+    let _ = unread.send(body);
+    Ok(response)
+}
+
+/// Returns the limits on requests that are in force.
+pub(crate) fn limits(shared: &state::Shared) -> gateway::Limits {
+    let limits = shared.core().table.as_ref().map(|table| table.config().limits.clone());
+    limits.unwrap_or_default()
+}
+
 fn builder(limits: &gateway::Limits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     // The read timeout of a head starts at the end of the previous request, so it includes the idle time.
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -110,19 +110,20 @@
     Quarantined(time::Duration),
 }
 
-/// Answers one request.
+/// Answers one request. The body is read only as far as the answer depends on it.
 pub(crate) async fn handle(
     shared: sync::Arc<state::Shared>,
     connection: sync::Arc<ingress::CallerConnection>,
-    request: hyper::Request<body::Incoming>,
+    head: http::request::Parts,
+    body: &mut body::Incoming,
 ) -> hyper::Response<ingress::Body> {
     let mut access =
-        ingress::AccessLogEntry::new(sync::Arc::clone(&shared), connection, request.headers());
+        ingress::AccessLogEntry::new(sync::Arc::clone(&shared), connection, &head.headers);
     let Some(pass) = shared.gate.enter() else {
         return refuse(access, ingress::Reply::not_run("stopping", STOPPING_RETRY).closing());
     };
     access.hold(pass);
-    match ingress::Call::read(&shared, &mut access, request).await {
+    match ingress::Call::read(&shared, &mut access, &head, body).await {
         Ok(call) => Driver::new(shared, call, access).run().await,
         Err(reply) => refuse(access, reply),
     }
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -8,13 +8,15 @@
 mod driver;
 mod headers;
 mod reply;
+mod unread;
 mod watched_stream;
 
 pub(crate) use access::AccessLogEntry;
 pub(crate) use body::{Aborted, Body, frames, full};
 pub(crate) use call::Call;
 pub(crate) use caller_connection::CallerConnection;
-pub(crate) use connections::serve;
+pub(crate) use connections::{limits, serve};
 pub(crate) use driver::{Driver, FailedSend, OpenStream, PendingSend, Received, handle};
 pub(crate) use headers::{endpoint_request, response_head};
 pub(crate) use reply::{QUARANTINED, Reply};
+pub(crate) use unread::discard_unread;
--- a/crates/gateway/tests/testsuite/harness/caller.rs
+++ b/crates/gateway/tests/testsuite/harness/caller.rs
@@ -41,10 +41,10 @@
         self.stream.set_read_timeout(Some(length)).unwrap();
     }
 
-    /// Sends bytes to a gateway that may close the connection before it has read all.
-    pub(crate) fn try_write(&mut self, bytes: &str) {
-        // A failure shows in the answer.
-        let _ = self.stream.write_all(bytes.as_bytes());
+    /// Sends bytes to a gateway that may close the connection before it has read all; returns whether it
+    /// has taken them.
+    pub(crate) fn try_write(&mut self, bytes: &str) -> bool {
+        self.stream.write_all(bytes.as_bytes()).is_ok()
     }
 
     pub(crate) fn write(&mut self, bytes: &str) {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod malformed;
 mod peers;
 mod quotas;
+mod refusals;
 mod silence;
 mod stops;
 mod streams;
