gateway: a stop refuses requests on kept connections instead of closing them

What callers see: after the notice period of a stop, a request on a kept connection ends with a closed connection, without an answer or a refusal, also if half of its head had been read; one that isn't idempotent can't be repeated then.

Cause: when the notice period ends, all idle connections are closed at once. A connection counts as idle until the whole head of its next request is read. Besides, refusals in the notice period don't say Connection: close, so that their callers go on with connections that are about to go.

Fix: the end of the notice period closes only the listener and the gate. Open connections stay until no request is in progress, for 1 s at least if any are open, within the grace period; what comes on them gets 503 (stopping) with Retry-After and Connection: close. Then idle ones are closed, each after a last look at what has arrived. Every answer that begins during a stop says Connection: close, set in one place. Keeping idle connections until the grace period is over was ruled out: each stop with an idle caller would take all of it. A request that is sent later than that second, with nothing in progress, still finds its connection closed.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 
 use anyhow::Context as _;
 use tokio::net;
-use tokio_util::sync as tokio_sync;
 use trefoildyke_kernel as kernel;
 
 use crate::{config_transfer, feed, gossip, ingress, metrics, monitoring, record, settings, state};
@@ -13,14 +12,17 @@
 /// and gives up after two missed probes, has noticed the stop.
 const DRAIN_NOTICE: time::Duration = time::Duration::from_millis(3_000);
 
+/// How long idle connections of callers are kept at least after that, so that requests on their way are
+/// answered.
+const KEPT_TIME: time::Duration = time::Duration::from_millis(1_000);
+
 /// The last part of the grace period, which is reserved for closing connections.
 const CLOSE_TIME: time::Duration = time::Duration::from_millis(250);
 
 /// A running gateway.
 pub struct Gateway {
     shared: sync::Arc<state::Shared>,
-    draining: tokio_sync::CancellationToken,
-    shutdown: tokio_sync::CancellationToken,
+    phases: ingress::StopPhases,
 }
 
 impl Gateway {
@@ -35,11 +37,7 @@
         let callers = settings.listen.callers;
         let metrics = metrics::Metrics::new(journal.dropped().clone())?;
         let shared = sync::Arc::new(state::Shared::new(settings, journal, metrics));
-        let gateway = Self {
-            shared,
-            draining: tokio_sync::CancellationToken::new(),
-            shutdown: tokio_sync::CancellationToken::new(),
-        };
+        let gateway = Self { shared, phases: ingress::StopPhases::default() };
         gateway.serve(kernel, sockets);
         let incarnation = gateway.shared.core().incarnation();
         gateway.shared.journal.write(&record::Event::Started { incarnation, callers });
@@ -48,12 +46,10 @@
 
     fn serve(&self, kernel: &kernel::Kernel, sockets: Sockets) {
         let shared = || sync::Arc::clone(&self.shared);
-        let (draining, shutdown) = (self.draining.clone(), self.shutdown.clone());
+        let shutdown = self.phases.shutdown.clone();
         let traffic = kernel.traffic();
-        traffic.spawn(
-            "callers",
-            ingress::serve(shared(), sockets.callers, draining, shutdown.clone()),
-        );
+        let served = ingress::serve(shared(), sockets.callers, self.phases.clone());
+        traffic.spawn("callers", served);
         let served =
             monitoring::serve(shared(), sockets.ready, monitoring::Page::Ready, shutdown.clone());
         traffic.spawn("ready", served);
@@ -82,7 +78,8 @@
     /// Stops gracefully and returns how many requests were cut off.
     ///
     /// Reports that it is not ready, serves new connections for a while, then waits until the requests in
-    /// progress end or the grace period is over.
+    /// progress end or the grace period is over. Meanwhile it refuses requests on connections that are still
+    /// open, as callers may use those that no answer has closed.
     pub async fn stop(&self) -> usize {
         let started = tokio::time::Instant::now();
         let limit = started + self.shared.settings.stop_grace.saturating_sub(CLOSE_TIME);
@@ -90,13 +87,16 @@
         self.shared.journal.write(&record::Event::Stopping { active });
         self.shared.begin_stop(limit.saturating_duration_since(started));
         tokio::time::sleep_until(limit.min(started + DRAIN_NOTICE)).await;
-        self.draining.cancel();
+        self.phases.draining.cancel();
         self.shared.gate.close();
+        let kept_until = limit.min(tokio::time::Instant::now() + KEPT_TIME);
         let drained = tokio::time::timeout_at(limit, self.shared.gate.drained()).await;
         let cut = if drained.is_ok() { 0 } else { self.shared.gate.in_progress() };
+        let _ = tokio::time::timeout_at(kept_until, self.phases.ended.cancelled()).await;
+        self.phases.closing.cancel();
         // Gives the last answers time to be written.
         tokio::time::sleep(time::Duration::from_millis(20)).await;
-        self.shutdown.cancel();
+        self.phases.shutdown.cancel();
         self.shared.connections.close().await;
         // A connection to a daemon that has vanished must not delay the end of the stop.
         let _ = tokio::time::timeout(CLOSE_TIME / 2, self.shared.transfers.close()).await;
@@ -109,8 +109,9 @@
 impl Drop for Gateway {
     /// Stops everything that a graceful stop has not stopped.
     fn drop(&mut self) {
-        self.draining.cancel();
-        self.shutdown.cancel();
+        self.phases.draining.cancel();
+        self.phases.closing.cancel();
+        self.phases.shutdown.cancel();
     }
 }
 
--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -2,10 +2,9 @@
 
 use std::{sync, time};
 
-use hyper::{body, server::conn::http1, service};
+use hyper::{body, header, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::{net, sync::mpsc, task};
-use tokio_util::sync as tokio_sync;
 use trefoildyke_decide::gateway;
 
 use crate::{
@@ -17,28 +16,23 @@
     state,
 };
 
-/// Serves callers until `draining` is cancelled; then closes idle connections and lets the requests in
-/// progress end until `shutdown` is cancelled.
+/// Serves callers until a stop is draining; then serves the open connections until they end or the stop cuts
+/// them off.
 pub(crate) async fn serve(
     shared: sync::Arc<state::Shared>,
     listener: net::TcpListener,
-    draining: tokio_sync::CancellationToken,
-    shutdown: tokio_sync::CancellationToken,
+    phases: ingress::StopPhases,
 ) -> std::io::Result<()> {
+    let _ended = phases.ended.clone().drop_guard();
     let mut connections = task::JoinSet::new();
     loop {
         tokio::select! {
-            () = draining.cancelled() => break,
+            () = phases.draining.cancelled() => break,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) if connections.len() < shared.settings.max_connections => {
                     let shared = sync::Arc::clone(&shared);
-                    connections.spawn(serve_one(
-                        shared,
-                        stream,
-                        draining.clone(),
-                        shutdown.clone(),
-                    ));
+                    connections.spawn(serve_one(shared, stream, phases.clone()));
                 }
                 Ok(_) => log::warn!("connection refused: as many as settings allow are open"),
                 Err(error) => {
@@ -62,8 +56,7 @@
 async fn serve_one(
     shared: sync::Arc<state::Shared>,
     stream: net::TcpStream,
-    draining: tokio_sync::CancellationToken,
-    shutdown: tokio_sync::CancellationToken,
+    phases: ingress::StopPhases,
 ) {
     // A failure only delays small writes.
     let _ = stream.set_nodelay(true);
@@ -82,16 +75,18 @@
     // It ends only after the connection, which owns the sender.
     let mut discarding = std::pin::pin!(discarding);
     let mut result = tokio::select! {
+        // A request that has arrived is answered before the connection is closed.
+        biased;
         result = connection.as_mut() => Some(result),
         () = discarding.as_mut() => None,
-        () = draining.cancelled() => None,
+        () = phases.closing.cancelled() => None,
     };
     if result.is_none() {
         connection.as_mut().graceful_shutdown();
         result = tokio::select! {
             result = connection.as_mut() => Some(result),
             () = discarding.as_mut() => None,
-            () = shutdown.cancelled() => None,
+            () = phases.shutdown.cancelled() => None,
         };
     }
     caller.state.close(result.map_or(CloseReason::Stop, |result| CloseReason::of(&result)));
@@ -120,7 +115,12 @@
     unread: mpsc::UnboundedSender<body::Incoming>,
 ) -> Result<hyper::Response<ingress::Body>, std::convert::Infallible> {
     let (head, mut body) = request.into_parts();
-    let response = ingress::handle(shared, connection, head, &mut body).await;
+    let mut response =
+        ingress::handle(sync::Arc::clone(&shared), connection, head, &mut body).await;
+    if shared.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     // The receiver is dropped only with the connection.
     let _ = unread.send(body);
     Ok(response)
--- a/crates/gateway/src/ingress/driver/settle.rs
+++ b/crates/gateway/src/ingress/driver/settle.rs
@@ -52,7 +52,7 @@
     ) -> Result<Received, FailedSend> {
         slot.record_part();
         let body = ingress::full(body);
-        let response = ingress::response_head(&self.shared, head.headers, head.status, body);
+        let response = ingress::response_head(head.headers, head.status, body);
         if !head.status.is_server_error() {
             slot.set_outcome(gateway::Outcome::Served);
             return Ok(Received::Whole(response, slot.send().clone()));
--- a/crates/gateway/src/ingress/headers.rs
+++ b/crates/gateway/src/ingress/headers.rs
@@ -4,7 +4,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, header};
 
-use crate::{ingress, names::HeaderNames, state};
+use crate::{ingress, names::HeaderNames};
 
 /// Hop-by-hop headers, in addition to those that `Connection` names.
 const HOP_BY_HOP: [header::HeaderName; 7] = [
@@ -45,15 +45,11 @@
 
 /// Returns the head of an endpoint's answer as it is forwarded.
 pub(crate) fn response_head(
-    shared: &state::Shared,
     mut headers: HeaderMap,
     status: hyper::StatusCode,
     body: ingress::Body,
 ) -> hyper::Response<ingress::Body> {
     strip_hop_by_hop(&mut headers);
-    if shared.is_stopping() {
-        headers.insert(header::CONNECTION, header::HeaderValue::from_static("close"));
-    }
     let mut response = hyper::Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod headers;
 mod reply;
+mod stop_phases;
 mod unread;
 mod watched_stream;
 
@@ -19,4 +20,5 @@
 pub(crate) use driver::{Driver, FailedSend, OpenStream, PendingSend, Received, handle};
 pub(crate) use headers::{endpoint_request, response_head};
 pub(crate) use reply::{QUARANTINED, Reply};
+pub(crate) use stop_phases::StopPhases;
 pub(crate) use unread::discard_unread;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -41,7 +41,7 @@
     };
     headers.remove(hyper::header::CONTENT_LENGTH);
     let body = ingress::frames(stream::unfold(Some(relay), next_part));
-    ingress::response_head(&shared, headers, status, body)
+    ingress::response_head(headers, status, body)
 }
 
 struct Relay {
--- a/crates/gateway/tests/testsuite/stops.rs
+++ b/crates/gateway/tests/testsuite/stops.rs
@@ -1,6 +1,9 @@
 //! Graceful stops.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 use crate::harness::{Caller, Endpoint, Step, TestGateway};
 
@@ -104,3 +107,123 @@
     assert_eq!(ask("20,50").status, 200);
     stopping.join().unwrap();
 }
+
+const HEADERS: [(&str, &str); 2] = [("trefoildyke-request-id", "r"), ("trefoildyke-key", "k1")];
+
+/// Starts a gateway whose graceful stop may take long enough for its notice period.
+fn start(endpoint: &Endpoint) -> TestGateway {
+    let gateway =
+        TestGateway::unconfigured(|settings| settings.stop_grace = Duration::from_secs(6));
+    gateway.configure(&[endpoint]);
+    gateway
+}
+
+/// Starts a stop; returns once it has begun. The thread returns how long it has taken.
+fn begin_stop(gateway: TestGateway) -> std::thread::JoinHandle<Duration> {
+    let addresses = gateway.addresses;
+    let stopping = std::thread::spawn(move || {
+        let started = Instant::now();
+        assert_eq!(gateway.stop(), 0);
+        started.elapsed()
+    });
+    let has_begun = || {
+        let mut caller = Caller::connect(addresses.ready);
+        caller.send("GET /ready", &[], "");
+        caller.read_reply().unwrap().status == 503
+    };
+    TestGateway::wait_until("the stop begins", has_begun);
+    stopping
+}
+
+/// Waits until no new connection is accepted.
+fn wait_for_notice_end(callers: std::net::SocketAddr) {
+    let is_closed = || TcpStream::connect(callers).is_err();
+    TestGateway::wait_until("the notice period ends", is_closed);
+}
+
+fn assert_refused(caller: &mut Caller) {
+    let reply = caller.read_reply().expect("the connection ended without an answer");
+    assert_eq!((reply.status, reply.header("connection")), (503, Some("close")));
+    assert!(reply.header("retry-after").is_some());
+    assert!(caller.is_closed());
+}
+
+#[test]
+fn a_request_on_a_kept_connection_after_the_notice_period_is_refused() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let callers = gateway.addresses.callers;
+    let (mut used, mut fresh) = (gateway.caller(), gateway.caller());
+    used.send("GET /once/", &HEADERS, "");
+    assert_eq!(used.read_reply().unwrap().status, 200);
+    let stopping = begin_stop(gateway);
+    wait_for_notice_end(callers);
+    for caller in [&mut used, &mut fresh] {
+        caller.send("GET /once/", &HEADERS, "");
+        assert_refused(caller);
+    }
+    stopping.join().unwrap();
+}
+
+#[test]
+fn a_request_that_is_sent_while_the_notice_period_ends_is_refused() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let callers = gateway.addresses.callers;
+    let mut caller = gateway.caller();
+    caller.send("GET /once/", &HEADERS, "");
+    assert_eq!(caller.read_reply().unwrap().status, 200);
+    let stopping = begin_stop(gateway);
+    caller.write("GET /once/ HTTP/1.1\r\nHost: claims.example\r\n");
+    wait_for_notice_end(callers);
+    caller.write("trefoildyke-request-id: r\r\ntrefoildyke-key: k1\r\n\r\n");
+    assert_refused(&mut caller);
+    stopping.join().unwrap();
+}
+
+/// A connection that was not used in the notice period stays open as long as requests are in progress.
+#[test]
+fn a_request_on_a_kept_connection_is_refused_while_another_one_is_in_progress() {
+    let endpoint = Endpoint::start(vec![vec![Step::Stream, Step::Hold, Step::EndStream]]);
+    let gateway = start(&endpoint);
+    gateway.reconfigure(2, |config| config.routes[2].timeout_ms = 10_000);
+    let callers = gateway.addresses.callers;
+    let (mut stream, mut kept) = (gateway.caller(), gateway.caller());
+    stream.send("POST /stream/", &HEADERS, "");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 1);
+    let stopping = begin_stop(gateway);
+    wait_for_notice_end(callers);
+    std::thread::sleep(Duration::from_millis(1_500));
+    kept.send("GET /once/", &HEADERS, "");
+    assert_refused(&mut kept);
+    endpoint.release_one();
+    assert!(stream.read_reply().unwrap().is_complete);
+    stopping.join().unwrap();
+}
+
+#[test]
+fn a_refusal_during_the_notice_period_closes_its_connection() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let mut caller = gateway.caller();
+    let stopping = begin_stop(gateway);
+    caller.send("GET /nowhere/", &HEADERS, "");
+    let reply = caller.read_reply().unwrap();
+    assert_eq!((reply.status, reply.header("connection")), (404, Some("close")));
+    assert!(caller.is_closed());
+    stopping.join().unwrap();
+}
+
+#[test]
+fn a_stop_ends_with_the_notice_period_unless_connections_are_open() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    assert_eq!(gateway.request("GET /once/").unwrap().status, 200);
+    let took = begin_stop(gateway).join().unwrap();
+    assert!(took < Duration::from_millis(3_900), "{took:?}");
+    let gateway = start(&endpoint);
+    let mut idle = gateway.caller();
+    let took = begin_stop(gateway).join().unwrap();
+    assert!(took < Duration::from_millis(5_000), "{took:?}");
+    assert!(idle.is_closed());
+}
