gateway: a raised idle limit holds for connections that are open already

What callers see: after a version that raises the idle limit to more than twice the old one, a connection that was opened before is closed while idle within the new limit, and a request that is just sent on it is lost.

Cause: the time for which a connection waits for the next request is twice the limit at the time when it was opened, for as long as it lives.

Fix: when the wait is over it is compared with the limits in force then, and prolonged if they have been raised meanwhile. Asking for the limits only then costs nothing for connections in use. A lowered limit holds for connections opened after it, as before.

Evidence: of the 2 new tests (module idle), on the code before, the one that raises the limit from 250 ms to 5 s and leaves connections idle for 1 s fails (closed); the one that a connection idle beyond the limit is closed passes before and after. Now both pass, and three runs of the gateway's suite, 141 tests each.

--- a/crates/gateway/src/ingress/connections.rs
+++ b/crates/gateway/src/ingress/connections.rs
@@ -60,7 +60,7 @@
 ) {
     // A failure only delays small writes.
     let _ = stream.set_nodelay(true);
-    let builder = builder(&limits(&shared));
+    let builder = builder(&shared);
     // Dropped after the connection, whose requests end with it.
     let caller = OpenConnection::default();
     let state = sync::Arc::clone(&caller.state);
@@ -132,15 +132,12 @@
     limits.unwrap_or_default()
 }
 
-fn builder(limits: &gateway::Limits) -> http1::Builder {
+fn builder(shared: &sync::Arc<state::Shared>) -> http1::Builder {
+    let limits = limits(shared);
     let mut builder = http1::Builder::new();
-    // The read timeout of a head starts at the end of the previous request, so it includes the idle time.
-    // Callers use a connection that was idle for less than the limit, and the limit may have been raised
-    // since.
-    let wait = time::Duration::from_millis(limits.idle_ms.max(limits.header_ms) * 2);
     builder
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(wait)
+        .timer(ingress::HeadTimer { shared: sync::Arc::clone(shared) })
+        .header_read_timeout(ingress::head_wait(&limits))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
         .auto_date_header(false);
     builder
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod endless;
 mod failures;
 mod fuzz;
+mod idle;
 mod keys;
 mod leaving;
 mod malformed;
