gateway: an answer counts as written only with its body

Callers saw: a planned stop broke off a whole answer whose head was larger than the connection's buffer (`limits.header_bytes`, 16 KiB by default; endpoints may send heads of 64 KiB). The log said `served` for such an answer whose caller had left in the middle of it.

Cause: an entry waited for the next flush from the moment at which the answer was handed to the HTTP library. The library flushes a head that fills its buffer before it takes the body.

Change: the body of a whole answer carries the entry, and lets it wait for a flush when the library drops the body: once all of it is buffered, or without a poll where no body is sent (HEAD, 204). A body that is dropped with its connection still ends as its connection did.

`long_answer` of the tests got a variant with further headers.

--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -10,6 +10,7 @@
     ingress::{
         Driver, FailedSend,
         driver::{NoSlot, refuse},
+        tracked_body::track,
     },
     record, state,
 };
@@ -25,8 +26,7 @@
 ) -> hyper::Response<ingress::Body> {
     access.begin_answer(response.status().as_u16());
     access.set_outcome("endpoint_failed", record::EndedBy::Endpoint);
-    access.await_write();
-    response
+    track(access, response)
 }
 
 impl Driver {
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -14,7 +14,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{ingress, placing, record, relay, state, upstream};
+use crate::{ingress, ingress::tracked_body::track, placing, record, relay, state, upstream};
 
 /// The share of the time until its caller leaves for which a request waits for a slot; after that, the caller
 /// is asked to retry after the burst.
@@ -134,8 +134,7 @@
     reply: ingress::Reply,
 ) -> hyper::Response<ingress::Body> {
     access.set_refusal(reply.reason, reply.status.as_u16(), reply.retry_after);
-    access.await_write();
-    reply.response()
+    track(access, reply.response())
 }
 
 impl Driver {
@@ -194,8 +193,7 @@
     ) -> hyper::Response<ingress::Body> {
         self.access.begin_answer(response.status().as_u16());
         self.access.set_outcome("served", record::EndedBy::Endpoint);
-        self.access.await_write();
-        response
+        track(self.access, response)
     }
 
     /// Returns whether a stop in progress would cut the answer off; another host can finish it.
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod reply;
 mod stop_phases;
+mod tracked_body;
 mod unread;
 mod watched_stream;
 
--- a/crates/gateway/tests/testsuite/endings.rs
+++ b/crates/gateway/tests/testsuite/endings.rs
@@ -45,8 +45,13 @@
 
 /// Returns a whole answer of `LONG` bytes.
 fn long_answer() -> &'static str {
+    long_answer_with("")
+}
+
+/// Returns a whole answer of `LONG` bytes with further header lines.
+fn long_answer_with(headers: &str) -> &'static str {
     let head = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: r\r\ntrefoildyke-seal: s\r\n";
-    format!("{head}Content-Length: {LONG}\r\n\r\n{}", "x".repeat(LONG)).leak()
+    format!("{head}{headers}Content-Length: {LONG}\r\n\r\n{}", "x".repeat(LONG)).leak()
 }
 
 /// Guards against a stop that cuts requests off and reports that their callers have left.
@@ -100,3 +105,32 @@
     assert_eq!(stopped.join().unwrap(), 0);
     assert!(started.elapsed() < Duration::from_secs(8));
 }
+
+/// Guards against an answer that counts as written once a head that fills the connection's buffer has been.
+#[test]
+fn a_stop_waits_for_the_body_of_an_answer_with_a_large_head() {
+    let header = format!("x-large: {}\r\n", "h".repeat(30 << 10));
+    let endpoint = Endpoint::start(vec![vec![Step::Raw(long_answer_with(&header))]]);
+    let gateway = stopping(Duration::from_secs(8), &endpoint);
+    let mut caller = send(&gateway, "once");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 1);
+    let stopped = std::thread::spawn(move || gateway.stop());
+    // Past the time for which a stop serves new requests.
+    std::thread::sleep(Duration::from_millis(4_000));
+    let reply = caller.read_reply().unwrap();
+    assert!(reply.is_complete, "{} bytes of {LONG}", reply.body.len());
+    assert_eq!(stopped.join().unwrap(), 0);
+}
+
+/// Guards against an answer whose body its caller did not wait for and that counts as served.
+#[test]
+fn a_large_head_alone_does_not_count_as_served() {
+    let header = format!("x-large: {}\r\n", "h".repeat(30 << 10));
+    let endpoint = Endpoint::start(vec![vec![Step::Raw(long_answer_with(&header))]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    let caller = send(&gateway, "once");
+    TestGateway::wait_until("the request arrives", || endpoint.requests().len() == 1);
+    std::thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    wait_for(&gateway, "caller_left", "caller");
+}
