gateway: the patience for a stream counts from its last event

What callers saw: a resumable stream that was older than its caller's patience was aborted in the middle when its endpoint broke off, unless another endpoint was idle at that moment.

Cause: the time at which a caller leaves counted from the arrival of the request. For a stream whose events the caller has been receiving, it was over, so the request neither waited here nor at the daemon that places the service's requests: the pool refused it, or the wait ended at once. Callers leave a stream after a gap since the last event.

Evidence: two new tests failed before the change, with the other endpoint busy for 300 ms more: at one gateway ("resend_refused", "overload", in the same millisecond as the broken connection; the stream ended after 4 of 5 events), and with another gateway as the placer (nothing waited there). Both pass now.

Why it works: each forwarded event sets the time anew, to the patience after the event, and no later than the final answer is due. The pool, the end of the wait and the message to another daemon all use that time; the message is unchanged. Whole answers, and streams of callers that wait until their deadline, keep the time that they had.

The search for a slot moved to a file of its own.

--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -40,7 +40,9 @@
     pub(crate) route: u32,
     /// The latest time at which the first event still meets the latency objective.
     pub(crate) objective: Timestamp,
-    /// When the caller leaves if it has received nothing.
+    /// How long the caller waits for the first or the next event; `None` if it waits until its deadline.
+    pub(crate) patience: Option<time::Duration>,
+    /// When the caller leaves if it receives nothing before.
     pub(crate) leaves_at: Timestamp,
     /// Whether the caller was refused before.
     pub(crate) returning: bool,
@@ -96,6 +98,7 @@
         let shared_parts =
             parts.map_or_else(Vec::new, |text| gateway::shared_part_keys(&admission.service, text));
         let parts = parts.map_or_else(Vec::new, |text| gateway::prompt_parts(model, text));
+        let patience = route.patience_ms.map(time::Duration::from_millis);
         let expected =
             expected_tokens(max_tokens, names::number(&head.headers, &names.length_hint));
         let time_spent = shared.core().deadlines.time_spent(&route.name, wait_limit);
@@ -138,8 +141,8 @@
             route: route.name_hash(),
             objective: arrived
                 + time::Duration::from_millis(route.objective_ms).saturating_sub(time_spent),
-            leaves_at: arrived
-                + route.patience_ms.map_or(limit, time::Duration::from_millis).min(limit),
+            patience,
+            leaves_at: arrived + patience.map_or(limit, |patience| patience.min(limit)),
             returning: !time_spent.is_zero(),
             deadline: arrived + wait_limit,
             answer_due: arrived + limit,
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -4,6 +4,7 @@
 mod pending_send;
 mod send;
 mod settle;
+mod slots;
 
 pub(crate) use pending_send::PendingSend;
 
@@ -14,14 +15,7 @@
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{ingress, ingress::tracked_body::track, placing, record, relay, state, upstream};
-
-/// The share of the time until its caller leaves for which a request waits for a slot; after that, the caller
-/// is asked to retry after the burst.
-const WAIT_SHARE: f64 = 0.75;
-
-/// The same share for a caller that will not retry; the rest is left for the first event.
-const LAST_WAIT_SHARE: f64 = 0.92;
+use crate::{ingress, ingress::tracked_body::track, record, relay, state, upstream};
 
 /// The `Retry-After` for a caller that came during a stop; its next connection reaches another host.
 const STOPPING_RETRY: time::Duration = time::Duration::from_millis(100);
@@ -213,26 +207,6 @@
         slot
     }
 
-    async fn find_slot(&mut self) -> Result<state::Slot, NoSlot> {
-        self.check_quarantine()?;
-        let now = self.shared.now();
-        let service = self.call.service.clone();
-        let share = if self.call.returning { LAST_WAIT_SHARE } else { WAIT_SHARE };
-        let end = tokio::time::Instant::now() + self.call.leaves_at.since(now).mul_f64(share);
-        let placement = placing::place(&self.shared, &service, self.pool_request(), end).await;
-        self.access.set_placer(placement.placer);
-        let grant = placement.result.map_err(NoSlot::Overload)?;
-        let shared = sync::Arc::clone(&self.shared);
-        let mut slot = state::Slot::new(shared, service, grant);
-        // While this request waited, endpoints may have crashed under identical requests.
-        if let Err(no_slot) = self.check_quarantine() {
-            slot.set_outcome(gateway::Outcome::Unused);
-            return Err(no_slot);
-        }
-        self.record_send(&slot, now);
-        Ok(slot)
-    }
-
     fn record_refused_resend(&self, no_slot: NoSlot) {
         let Some(last) = self.tried.last() else { return };
         let (reason, after) = match no_slot {
@@ -253,24 +227,6 @@
         left.map_or(Ok(()), |left| Err(NoSlot::Quarantined(left)))
     }
 
-    fn pool_request(&self) -> gateway::PoolRequest {
-        gateway::PoolRequest {
-            rank: self.call.rank,
-            route: self.call.route,
-            zone: self.shared.settings.zone.clone(),
-            prompt: self.call.prompt,
-            parts: self.call.parts.clone(),
-            expected_tokens: self.call.expected,
-            max_pause: self.call.max_pause,
-            objective: self.call.objective,
-            leaves_at: self.call.leaves_at,
-            deadline: self.call.answer_due,
-            returning: self.call.returning,
-            repeatable: self.call.kind.is_idempotent(),
-            tried: self.tried.clone(),
-        }
-    }
-
     pub(super) fn retry_hint(&self) -> time::Duration {
         let now = self.shared.now();
         self.shared.core().service(&self.call.service).pool.retry_hint(now, self.call.rank)
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -135,6 +135,7 @@
             Ok(Some(events)) => {
                 self.silent_since = tokio::time::Instant::now();
                 self.ignores_silence = false;
+                self.driver.record_forwarded();
                 Some(Step::Part(events))
             }
             Err(error) => {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod quotas;
 mod refusals;
+mod resumptions;
 mod silence;
 mod stops;
 mod streams;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -14,7 +14,7 @@
     Peer { address, strength: Strength::UNKNOWN }
 }
 
-fn connect(gateways: &[TestGateway]) {
+pub(crate) fn connect(gateways: &[TestGateway]) {
     let members: Vec<_> = gateways.iter().map(|gateway| peer(gateway.addresses.peers)).collect();
     for gateway in gateways {
         gateway.feed.set_members(&members);
