review: a key that was taken away works at a gateway that starts while the store has an older copy

Version 9 takes a key away; 4.8 s later the store is away for 0.5 s and comes back from a copy that is 5.8 s old; one of two gateways is killed and starts again; the operator writes version 9 again 2 s after the return.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -27,6 +27,7 @@
     let (is_broken, verdict) = match case {
         "versions" => versions(&record, has_trouble),
         "release" => release(&record, has_trouble),
+        "drill" => drill(&record, has_trouble),
         "tunnel" => tunnel(&record, has_trouble),
         "bodies" => bodies(&record, has_trouble),
         "both" => both(&record, has_trouble),
@@ -38,11 +39,11 @@
 
 /// Writes the operator's first configuration.
 fn configure(deployment: &Deployment) {
-    configure_with(deployment, 7, false);
+    configure_with(deployment, 7, false, &[KEY]);
 }
 
 /// Writes a version of the operator's configuration, with or without the later route.
-fn configure_with(deployment: &Deployment, version: u32, has_later: bool) {
+fn configure_with(deployment: &Deployment, version: u32, has_later: bool, keys: &[&str]) {
     let route = |name: &str,
                  path: &str,
                  kind: &str,
@@ -66,8 +67,10 @@
         routes.push(route("later", "/later/", "idempotent", "portal", 8_000, 2, false));
     }
     let engine = "\"engine\":{\"slots\":7,\"kv_capacity_tokens\":187300,\"kv_token_bytes\":131072,\"link_mbps\":260000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_ttl_s\":5.0,\"models\":[{\"name\":\"m\"}]}";
+    let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let keys = keys.join(",");
     let config = format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"assist\",\"health_path\":\"/health\",\"max_conns\":490,\"protocol\":\"h1\",\"tls\":false,{engine}}},{{\"name\":\"portal\",\"health_path\":\"/health\",\"max_conns\":100,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":1,\"unit\":\"token_stream\",\"uncached_tokens\":200,\"rate_per_s\":90004,\"burst\":90004}}]}}",
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"assist\",\"health_path\":\"/health\",\"max_conns\":490,\"protocol\":\"h1\",\"tls\":false,{engine}}},{{\"name\":\"portal\",\"health_path\":\"/health\",\"max_conns\":100,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{keys}],\"priority\":1,\"unit\":\"token_stream\",\"uncached_tokens\":200,\"rate_per_s\":90004,\"burst\":90004}}]}}",
         routes.join(",")
     );
     deployment.store.put("op/config", &config);
@@ -241,7 +244,7 @@
         thread::sleep(Duration::from_secs(6));
     }
     record.write("the operator adds a route");
-    configure_with(&deployment, 9, true);
+    configure_with(&deployment, 9, true, &[KEY]);
     thread::sleep(Duration::from_secs(5));
     // The requests that were served and all, of the first routes and of the later one.
     let (mut first, mut later) = ((0, 0), (0, 0));
@@ -270,6 +273,89 @@
     (share(later) < share(first) / 4.0, verdict)
 }
 
+/// The second key of the client account, which is taken away.
+const OLD_KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+/// A key is taken away; then the store comes back from an older copy, and one gateway starts again.
+fn drill(record: &Record, has_trouble: bool) -> (bool, String) {
+    const REVOKE: Duration = Duration::from_millis(5_000);
+    let deployment = Deployment::start(record, 110);
+    configure_with(&deployment, 7, false, &[KEY, OLD_KEY]);
+    let _workers: Vec<_> = (0..4).map(|number| deployment.worker(number, PORTAL)).collect();
+    let mut gateways = [deployment.gateway(0), deployment.gateway(1)];
+    deployment.await_ready(&[&gateways[0], &gateways[1]]);
+    record.write("the operator takes the second key away (version 9)");
+    configure_with(&deployment, 9, false, &[KEY]);
+    let revoked_at = Instant::now();
+    let at = |ms: u64| {
+        thread::sleep(
+            (revoked_at + Duration::from_millis(ms)).saturating_duration_since(Instant::now()),
+        )
+    };
+    let fronts = [gateways[0].front, gateways[1].front];
+    // Requests with the key that was taken away, from 1 s on, to both gateways.
+    let asked = thread::spawn({
+        let record = record.clone();
+        move || {
+            let mut late = Vec::new();
+            let mut number = 0;
+            while revoked_at.elapsed() < Duration::from_millis(11_000) {
+                thread::sleep(Duration::from_millis(100));
+                for (gateway, front) in fronts.iter().enumerate() {
+                    number += 1;
+                    let mut request = plain_request(
+                        attempt_id(number),
+                        "POST",
+                        "/status/2f",
+                        b"work=20 ".to_vec(),
+                        1_500,
+                    );
+                    request.headers = vec![("X-Api-Key", OLD_KEY.to_owned())];
+                    let is_late = revoked_at.elapsed() > REVOKE;
+                    let Some(mut connection) = Connection::open(*front) else { continue };
+                    let answer = connection.ask(&record, &request, &Arc::default());
+                    if is_late {
+                        late.push((gateway, request.id, answer.status));
+                    }
+                }
+            }
+            late
+        }
+    });
+    if has_trouble {
+        at(4_800);
+        record.write("the store is away for 0.5 s, and comes back from a copy that is 5.8 s old");
+        let killed = thread::spawn({
+            let process = gateways[1].process;
+            move || {
+                thread::sleep(Duration::from_millis(200));
+                deployment::kill(process);
+            }
+        });
+        deployment.store.drill(Duration::from_millis(500), Duration::from_millis(5_800));
+        let _ = killed.join();
+        record.write("the store is back; gateway 1, which was killed, starts again");
+        at(5_500);
+        deployment.spawn(&mut gateways[1]);
+        at(7_300);
+        record.write("the operator writes version 9 again, 2 s after the return of the store");
+        configure_with(&deployment, 9, false, &[KEY]);
+    }
+    let late = asked.join().expect("the clients");
+    thread::sleep(Duration::from_millis(300));
+    let runs = record.lines_with(" runs ");
+    let has_run = |id: &str| runs.iter().any(|line| line.contains(id));
+    let run =
+        |gateway: usize| late.iter().filter(|(at, id, _)| *at == gateway && has_run(id)).count();
+    let verdict = format!(
+        "CONFIG: {} and {} of {} requests with a key that was taken away over 5 s before ran, through gateways 0 and 1 (any breaks the rule)",
+        run(0),
+        run(1),
+        late.len()
+    );
+    (run(0) + run(1) > 0, verdict)
+}
+
 /// Streams without framing that are forwarded through another gateway, which is killed.
 fn tunnel(record: &Record, has_trouble: bool) -> (bool, String) {
     let deployment = Deployment::start(record, 110);
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -1,7 +1,8 @@
 //! A stand-in for the platform's metadata store.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,7 +21,7 @@
     lease: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     revision: u64,
     items: BTreeMap<String, Item>,
@@ -34,6 +35,12 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// Copies of the state, the oldest first.
+    copies: Arc<Mutex<VecDeque<(Instant, State)>>>,
+    /// Whether the store is away: it answers nobody, and takes no writes.
+    away: Arc<AtomicBool>,
+    /// How often the store has come back from a copy.
+    era: Arc<AtomicU64>,
 }
 
 impl State {
@@ -85,7 +92,13 @@
         let address = listener.local_addr().expect("an address");
         let mut state = State::default();
         state.revision = 100;
-        let store = Self { address, state: Arc::new(Mutex::new(state)) };
+        let store = Self {
+            address,
+            state: Arc::new(Mutex::new(state)),
+            copies: Arc::default(),
+            away: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -97,7 +110,16 @@
         thread::spawn(move || {
             loop {
                 thread::sleep(Duration::from_millis(50));
-                kept.lock().expire();
+                if kept.is_away() {
+                    continue;
+                }
+                let mut state = kept.lock();
+                state.expire();
+                let mut copies = kept.copies.lock().unwrap_or_else(|error| error.into_inner());
+                copies.push_back((Instant::now(), state.clone()));
+                if copies.len() > 200 {
+                    copies.pop_front();
+                }
             }
         });
         store
@@ -107,8 +129,37 @@
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
 
-    /// Writes as the operator or a worker does.
+    fn is_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed)
+    }
+
+    /// The store is away for `time` and comes back from a copy that is `age` old then.
+    ///
+    /// Leases of the copy go on; numbers of leases are not given out again.
+    pub fn drill(&self, time: Duration, age: Duration) {
+        self.away.store(true, Ordering::Relaxed);
+        thread::sleep(time);
+        let moment = Instant::now() - age;
+        let mut copies = self.copies.lock().unwrap_or_else(|error| error.into_inner());
+        let copy = copies.iter().rev().find(|(at, _)| *at <= moment);
+        let mut copy = copy.map(|(_, state)| state.clone()).unwrap_or_default();
+        copies.clear();
+        drop(copies);
+        let mut state = self.lock();
+        copy.last_lease = state.last_lease;
+        for (ttl, end) in copy.leases.values_mut() {
+            *end = Instant::now() + *ttl;
+        }
+        *state = copy;
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.away.store(false, Ordering::Relaxed);
+    }
+
+    /// Writes as the operator or a worker does; a write is lost while the store is away.
     pub fn put(&self, key: &str, value: &str) {
+        if self.is_away() {
+            return;
+        }
         self.lock().put(key, value.as_bytes().to_vec(), 0);
     }
 
@@ -124,10 +175,19 @@
             if !reader.body(http::request_framing(&head), &mut body, |_| {}) {
                 return;
             }
+            let before = self.era.load(Ordering::Relaxed);
+            if self.is_away() {
+                return;
+            }
             let (status, body) =
                 self.call(head.method(), head.target(), &String::from_utf8_lossy(&body));
             thread::sleep(ANSWER_TIME);
-            let headers = [("Content-Type", "application/json")];
+            let era = self.era.load(Ordering::Relaxed);
+            if self.is_away() || era != before {
+                return;
+            }
+            let era = era.to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             if http::answer(&mut reader.stream, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
@@ -183,6 +243,9 @@
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (&'static str, String) {
         let end = Instant::now() + Duration::from_millis(wait_ms);
         loop {
+            if self.is_away() {
+                return ("503 Service Unavailable", String::new());
+            }
             let state = self.lock();
             if after > state.revision {
                 return ("410 Gone", "{}".to_owned());
