--- a/review/rig/deployment.rs
+++ b/review/rig/deployment.rs
@@ -22,6 +22,9 @@
 /// All processes that were started.
 static STARTED: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
+/// The temporary folder with the settings and the logs.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
 /// The record of what was sent, answered and run.
 #[derive(Clone)]
 pub struct Record {
@@ -52,7 +55,7 @@
     }
 }
 
-/// Ends all processes and this one.
+/// Ends all processes and this one, and removes the temporary folder.
 pub fn finish(record: &Record, code: i32, verdict: &str) -> ! {
     record.write(&format!("verdict: {verdict} (exit {code})"));
     println!("{verdict}");
@@ -61,6 +64,9 @@
         let _ = child.kill();
         let _ = child.wait();
     }
+    if let Some(folder) = FOLDER.lock().unwrap_or_else(|error| error.into_inner()).take() {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(code)
 }
 
@@ -170,6 +176,7 @@
         let own = std::process::id();
         let folder = std::env::temp_dir().join(format!("trefoildyke-review-{own}"));
         fs::create_dir_all(&folder).expect("a temporary folder");
+        *FOLDER.lock().unwrap_or_else(|error| error.into_inner()) = Some(folder.clone());
         let net = format!("127.{}.{}", 20 + own / 250 % 200, 1 + own % 250);
         Self { store: Store::start(), record: record.clone(), folder, root, net, memory_mb }
     }
@@ -329,12 +336,6 @@
     }
 }
 
-impl Drop for Deployment {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.folder);
-    }
-}
-
 pub fn is_ready(address: SocketAddr) -> bool {
     let Ok(stream) = TcpStream::connect(address) else { return false };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
