gateway: send requests to all listed versions if there is no order

Cause: each host chose one version of a service at its first list of endpoints, that of the endpoint that started first, and let requests to no other. Only an order changed the choice. Ruled out: the list (the new endpoints were listed), the estimates of the pool, quotas.

Change: without an order, all listed versions get requests. An order excludes the ordered version until its trial, the replaced one after it, and the version of an order that was replaced before it was complete.

--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 pub use retry_usage::RetryUsage;
 pub use rollout::{
     Access, Answers, Canary, Comparison, Exposure, Finding, Gate, Judge, Rollout, Rollouts, Stage,
+    VersionSet,
 };
 pub use roster::{Roster, RosterChange, RosterEntry};
 pub use strength::Strength;
--- a/crates/decide/src/gateway/rollout/mod.rs
+++ b/crates/decide/src/gateway/rollout/mod.rs
@@ -1,6 +1,7 @@
 //! Rollouts of new versions of a service's endpoints.
 //!
-//! The operators order that a service moves to a version, and endpoints of that version start
+//! Endpoints of several versions may serve side by side without an order, and all of them get
+//! requests. The operators may also order that a service moves to a version, and endpoints of that version start
 //! beside the old ones. The new version first gets a small share of the requests ([`Exposure`]). If
 //! it answers as well as the old one ([`Judge`]), it gets all new requests, and the rollout is
 //! complete when the old endpoints run nothing any more. If not, it gets no further requests.
@@ -22,7 +23,7 @@
 use crate::gateway;
 
 pub use exposure::Exposure;
-pub use gate::{Access, Canary, Gate};
+pub use gate::{Access, Canary, Gate, VersionSet};
 pub use judge::{Answers, Comparison, Judge};
 pub use order::Rollout;
 pub use stage::Stage;
@@ -51,7 +52,7 @@
     pub only_new_listed: bool,
 }
 
-/// The rollouts of all services, and the version in force of each service.
+/// The rollouts of all services, and the version that an order to each service would replace.
 ///
 /// Daemons that have learned of the same rollouts are in the same state: the later order wins, and
 /// within an order the later stage. The two final stages never conflict, as each is written to the
@@ -59,11 +60,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Rollouts {
     rollouts: collections::BTreeMap<id::PoolName, TrackedRollout>,
-    /// By service, the version that gets the requests if there is no order.
+    /// By service, the version that an order replaces.
     in_force: collections::BTreeMap<id::PoolName, InForce>,
+    /// Whether the orders in the store were read.
+    has_orders: bool,
 }
 
-/// The version of a service that gets the requests if there is no order.
+/// The version of a service that an order replaces.
 #[derive(Clone, Debug)]
 struct InForce {
     version: id::VersionName,
@@ -77,6 +80,8 @@
     rollout: Rollout,
     /// The time of the order, as far as known.
     ordered_at: Timestamp,
+    /// The versions of earlier orders that were replaced before they were complete.
+    abandoned: collections::BTreeSet<id::VersionName>,
 }
 
 impl Rollouts {
@@ -95,13 +100,17 @@
                     }
                 }
                 known => {
+                    let known = known.map(|known| &*known);
                     let same = known.filter(|known| known.rollout.order == rollout.order);
                     let ordered_at =
                         same.map_or(ordered_at, |known| known.ordered_at.min(ordered_at));
-                    self.rollouts.insert(
-                        rollout.service.clone(),
-                        TrackedRollout { rollout: rollout.clone(), ordered_at },
-                    );
+                    let abandoned = known.map(|known| known.abandoned_by(rollout));
+                    let tracked = TrackedRollout {
+                        rollout: rollout.clone(),
+                        ordered_at,
+                        abandoned: abandoned.unwrap_or_default(),
+                    };
+                    self.rollouts.insert(rollout.service.clone(), tracked);
                     self.set_in_force(rollout);
                     self.correct_guess(rollout);
                     changes.push(rollout.clone());
@@ -133,19 +142,34 @@
         }
     }
 
-    /// Guesses the version in force of services for which none is known.
+    /// Records that the orders in the store were read.
+    ///
+    /// Until then any listed version may be a canary, so that only the version in force gets requests.
+    pub const fn note_orders_read(&mut self) {
+        self.has_orders = true;
+    }
+
+    /// Guesses the version in force of services for which none is known, or whose version in force is no
+    /// longer listed although no order is in progress. `entries` are all listed endpoints.
     ///
     /// The guess is the version of the endpoint that started first, unless that version is the
     /// ordered one and another version is listed.
     pub fn note_listed(&mut self, entries: &[&gateway::RosterEntry]) {
         let mut found: collections::BTreeMap<&id::PoolName, Vec<_>> = collections::BTreeMap::new();
-        for entry in entries.iter().filter(|entry| !self.in_force.contains_key(&entry.service)) {
+        for entry in entries {
             let tracked = self.rollouts.get(&entry.service);
             let is_ordered = tracked.is_some_and(|tracked| tracked.rollout.to == entry.version);
             let age = (is_ordered, entry.start, &entry.version);
             found.entry(&entry.service).or_default().push(age);
         }
         for (service, mut ages) in found {
+            let in_force = self.in_force.get(service).map(|in_force| &in_force.version);
+            let is_listed = |version| ages.iter().any(|age| age.2 == version);
+            let tracked = self.rollouts.get(service);
+            let is_moving = tracked.is_some_and(|tracked| !tracked.rollout.stage.is_final());
+            if in_force.is_some_and(|version| is_moving || is_listed(version)) {
+                continue;
+            }
             ages.sort();
             let version = ages[0].2.clone();
             let alternative =
@@ -160,23 +184,33 @@
     /// If `is_fresh` is false, the daemon has heard nothing for a while, and there is no canary:
     /// other daemons may have found that the version is bad.
     pub fn gate(&self, service: &id::PoolName, share: f64, is_fresh: bool) -> Gate {
-        let in_force = self.in_force.get(service).map(|in_force| in_force.version.clone());
+        let in_force = self.in_force.get(service).map(|in_force| &in_force.version);
         let Some(tracked) = self.rollouts.get(service) else {
-            return Gate { full: in_force, canary: None };
+            let only = in_force.filter(|_| !self.has_orders).cloned();
+            return Gate { full: only.map(VersionSet::Only).unwrap_or_default(), canary: None };
         };
-        let Rollout { order, to, stage, .. } = &tracked.rollout;
+        let Rollout { order, from, to, stage, .. } = &tracked.rollout;
+        let mut excluded = tracked.abandoned.clone();
+        let mut canary = None;
         match stage {
-            Stage::Moving | Stage::Complete => Gate { full: Some(to.clone()), canary: None },
-            Stage::Canary if is_fresh => Gate {
-                full: in_force,
-                canary: Some(Canary {
-                    order: *order,
-                    version: to.clone(),
-                    share: share * USED_FRACTION,
-                }),
-            },
-            _ => Gate { full: in_force, canary: None },
+            Stage::Moving => return Gate { full: VersionSet::Only(to.clone()), canary },
+            // The old endpoints stop. Once the new ones are gone, too, the order is history.
+            Stage::Complete if in_force == Some(to) => {
+                excluded.extend(from.iter().filter(|from| *from != to).cloned());
+            }
+            Stage::Complete => {}
+            Stage::Canary if is_fresh => {
+                let share = share * USED_FRACTION;
+                canary = Some(Canary { order: *order, version: to.clone(), share });
+                excluded.insert(to.clone());
+            }
+            // All endpoints already had the ordered version.
+            Stage::Ordered if in_force == Some(to) => {}
+            _ => {
+                excluded.insert(to.clone());
+            }
         }
+        Gate { full: VersionSet::AllBut(excluded), canary }
     }
 
     /// Returns the services that have a rollout, including completed ones.
@@ -243,6 +277,16 @@
 }
 
 impl TrackedRollout {
+    /// Returns the versions that are abandoned once `next` replaces this rollout.
+    fn abandoned_by(&self, next: &Rollout) -> collections::BTreeSet<id::VersionName> {
+        let mut abandoned = self.abandoned.clone();
+        if next.order != self.rollout.order && self.rollout.stage != Stage::Complete {
+            abandoned.insert(self.rollout.to.clone());
+        }
+        abandoned.remove(&next.to);
+        abandoned
+    }
+
     fn message(&self, now: Timestamp) -> Rollout {
         let age_ms = now.since(self.ordered_at).as_millis() as u64;
         Rollout { age_ms, ..self.rollout.clone() }
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -211,6 +211,11 @@
         self.hash
     }
 
+    /// Returns the listed endpoints.
+    pub fn entries(&self) -> impl Iterator<Item = &RosterEntry> {
+        self.entries.values()
+    }
+
     /// Returns the number of listed endpoints.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -19,6 +19,17 @@
         }
     }
 
+    /// Records that all orders in the store were read and passed on.
+    ///
+    /// Until then, each service gets requests at one version only, as another one may be a canary.
+    pub fn note_orders_read(&self) {
+        let now = self.now();
+        self.shared.update(|core| {
+            core.rollouts.note_orders_read();
+            core.set_gates(now);
+        });
+    }
+
     /// Returns whether a rollout is known only by its order, without any later stage.
     pub fn has_bare_order(&self) -> bool {
         let known = self.shared.core().rollouts.list(self.now());
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -178,11 +178,9 @@
         now: Timestamp,
         changes: &[gateway::RosterChange],
     ) {
-        let listed = changes.iter().filter_map(|change| match change {
-            gateway::RosterChange::Listed(entry) => Some(entry),
-            gateway::RosterChange::Gone(_) => None,
-        });
-        self.rollouts.note_listed(&listed.collect::<Vec<_>>());
+        if !changes.is_empty() {
+            self.rollouts.note_listed(&self.roster.entries().collect::<Vec<_>>());
+        }
         for change in changes {
             match change {
                 gateway::RosterChange::Listed(entry) => {
