gateway: continue a stream only at the version that began it

Cause: nothing on the path of a request knew the version that began a stream. Resumes was read nowhere, and within one answer a stream was resumed at any endpoint of its service. Hosts only kept to one version by their guess, and guessed anew after a restart.

Change: a stream is bound to the version of the endpoint whose head is passed on. Two keepers, found by rendezvous hashing of the stream's identifier, are told before its first event goes out, and are asked when the caller comes back to a host that does not know the stream. A stream that nobody knows goes on only if one version alone was listed while it can have begun; that set is stored when it changes, so that it is known after the loss of all hosts.

--- a/crates/decide/src/gateway/mesh/hubs.rs
+++ b/crates/decide/src/gateway/mesh/hubs.rs
@@ -153,6 +153,15 @@
         hubs
     }
 
+    /// Returns the first `count` of the other daemons that keep the version of a stream, by rendezvous
+    /// hashing over all members: any two daemons find keepers in common.
+    pub fn stream_keepers(&self, stream: gateway::StreamId, count: usize) -> Vec<net::SocketAddr> {
+        let weight = |address| mesh::placers::weight(stream.as_u64(), address);
+        let mut keepers: Vec<_> = self.members.keys().map(|key| (weight(*key), *key)).collect();
+        keepers.sort_unstable_by(|a, b| b.cmp(a));
+        keepers.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Returns the hash of the hubs that this daemon reports to others, or 0 if it may no longer be
     /// a member.
     ///
--- a/crates/decide/src/gateway/message/mod.rs
+++ b/crates/decide/src/gateway/message/mod.rs
@@ -96,6 +96,31 @@
         /// Whether the sender wants to receive the rollouts that the receiver knows.
         asks: bool,
     },
+    /// Reports which version began a stream, to a keeper of the stream.
+    Began {
+        /// The stream.
+        stream: gateway::StreamId,
+        /// The version.
+        version: id::VersionName,
+        /// How long the caller may come back, in milliseconds.
+        ttl_ms: u32,
+    },
+    /// Asks a keeper which version began a stream.
+    AskOrigin {
+        /// The number of the question, unique for the sender.
+        number: u64,
+        /// The service.
+        service: id::PoolName,
+        /// The stream.
+        stream: gateway::StreamId,
+    },
+    /// Answers [`Message::AskOrigin`].
+    Origin {
+        /// The number of the question.
+        number: u64,
+        /// What the sender knows.
+        origin: gateway::Origin,
+    },
     /// Reports on parts of prompts that may crash endpoints.
     Parts {
         /// Crashes.
--- a/crates/decide/src/gateway/message/placing.rs
+++ b/crates/decide/src/gateway/message/placing.rs
@@ -28,6 +28,7 @@
     returning: bool,
     repeatable: bool,
     tried: Vec<id::EndpointName>,
+    version: Option<id::VersionName>,
 }
 
 /// The reply to an [`Ask`].
@@ -101,6 +102,7 @@
             returning: request.returning,
             repeatable: request.repeatable,
             tried: request.tried.clone(),
+            version: request.version.clone(),
         }
     }
 
@@ -121,6 +123,7 @@
             returning: self.returning,
             repeatable: self.repeatable,
             tried: self.tried.clone(),
+            version: self.version.clone(),
         }
     }
 }
--- a/crates/decide/src/gateway/mod.rs
+++ b/crates/decide/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod retry_usage;
 mod rollout;
 mod roster;
+mod streams;
 mod strength;
 mod version_lag;
 
@@ -59,5 +60,8 @@
     VersionSet,
 };
 pub use roster::{Roster, RosterChange, RosterEntry};
+pub use streams::{
+    BegunStreams, Origin, PossibleVersions, RecentVersions, StreamId, VersionsByService, conclude,
+};
 pub use strength::Strength;
 pub use version_lag::VersionLag;
--- a/crates/decide/src/gateway/pool/mod.rs
+++ b/crates/decide/src/gateway/pool/mod.rs
@@ -138,6 +138,9 @@
 
     /// Handles a new request: grants it a slot, queues it or refuses it.
     pub fn submit(&mut self, now: Timestamp, request: PoolRequest) -> Admission {
+        if request.version.as_ref().is_some_and(|version| !self.runs_version(version)) {
+            return Admission::Refused(Refused { retry_after: self.params.least_retry_after });
+        }
         let ticket = self.new_ticket();
         self.refresh_averages(now);
         self.recent_ranks.record(now, request.rank);
@@ -232,8 +235,9 @@
         &self,
         now: Timestamp,
         tried: &[id::EndpointName],
+        version: Option<&id::VersionName>,
     ) -> Option<std::time::Duration> {
-        let untried = self.untried(tried);
+        let untried = self.untried(tried, version);
         let backoffs = untried.map(|(name, endpoint)| {
             self.restrictions.backoff(now, name, endpoint.start).unwrap_or_default()
         });
--- a/crates/decide/src/gateway/pool/placement.rs
+++ b/crates/decide/src/gateway/pool/placement.rs
@@ -75,8 +75,9 @@
         class: usize,
         request: &PoolRequest,
     ) -> Option<&'a id::EndpointName> {
-        let may_use_canary =
-            !view.canaries.is_empty() && self.versions.allows_canary(request.route);
+        // The rest of a stream that the canary began is no further exposure of callers to it.
+        let may_use_canary = !view.canaries.is_empty()
+            && (request.version.is_some() || self.versions.allows_canary(request.route));
         let canary = may_use_canary
             .then(|| self.best(now, &view.canaries, view, class, request, |it| it.slots > 0));
         if let Some(canary) = canary.flatten() {
@@ -86,7 +87,10 @@
             .candidates
             .iter()
             .any(|candidate| candidate.capacity.can_probe && request.repeatable);
-        let is_reserved = view.free_slots <= self.reserved_slots(now, request.rank) && !may_probe;
+        // Slots are not reserved against the rest of begun work.
+        let is_reserved = view.free_slots <= self.reserved_slots(now, request.rank)
+            && !may_probe
+            && request.version.is_none();
         let has_slot = |capacity: view::Capacity| !is_reserved && capacity.slots > 0;
         let slot = self.best(now, &view.candidates, view, class, request, has_slot);
         slot.or_else(|| self.best(now, &view.candidates, view, class, request, |it| it.can_queue))
@@ -107,7 +111,10 @@
         for candidate in candidates {
             let is_available = has_capacity(candidate.capacity)
                 || (candidate.capacity.can_probe && request.repeatable);
-            if !is_available || request.tried.contains(candidate.name) {
+            if !is_available
+                || request.tried.contains(candidate.name)
+                || !request.fits(&candidate.endpoint.version)
+            {
                 continue;
             }
             let uncached = candidate.endpoint.uncached_tokens(request);
@@ -164,6 +171,7 @@
         Some(Grant {
             endpoint: name,
             start: endpoint.start,
+            version: endpoint.version.clone(),
             route: request.route,
             address: endpoint.address,
             prompt: uncached,
@@ -190,6 +198,7 @@
             let access = self.versions.access(&endpoint.version);
             endpoint.is_usable(now)
                 && access != gateway::Access::None
+                && request.fits(&endpoint.version)
                 && self.restrictions.backoff(now, name, endpoint.start).is_none()
         };
         self.endpoints.get(name).filter(may_run)?;
--- a/crates/decide/src/gateway/pool/probe.rs
+++ b/crates/decide/src/gateway/pool/probe.rs
@@ -79,6 +79,10 @@
         let has_access = self.versions.access(&endpoint.version) == gateway::Access::Full;
         let capacity = self.capacity(now, endpoint, endpoint.load(), self.averages);
         let has_capacity = capacity.slots > 0 || capacity.can_probe;
-        endpoint.is_usable(now) && has_access && has_capacity && !request.tried.contains(name)
+        endpoint.is_usable(now)
+            && has_access
+            && has_capacity
+            && request.fits(&endpoint.version)
+            && !request.tried.contains(name)
     }
 }
--- a/crates/decide/src/gateway/pool/request.rs
+++ b/crates/decide/src/gateway/pool/request.rs
@@ -36,6 +36,9 @@
     pub repeatable: bool,
     /// The endpoints to which the request was sent before.
     pub tried: Vec<id::EndpointName>,
+    /// The version that began the request's stream, the only one at which it may go on; `None` if it may go
+    /// to any version.
+    pub version: Option<id::VersionName>,
 }
 
 impl PoolRequest {
@@ -43,6 +46,11 @@
     pub fn patience(&self, now: Timestamp) -> time::Duration {
         self.leaves_at.since(now)
     }
+
+    /// Returns whether the request may go to endpoints of `version`.
+    pub(super) fn fits(&self, version: &id::VersionName) -> bool {
+        self.version.as_ref().is_none_or(|only| only == version)
+    }
 }
 
 /// The identifier of a waiting request of one pool.
@@ -56,6 +64,8 @@
     pub endpoint: id::EndpointName,
     /// Which start of the endpoint; the outcome of the request says nothing about later ones.
     pub start: u64,
+    /// The version of the endpoint's software.
+    pub version: id::VersionName,
     /// The identifier of the request's route.
     pub route: u32,
     /// The endpoint's listening address.
--- a/crates/decide/src/gateway/pool/versions.rs
+++ b/crates/decide/src/gateway/pool/versions.rs
@@ -149,27 +149,52 @@
         self.refresh_averages(now);
     }
 
-    /// Returns whether an endpoint outside `tried` may run requests.
-    pub fn has_untried(&self, now: Timestamp, tried: &[id::EndpointName]) -> bool {
+    /// Returns whether a stream that `version` began can go on: whether an endpoint of it is listed that
+    /// takes requests.
+    pub fn runs_version(&self, version: &id::VersionName) -> bool {
+        let has_access = self.versions.access(version) != Access::None;
+        let mut endpoints = self.endpoints.values();
+        has_access
+            && endpoints.any(|endpoint| endpoint.version == *version && !endpoint.is_stopping())
+    }
+
+    /// Returns whether an endpoint outside `tried` may run requests; `version` is the only version that may,
+    /// if there is one.
+    pub fn has_untried(
+        &self,
+        now: Timestamp,
+        tried: &[id::EndpointName],
+        version: Option<&id::VersionName>,
+    ) -> bool {
         let may_run = |(name, endpoint): (&id::EndpointName, &endpoint::Endpoint)| {
             let backoff = self.restrictions.backoff(now, name, endpoint.start);
             endpoint.is_usable(now) && backoff.is_none()
         };
-        self.untried(tried).any(may_run)
+        self.untried(tried, version).any(may_run)
     }
 
     /// Returns the endpoints outside `tried` that may run requests now or later.
     pub(super) fn untried<'a>(
         &'a self,
         tried: &'a [id::EndpointName],
+        version: Option<&'a id::VersionName>,
     ) -> impl Iterator<Item = (&'a id::EndpointName, &'a endpoint::Endpoint)> {
         self.endpoints.iter().filter(move |(name, endpoint)| {
             !tried.contains(*name)
                 && !endpoint.is_stopping()
-                && self.versions.has_full_access(&endpoint.version)
+                && self.is_open_to(version, &endpoint.version)
         })
     }
 
+    /// Returns whether endpoints of the version `at` take requests that only `version` may run, or any
+    /// version if it is `None`. A canary only takes the rest of what it began.
+    fn is_open_to(&self, version: Option<&id::VersionName>, at: &id::VersionName) -> bool {
+        match version {
+            Some(only) => only == at && self.versions.access(at) != Access::None,
+            None => self.versions.has_full_access(at),
+        }
+    }
+
     /// Returns the measurements of a rollout of the version `to`.
     pub fn rollout_status(&self, now: Timestamp, to: &id::VersionName) -> Finding {
         let mut versions = self.endpoints.values().map(|endpoint| &endpoint.version);
--- /dev/null
+++ b/crates/decide/src/gateway/streams/mod.rs
@@ -0,0 +1,16 @@
+//! The versions of the endpoints that began streams.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that began it.
+//! A caller may come back to any daemon. Each stream therefore has keepers: daemons that are told of its
+//! version when it begins, and are asked when its caller comes back to a daemon that did not see it.
+//! `docs/design/stream-versions.md` describes the alternatives that were considered.
+
+mod begun;
+mod origin;
+mod recent;
+mod stream_id;
+
+pub use begun::BegunStreams;
+pub use origin::{Origin, PossibleVersions, VersionsByService, conclude};
+pub use recent::RecentVersions;
+pub use stream_id::StreamId;
--- a/crates/decide/tests/testsuite/gateway/loads.rs
+++ b/crates/decide/tests/testsuite/gateway/loads.rs
@@ -104,6 +104,7 @@
             deadline: at(ms + 15_000),
             repeatable: false,
             tried: vec![],
+            version: None,
         };
         match self.pool.submit(at(ms), request) {
             Admission::Granted(grant) => self.start(ms, index, grant),
--- a/crates/decide/tests/testsuite/gateway/mod.rs
+++ b/crates/decide/tests/testsuite/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod reports;
 mod rollouts;
 mod roster;
+mod streams;
 mod support;
 mod table;
 mod version_lag;
--- a/crates/decide/tests/testsuite/gateway/support.rs
+++ b/crates/decide/tests/testsuite/gateway/support.rs
@@ -60,6 +60,7 @@
         deadline: at(ms + 15_000),
         repeatable: false,
         tried: vec![],
+        version: None,
     }
 }
 
@@ -74,6 +75,7 @@
     Grant {
         endpoint: name.into(),
         start: 0,
+        version: "v1".into(),
         route: 0,
         address: ([127, 0, 0, 1], 7_420).into(),
         prompt: 0,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -166,6 +166,16 @@
         Ok(gateway::Message::Hubs { hub_mark }) => {
             shared.core().mesh.note_hub_hash(from, hub_mark);
         }
+        Ok(gateway::Message::Began { stream, version, ttl_ms }) => {
+            shared.handle_began(stream, &version, ttl_ms);
+        }
+        Ok(gateway::Message::AskOrigin { number, service, stream }) => {
+            shared.handle_ask_origin(from, number, &service, stream);
+        }
+        Ok(gateway::Message::Origin { number, origin }) => {
+            shared.core().mesh.record_reply(from);
+            shared.handle_origin(number, origin);
+        }
         Ok(gateway::Message::Rollouts { rollouts, asks }) => {
             shared.handle_rollouts(from, &rollouts, asks);
         }
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -59,6 +59,16 @@
     pub(crate) expected: f64,
     /// The charge to the account's quota, until it is refunded.
     pub(crate) reservation: Option<charging::QuotaReservation>,
+    /// The stream, if it may be resumed.
+    pub(crate) stream: Option<ResumableStream>,
+}
+
+/// A stream that may be resumed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResumableStream {
+    pub(crate) id: gateway::StreamId,
+    /// Whether the caller has received events of it.
+    pub(crate) is_resumed: bool,
 }
 
 /// The result of admission, which looks only at the head.
@@ -123,6 +133,7 @@
             return Err(ingress::Reply::not_run(ingress::QUARANTINED, after));
         }
         let reservation = charge(shared, &admission, cost).await?;
+        let stream = admission.stream(names, head, &id);
         let mut request = ingress::endpoint_request(names, head, body);
         if let Some(account) = &admission.account
             && let Ok(value) = header::HeaderValue::from_str(account.name.as_str())
@@ -151,6 +162,7 @@
             shared_parts,
             expected,
             reservation,
+            stream,
         })
     }
 }
@@ -253,6 +265,25 @@
         gateway::Fingerprint::of(account, parts)
     }
 
+    /// Returns the stream that the request `id` begins or resumes, if it may be resumed.
+    ///
+    /// A request that resumes a stream without naming the attempt that began it resumes an unknown one.
+    fn stream(
+        &self,
+        names: &names::HeaderNames,
+        head: &http::request::Parts,
+        id: &str,
+    ) -> Option<ResumableStream> {
+        if self.route.kind != (gateway::RouteKind::Stream { resumable: true }) {
+            return None;
+        }
+        let is_resumed = head.headers.contains_key(&names.last_event);
+        let resumed = names::text(&head.headers, &names.resumes).filter(|_| is_resumed);
+        let account = self.account.as_ref().map(|account| &account.name);
+        let id = gateway::StreamId::of(&self.service, account, resumed.unwrap_or(id));
+        Some(ResumableStream { id, is_resumed })
+    }
+
     /// Returns what the request costs its account's quota.
     fn cost(&self, tokens: Option<(u32, u32)>) -> f64 {
         let declared = tokens.map(|(prompt, max_tokens)| prompt.saturating_add(max_tokens));
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -1,6 +1,7 @@
 //! Handles one request: waits for a slot, sends the request and deals with failures.
 
 mod end;
+mod origin;
 mod pending_send;
 mod send;
 mod settle;
@@ -31,6 +32,8 @@
     pub(crate) access: ingress::AccessLogEntry,
     attempt: gateway::Attempt,
     tried: Vec<id::EndpointName>,
+    /// The version that began the stream; `None` until it is known, or if it cannot be resumed.
+    version: Option<id::VersionName>,
     /// The last error answer of an endpoint, which may be forwarded.
     last_response: Option<Box<hyper::Response<ingress::Body>>>,
     /// The retry that is reserved in the retry budget and has not been sent yet.
@@ -150,6 +153,7 @@
             access,
             attempt,
             tried: Vec::new(),
+            version: None,
             last_response: None,
             retry_reservation: None,
         }
@@ -161,6 +165,10 @@
             let reply = ingress::Reply::not_run("stopping", STOPPING_RETRY).closing();
             return refuse(self.access, reply);
         }
+        if let Err(reply) = self.find_version().await {
+            self.refund();
+            return refuse(self.access, reply);
+        }
         let now = self.shared.now();
         self.shared.core().service(&self.call.service).budget.request(now);
         loop {
@@ -303,7 +311,7 @@
     pub(crate) fn has_untried_endpoint(&self) -> bool {
         let now = self.shared.now();
         let mut core = self.shared.core();
-        core.service(&self.call.service).pool.has_untried(now, &self.tried)
+        core.service(&self.call.service).pool.has_untried(now, &self.tried, self.version.as_ref())
     }
 
     /// Gives back a retry that was reserved and is not needed.
--- a/crates/gateway/src/ingress/driver/slots.rs
+++ b/crates/gateway/src/ingress/driver/slots.rs
@@ -53,6 +53,7 @@
             returning: self.call.returning,
             repeatable: self.call.kind.is_idempotent(),
             tried: self.tried.clone(),
+            version: self.version.clone(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod rollouts;
 mod settings;
 mod state;
+mod streams;
 mod tunnel;
 mod upstream;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     rollouts: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
     backoffs: metrics::Counter<u64>,
+    resumed_streams: metrics::Counter<u64>,
     passed_over: metrics::Gauge<u64>,
     first_byte: metrics::Histogram<f64>,
     wait: metrics::Histogram<f64>,
@@ -76,6 +77,10 @@
                 "gateway_backoffs",
                 "Rejections that ask for no further requests for a while, by service.",
             ),
+            resumed_streams: counter(
+                "gateway_resumed_streams",
+                "Streams that callers resume, by whether the version that began them is known.",
+            ),
             passed_over: meter
                 .u64_gauge("gateway_passed_over")
                 .with_description("Endpoints that are idle while requests wait, by service.")
@@ -139,6 +144,11 @@
         self.backoffs.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    pub(crate) fn stream_resumed(&self, is_known: bool) {
+        let version = if is_known { "known" } else { "unknown" };
+        self.resumed_streams.add(1, &[KeyValue::new("version", version)]);
+    }
+
     pub(crate) fn probed(&self, service: &str) {
         self.probes.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -34,6 +34,8 @@
     pub length_hint: HeaderName,
     /// The id of the last stream event that was received.
     pub last_event: HeaderName,
+    /// The id of the request whose answer began the stream that a caller resumes.
+    pub resumes: HeaderName,
     /// Headers that only the system may set; removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -55,6 +57,7 @@
             prompt_parts: HeaderName::from_static("trefoildyke-prompt-parts"),
             length_hint: HeaderName::from_static("trefoildyke-length-hint"),
             last_event: HeaderName::from_static("last-event-id"),
+            resumes: HeaderName::from_static("trefoildyke-resumes"),
             reserved: Vec::new(),
         }
     }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -76,7 +76,11 @@
     pool_request: &gateway::PoolRequest,
 ) -> Option<time::Duration> {
     let now = shared.now();
-    shared.core().service(service).pool.shortest_backoff(now, &pool_request.tried)
+    shared.core().service(service).pool.shortest_backoff(
+        now,
+        &pool_request.tried,
+        pool_request.version.as_ref(),
+    )
 }
 
 fn is_backing_off(
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -149,6 +149,19 @@
         /// Whether the endpoint gets no new work.
         draining: bool,
     },
+    /// The version that began a stream which a caller resumes was looked for.
+    StreamOrigin {
+        /// The request's id.
+        id: String,
+        /// The version; `None` if it cannot be told.
+        version: Option<id::VersionName>,
+        /// Whether a daemon had recorded it; otherwise it is the only version that it can be.
+        is_recorded: bool,
+        /// The number of other daemons that replied.
+        replies: usize,
+        /// How long it took, in milliseconds.
+        after_ms: u64,
+    },
     /// An endpoint has said in an answer that it is about to stop.
     EndpointLeaving {
         /// The endpoint.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -29,6 +29,7 @@
     let shared = std::sync::Arc::clone(&driver.shared);
     let (status, mut headers) = (opened.head.status, opened.head.headers.clone());
     driver.access.begin_answer(status.as_u16());
+    driver.bind_version(&opened.slot.grant().version);
     let end = tokio::time::Instant::now() + driver.call.answer_due.since(shared.now());
     let relay = Relay {
         driver,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -57,6 +57,9 @@
     pub connect_timeout: time::Duration,
     /// How often changes are sent to the other daemons; 50 ms.
     pub gossip_interval: time::Duration,
+    /// How long streams last at most, over all attempts of their callers; 60 s. A version may have begun
+    /// streams for that long after its last endpoint is gone.
+    pub stream_retention: time::Duration,
     /// The limit on concurrent caller connections; 2,000.
     pub max_connections: usize,
 }
@@ -99,6 +102,7 @@
             stop_grace: time::Duration::from_secs(8),
             connect_timeout: time::Duration::from_millis(400),
             gossip_interval: time::Duration::from_millis(50),
+            stream_retention: time::Duration::from_secs(60),
             max_connections: 2_000,
         }
     }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -32,6 +32,10 @@
     pub(crate) quarantine: gateway::Quarantine,
     pub(crate) part_quarantine: gateway::PartQuarantine,
     pub(crate) rollouts: gateway::Rollouts,
+    /// The versions that began streams.
+    pub(crate) begun_streams: gateway::BegunStreams,
+    /// The versions that may have begun streams.
+    pub(crate) recent_versions: gateway::RecentVersions,
     /// The share of a service's requests that a bad version may get.
     canary_share: f64,
     started: Timestamp,
@@ -96,6 +100,8 @@
             quarantine: gateway::Quarantine::new(settings.quarantine),
             part_quarantine: gateway::PartQuarantine::new(settings.part_quarantine),
             rollouts: gateway::Rollouts::default(),
+            begun_streams: gateway::BegunStreams::default(),
+            recent_versions: gateway::RecentVersions::new(settings.stream_retention),
             canary_share: settings.canary_share,
             started: Timestamp::ZERO,
             rejoined: None,
@@ -180,6 +186,7 @@
     ) {
         if !changes.is_empty() {
             self.rollouts.note_listed(&self.roster.entries().collect::<Vec<_>>());
+            self.recent_versions.note_listed(now, self.roster.entries());
         }
         for change in changes {
             match change {
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -8,7 +8,9 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::{id, time::Timestamp};
 
-use crate::{charging, clock, config_transfer, metrics, query, record, settings, state, upstream};
+use crate::{
+    charging, clock, config_transfer, metrics, query, record, settings, state, streams, upstream,
+};
 
 /// The share of an endpoint's permitted connections that may be idle; the rest is needed for requests.
 const IDLE_SHARE: f64 = 0.5;
@@ -33,6 +35,8 @@
     pub(crate) transfers: config_transfer::Transfers,
     /// Charges sent to other daemons.
     pub(crate) charges: charging::PendingCharges,
+    /// Questions to other daemons about the versions that began streams.
+    pub(crate) origins: streams::PendingOrigins,
     socket: sync::OnceLock<sync::Arc<net::UdpSocket>>,
     core: sync::Mutex<state::Core>,
     /// When a graceful stop that has begun cuts off requests.
@@ -66,6 +70,7 @@
             queries: query::Queries::default(),
             transfers: config_transfer::Transfers::new(),
             charges: charging::PendingCharges::default(),
+            origins: streams::PendingOrigins::default(),
             socket: sync::OnceLock::new(),
             core,
             stop_end: sync::OnceLock::new(),
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,180 @@
+//! Finds the versions that began the streams which callers resume, together with the other daemons.
+//!
+//! The keepers of a stream are told of its version before its first event goes out. They are asked when the
+//! caller comes back to a daemon that does not know the stream.
+
+use std::{net, sync::atomic, time};
+
+use trefoildyke_decide::gateway;
+use trefoildyke_types::id;
+
+use crate::{feed, pending_replies, record, state};
+
+/// The number of other daemons that are told of a stream; one of them may be lost with the daemon that
+/// began it.
+const KEEPERS: usize = 2;
+
+/// The number of other daemons that are asked: the keepers, and the daemon that began the stream if it comes
+/// before them in their order.
+const ASKED: usize = KEEPERS + 1;
+
+/// How long to wait for the replies before asking again. A datagram may be lost, and a small host may be busy
+/// for some tens of milliseconds.
+const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(60);
+
+/// How often the keepers are asked.
+const MAX_ROUNDS: usize = 2;
+
+/// Questions to keepers that have not replied yet.
+#[derive(Debug, Default)]
+pub(crate) struct PendingOrigins {
+    replies: pending_replies::PendingReplies<(), gateway::Origin>,
+    next_number: atomic::AtomicU64,
+}
+
+impl feed::Feed {
+    /// Returns whether this daemon is the one that stores the versions that were listed recently.
+    pub fn stores_versions(&self) -> bool {
+        self.stores_crashes()
+    }
+
+    /// Returns the versions that were listed recently, to be stored.
+    pub fn recent_versions(&self) -> gateway::VersionsByService {
+        self.shared.core().recent_versions.snapshot(self.now())
+    }
+
+    /// Loads the stored versions; `None` if there are none.
+    pub fn load_versions(&self, stored: Option<&gateway::VersionsByService>) {
+        let none = gateway::VersionsByService::new();
+        self.shared.core().recent_versions.load(self.now(), stored.unwrap_or(&none));
+    }
+}
+
+impl state::Shared {
+    /// Records which version began a stream whose caller may come back until `ttl` has passed, and tells the
+    /// keepers.
+    pub(crate) fn record_begun(
+        &self,
+        stream: gateway::StreamId,
+        version: &id::VersionName,
+        ttl: time::Duration,
+    ) {
+        let mut core = self.core();
+        core.begun_streams.record(self.now(), stream, version, ttl);
+        let keepers = core.mesh.stream_keepers(stream, KEEPERS);
+        drop(core);
+        let ttl_ms = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
+        let message = gateway::Message::Began { stream, version: version.clone(), ttl_ms };
+        self.send(&message, &keepers);
+    }
+
+    /// Handles another daemon's report that a stream has begun.
+    pub(crate) fn handle_began(
+        &self,
+        stream: gateway::StreamId,
+        version: &id::VersionName,
+        ttl_ms: u32,
+    ) {
+        let ttl = time::Duration::from_millis(u64::from(ttl_ms));
+        self.core().begun_streams.record(self.now(), stream, version, ttl);
+    }
+
+    /// Handles another daemon's question which version began a stream.
+    pub(crate) fn handle_ask_origin(
+        &self,
+        from: net::SocketAddr,
+        number: u64,
+        service: &id::PoolName,
+        stream: gateway::StreamId,
+    ) {
+        let origin = self.own_origin(service, stream);
+        self.send(&gateway::Message::Origin { number, origin }, &[from]);
+    }
+
+    /// Handles the reply of a keeper.
+    pub(crate) fn handle_origin(&self, number: u64, origin: gateway::Origin) {
+        // A reply that comes too late is not needed any more.
+        let _ = self.origins.replies.complete(number, origin);
+    }
+
+    /// Returns the version that began a stream; `None` if it cannot be told.
+    pub(crate) async fn find_origin(
+        &self,
+        id: &str,
+        service: &id::PoolName,
+        stream: gateway::StreamId,
+    ) -> Option<id::VersionName> {
+        let started = self.now();
+        let own = self.own_origin(service, stream);
+        let mut origins = vec![own];
+        let keepers = self.core().mesh.stream_keepers(stream, ASKED);
+        for _ in 0..MAX_ROUNDS {
+            if keepers.is_empty() || origins.iter().any(is_known) {
+                break;
+            }
+            let replies = self.ask_keepers(&keepers, service, stream).await;
+            let is_answered = !replies.is_empty();
+            origins.extend(replies);
+            if is_answered {
+                break;
+            }
+        }
+        let is_alone = origins.len() == 1 && !keepers.is_empty();
+        let version =
+            if is_alone && !self.knows_list() { None } else { gateway::conclude(&origins) };
+        self.metrics.stream_resumed(version.is_some());
+        self.journal.write(&record::Event::StreamOrigin {
+            id: id.to_owned(),
+            version: version.clone(),
+            is_recorded: origins.iter().any(is_known),
+            replies: origins.len() - 1,
+            after_ms: self.now().since(started).as_millis() as u64,
+        });
+        version
+    }
+
+    fn own_origin(&self, service: &id::PoolName, stream: gateway::StreamId) -> gateway::Origin {
+        let (now, core) = (self.now(), self.core());
+        match core.begun_streams.version(now, stream) {
+            Some(version) => gateway::Origin::Known(version.clone()),
+            None => gateway::Origin::Unknown(core.recent_versions.possible(now, service)),
+        }
+    }
+
+    /// Returns whether the list of endpoints is recent, so that no version can have come that is not known
+    /// here.
+    fn knows_list(&self) -> bool {
+        self.core().roster.is_current(self.now(), self.settings.max_list_age)
+    }
+
+    /// Asks the keepers at once, and returns the replies: all, or those up to the first that knows the version.
+    async fn ask_keepers(
+        &self,
+        keepers: &[net::SocketAddr],
+        service: &id::PoolName,
+        stream: gateway::StreamId,
+    ) -> Vec<gateway::Origin> {
+        use futures::StreamExt as _;
+        let questions = keepers.iter().map(|keeper| {
+            let number = self.origins.next_number.fetch_add(1, atomic::Ordering::Relaxed);
+            let reply = self.origins.replies.register(self.now(), number, ());
+            let service = service.clone();
+            self.send(&gateway::Message::AskOrigin { number, service, stream }, &[*keeper]);
+            tokio::time::timeout(REPLY_TIMEOUT, reply)
+        });
+        let mut replies: futures::stream::FuturesUnordered<_> = questions.collect();
+        let mut origins = Vec::new();
+        while let Some(reply) = replies.next().await {
+            let Ok(Ok(origin)) = reply else { continue };
+            origins.push(origin);
+            if origins.last().is_some_and(is_known) {
+                break;
+            }
+        }
+        origins
+    }
+}
+
+fn is_known(origin: &gateway::Origin) -> bool {
+    matches!(origin, gateway::Origin::Known(_))
+}
--- a/crates/gateway/tests/testsuite/harness/test_gateway.rs
+++ b/crates/gateway/tests/testsuite/harness/test_gateway.rs
@@ -53,6 +53,8 @@
         let own = Peer { address: self.addresses.peers, strength: Strength::UNKNOWN };
         self.feed.set_members(&[own]);
         self.feed.configure(config(1), Some(self.feed.now()));
+        self.feed.note_orders_read();
+        self.feed.load_versions(None);
         self.feed.set_endpoints(entries(endpoints));
     }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod streams;
 mod transfers;
 mod unreachable;
+mod versions;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -236,6 +236,7 @@
         returning: false,
         repeatable: true,
         tried: Vec::new(),
+        version: None,
     };
     let ask = Message::Ask(Ask::new("svc".into(), 1, now, &pool_request));
     let mut buffer = [0; 4_096];
--- /dev/null
+++ b/crates/gateway/tests/testsuite/versions.rs
@@ -0,0 +1,216 @@
+//! Services whose endpoints run several versions of their software.
+
+use std::time::Duration;
+
+use trefoildyke_decide::gateway::RosterEntry;
+
+use crate::harness::{Endpoint, Reply, Step, TestGateway, entries};
+
+/// A whole stream of an endpoint of the version `v1` or `v2`, and its parts before and after the first event.
+const WHOLE: [Step; 3] = [Step::Stream, Step::Events("id: 1\n\nid: 2\n\n"), Step::EndStream];
+const REST: [Step; 3] = [Step::Stream, Step::Events("id: 2\n\n"), Step::EndStream];
+
+/// The first part of a stream that then breaks off.
+const BROKEN: [Step; 4] =
+    [Step::Stream, Step::Events("id: 1\n\n"), Step::Pause(Duration::from_millis(100)), Step::Reset];
+
+/// List entries named `e0`, `e1` and so on, of these versions.
+fn list(endpoints: &[(&Endpoint, &str)]) -> Vec<RosterEntry> {
+    let all: Vec<_> = endpoints.iter().map(|(endpoint, _)| *endpoint).collect();
+    let with_version = |(entry, (_, version)): (RosterEntry, &(&Endpoint, &str))| RosterEntry {
+        version: (*version).into(),
+        ..entry
+    };
+    entries(&all).into_iter().zip(endpoints).map(with_version).collect()
+}
+
+/// Requests the rest of the stream that the request `first` began, after its first event.
+fn resume(gateway: &TestGateway, first: &str) -> Reply {
+    let headers = [("trefoildyke-resumes", first), ("last-event-id", "1")];
+    gateway.request_with("POST /resume/", &headers).unwrap()
+}
+
+/// Begins the stream `r1` at the only endpoint that is listed, whose answer breaks off.
+fn begin(gateway: &TestGateway) {
+    let reply = gateway.request("POST /resume/").unwrap();
+    assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 1\n\n", false));
+}
+
+/// Guards against refusing a service for good whose endpoints move to another version without an order.
+#[test]
+fn endpoints_of_a_newer_version_get_requests_without_an_order() {
+    let (old, new) = (
+        Endpoint::start(vec![vec![Step::Answer("old")]]),
+        Endpoint::start(vec![vec![Step::Answer("new")]]),
+    );
+    let gateway = start(&[&old]);
+    assert_eq!(gateway.request("GET /again/").unwrap().body, "old");
+    let mut listed = list(&[(&old, "v1"), (&new, "v2")]);
+    gateway.feed.set_endpoints(listed.clone());
+    listed[0].draining = true;
+    gateway.feed.set_endpoints(listed.clone());
+    for listed in [&listed[..], &listed[1..]] {
+        gateway.feed.set_endpoints(listed.to_vec());
+        let reply = gateway.request("GET /again/").unwrap();
+        assert_eq!((reply.status, reply.body.as_str()), (200, "new"));
+    }
+}
+
+/// Guards against a stream joined from two versions in one answer.
+#[test]
+fn a_stream_that_breaks_off_is_resumed_only_at_its_version() {
+    let broken = Endpoint::start(vec![BROKEN.to_vec()]);
+    let (same, other) =
+        (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![REST.to_vec()]));
+    let gateway = start(&[]);
+    let endpoints = [(&broken, "v1"), (&other, "v2")];
+    gateway.feed.set_endpoints(list(&[(&broken, "v1")]));
+    let mut caller = gateway.caller();
+    let headers = [("trefoildyke-request-id", "r1"), ("trefoildyke-key", "k1")];
+    caller.send("POST /resume/", &headers, "");
+    TestGateway::wait_until("the stream begins", || broken.requests().len() == 1);
+    gateway.feed.set_endpoints(list(&endpoints));
+    let reply = caller.read_reply().unwrap();
+    assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 1\n\n", false));
+    assert!(other.requests().is_empty(), "the other version got the rest of the stream");
+
+    gateway.feed.set_endpoints(list(&[(&broken, "v1"), (&other, "v2"), (&same, "v1")]));
+    let reply = resume(&gateway, "r1");
+    assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 2\n\n", true));
+    assert!(other.requests().is_empty(), "the other version got the rest of the stream");
+}
+
+/// Starts a gateway that takes endpoints which are missing from the list for gone at once.
+fn start(endpoints: &[&Endpoint]) -> TestGateway {
+    let gateway = TestGateway::unconfigured(|settings| settings.list_grace = Duration::ZERO);
+    gateway.configure(endpoints);
+    gateway
+}
+
+/// Two gateways that know each other, each with its configuration.
+fn start_pair() -> [TestGateway; 2] {
+    let gateways = [start(&[]), start(&[])];
+    crate::peers::connect(&gateways);
+    gateways
+}
+
+/// Guards against a stream joined from two versions over the attempts of its caller.
+#[test]
+fn a_stream_goes_on_at_its_version_at_a_host_that_never_saw_it() {
+    let broken = Endpoint::start(vec![BROKEN.to_vec()]);
+    let (same, other) =
+        (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![REST.to_vec()]));
+    let gateways = start_pair();
+    for gateway in &gateways {
+        gateway.feed.set_endpoints(list(&[(&broken, "v1")]));
+    }
+    begin(&gateways[0]);
+    for gateway in &gateways {
+        let endpoints = [(&broken, "v1"), (&other, "v2"), (&same, "v1")];
+        gateway.feed.set_endpoints(list(&endpoints)[1..].to_vec());
+    }
+    for _ in 0..4 {
+        let reply = resume(&gateways[1], "r1");
+        assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 2\n\n", true));
+    }
+    assert_eq!((same.requests().len(), other.requests().len()), (4, 0));
+}
+
+/// Guards against losing the streams of a host that was lost.
+#[test]
+fn a_stream_goes_on_at_its_version_after_the_host_that_began_it_is_lost() {
+    let broken = Endpoint::start(vec![BROKEN.to_vec()]);
+    let (same, other) =
+        (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![REST.to_vec()]));
+    let [first, second] = start_pair();
+    for gateway in [&first, &second] {
+        gateway.feed.set_endpoints(list(&[(&broken, "v1")]));
+    }
+    begin(&first);
+    drop(first);
+    let endpoints = [(&broken, "v1"), (&other, "v2"), (&same, "v1")];
+    second.feed.set_endpoints(list(&endpoints)[1..].to_vec());
+    let reply = resume(&second, "r1");
+    assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 2\n\n", true));
+    assert!(other.requests().is_empty(), "the other version got the rest of the stream");
+}
+
+/// Guards against joined versions after the loss of all hosts, when nobody knows the stream.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_if_two_versions_can_have_begun_it() {
+    let (first, second) =
+        (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![REST.to_vec()]));
+    let gateway = start(&[]);
+    gateway.feed.set_endpoints(list(&[(&first, "v1"), (&second, "v2")]));
+    let reply = resume(&gateway, "r1");
+    assert_eq!(reply.status, 503);
+    assert!(reply.body.contains("version_unknown"), "{}", reply.body);
+    // The old endpoints have left, but a stream of theirs may still come back.
+    gateway.feed.set_endpoints(list(&[(&first, "v1"), (&second, "v2")])[1..].to_vec());
+    assert_eq!(resume(&gateway, "r1").status, 503);
+    assert_eq!((first.requests().len(), second.requests().len()), (0, 0));
+}
+
+#[test]
+fn a_stream_that_nobody_knows_goes_on_if_one_version_can_have_begun_it() {
+    let endpoint = Endpoint::start(vec![REST.to_vec()]);
+    let gateway = start(&[&endpoint]);
+    let reply = resume(&gateway, "r1");
+    assert_eq!((reply.status, reply.body.as_str()), (200, "id: 2\n\n"));
+}
+
+/// Guards against waiting in vain for a version that has left.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let broken = Endpoint::start(vec![BROKEN.to_vec()]);
+    let other = Endpoint::start(vec![REST.to_vec()]);
+    let gateway = start(&[&broken]);
+    begin(&gateway);
+    gateway.feed.set_endpoints(list(&[(&broken, "v1"), (&other, "v2")])[1..].to_vec());
+    let started = std::time::Instant::now();
+    let reply = resume(&gateway, "r1");
+    assert_eq!(reply.status, 503);
+    assert!(reply.body.contains("version_gone"), "{}", reply.body);
+    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+    assert!(other.requests().is_empty());
+}
+
+/// Guards against telling a caller of a stream of another client account.
+#[test]
+fn a_stream_of_another_account_is_unknown() {
+    let broken = Endpoint::start(vec![BROKEN.to_vec()]);
+    let (same, other) =
+        (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![REST.to_vec()]));
+    let gateway = start(&[&broken]);
+    gateway.reconfigure(2, |config| {
+        let account = crate::harness::account("k2");
+        config
+            .accounts
+            .push(trefoildyke_decide::gateway::Account { name: "agec".into(), ..account });
+    });
+    begin(&gateway);
+    gateway.feed.set_endpoints(list(&[(&same, "v1"), (&other, "v2")]));
+    let mut caller = gateway.caller();
+    let headers = [
+        ("trefoildyke-request-id", "r2"),
+        ("trefoildyke-key", "k2"),
+        ("trefoildyke-resumes", "r1"),
+        ("last-event-id", "1"),
+    ];
+    caller.send("POST /resume/", &headers, "");
+    let reply = caller.read_reply().unwrap();
+    assert_eq!(reply.status, 503);
+    assert!(reply.body.contains("version_unknown"), "{}", reply.body);
+}
+
+/// Guards against refusing streams that begin because of the versions of others.
+#[test]
+fn streams_begin_at_any_version() {
+    let endpoints = [Endpoint::start(vec![WHOLE.to_vec()]), Endpoint::start(vec![WHOLE.to_vec()])];
+    let gateway = start(&[]);
+    gateway.feed.set_endpoints(list(&[(&endpoints[0], "v1"), (&endpoints[1], "v2")]));
+    for _ in 0..8 {
+        let reply = gateway.request("POST /resume/").unwrap();
+        assert_eq!((reply.body.as_str(), reply.is_complete), ("id: 1\n\nid: 2\n\n", true));
+    }
+}
--- a/testbed/src/recovery/simulation.rs
+++ b/testbed/src/recovery/simulation.rs
@@ -216,5 +216,6 @@
         returning: false,
         repeatable: false,
         tried: Vec::new(),
+        version: None,
     }
 }
--- a/testbed/src/rollout/play.rs
+++ b/testbed/src/rollout/play.rs
@@ -235,6 +235,7 @@
             returning: false,
             repeatable: false,
             tried: Vec::new(),
+            version: None,
         };
         if let Admission::Granted(grant) = self.pool.submit(at(ms), request) {
             self.send(ms, &grant);
