tunnel: break an answer off when the forwarding daemon ends

Cause: a tunnel copied the endpoint's bytes as they came. An answer without a length or chunks ends with its connection, and the system closes the connections of a daemon that is killed in the ordinary way, so that the daemon which took the request read that as the end of the answer. Ruled out: the endpoints, which went on writing, and the relay.

Change: the endpoint's bytes travel in frames, and an empty frame says that the endpoint has closed its connection; an end without it breaks the answer off. Such an end counts as lost and no longer as a crash of the endpoint. Related paths read: configuration transfers, messages of trefoildyked and answers of the store have a length or a framing of their own.

--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -7,9 +7,10 @@
 use hyper::{StatusCode, client::conn::http1, header, upgrade};
 use hyper_util::rt;
 use rand::seq::SliceRandom as _;
+use tokio::io::{AsyncRead, AsyncWrite};
 use trefoildyke_types::id;
 
-use crate::{record, state, tunnel};
+use crate::{record, state, tunnel, tunnel::frames};
 
 /// The number of daemons that are asked for one connection.
 const MAX_PEERS: usize = 3;
@@ -29,7 +30,7 @@
     shared: &sync::Arc<state::Shared>,
     id: &str,
     endpoint: &id::EndpointName,
-) -> io::Result<upgrade::Upgraded> {
+) -> io::Result<impl AsyncRead + AsyncWrite + Send + Unpin + use<>> {
     let mut last = io::Error::other("no other daemon can be asked");
     for peer in peers(shared) {
         let limit = shared.settings.connect_timeout + REPLY_MARGIN;
@@ -38,7 +39,8 @@
             Ok(upgraded) => {
                 let (id, endpoint) = (id.to_owned(), endpoint.clone());
                 shared.journal.write(&record::Event::Tunnel { id, endpoint, through: peer });
-                return Ok(upgraded);
+                let (reader, writer) = tokio::io::split(rt::TokioIo::new(upgraded));
+                return Ok(tokio::io::join(frames::read_frames(reader), writer));
             }
             Err(error) => {
                 // Such a daemon may still reach the other endpoints.
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -8,7 +8,7 @@
 use trefoildyke_kernel as kernel;
 use trefoildyke_types::id;
 
-use crate::{record, state, tunnel, upstream};
+use crate::{record, state, tunnel, tunnel::frames, upstream};
 
 /// A connection to an endpoint that another daemon has asked for.
 pub(crate) struct Tunnel {
@@ -85,7 +85,8 @@
     }
 }
 
-/// Copies bytes between a daemon and an endpoint; `first` are bytes of the daemon that were already read.
+/// Copies bytes between a daemon and an endpoint, those of the endpoint in frames; `first` are bytes of the
+/// daemon that were already read.
 ///
 /// The daemon's connection is reset if that of the endpoint fails: an answer without a length would otherwise
 /// look complete. The endpoint's connection is closed as soon as the daemon disconnects, which cancels its request.
@@ -100,12 +101,12 @@
         let (mut from_daemon, mut to_daemon) = daemon.split();
         let (mut from_endpoint, mut to_endpoint) = endpoint.split();
         tokio::select! {
-            sent = tokio::io::copy(&mut from_daemon, &mut to_endpoint) => sent,
-            answered = tokio::io::copy(&mut from_endpoint, &mut to_daemon) => answered,
+            sent = tokio::io::copy(&mut from_daemon, &mut to_endpoint) => sent.map(|_| ()),
+            answered = frames::write_frames(&mut from_endpoint, &mut to_daemon) => answered,
         }
     };
     match ended {
-        Ok(_) => daemon.shutdown().await,
+        Ok(()) => daemon.shutdown().await,
         Err(error) => {
             socket2::SockRef::from(&daemon).set_linger(Some(time::Duration::ZERO))?;
             Err(error)
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -10,7 +10,7 @@
 use trefoildyke_decide::gateway;
 
 use crate::{
-    upstream,
+    tunnel, upstream,
     upstream::framing_limit::{AnswerBody, FramingCount, LimitedStream},
 };
 
@@ -88,8 +88,13 @@
 pub(crate) fn classify_error(error: &hyper::Error) -> gateway::Failure {
     let source = std::error::Error::source(error);
     let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    // A forwarding daemon that ends says nothing of the endpoint.
+    let is_interrupted = |source: &std::io::Error| {
+        source.get_ref().is_some_and(|error| error.is::<tunnel::Interrupted>())
+    };
     let is_invalid = |source: &std::io::Error| {
         matches!(source.kind(), std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput)
+            || is_interrupted(source)
     };
     if error.is_parse() || source.is_some_and(is_invalid) {
         return gateway::Failure::Lost;
--- a/crates/gateway/src/upstream/dial.rs
+++ b/crates/gateway/src/upstream/dial.rs
@@ -2,7 +2,6 @@
 
 use std::{io, sync};
 
-use hyper_util::rt;
 use trefoildyke_decide::gateway;
 
 use crate::{state, tunnel, upstream};
@@ -28,8 +27,7 @@
         probe(shared, grant);
     }
     let stream = tunnel::open(shared, id, &grant.endpoint).await?;
-    let mut connection =
-        upstream::Connection::begin(&shared.connections, rt::TokioIo::new(stream)).await?;
+    let mut connection = upstream::Connection::begin(&shared.connections, stream).await?;
     // The other daemon counts a tunnel as a request in progress.
     connection.forbid_reuse();
     Ok(connection)
--- a/crates/gateway/tests/testsuite/unreachable.rs
+++ b/crates/gateway/tests/testsuite/unreachable.rs
@@ -168,3 +168,28 @@
     let received: usize = endpoints.iter().map(|endpoint| endpoint.requests().len()).sum();
     assert_eq!(served, received, "each request that was forwarded is answered");
 }
+
+/// A stream, or a plain answer, that ends with its connection; the endpoint goes on after its first part.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\ntrefoildyke-request-id: {id}\r\ntrefoildyke-seal: s\r\n\
+                        Connection: close\r\n\r\nid: 1\n\n";
+
+/// Guards against a broken answer that looks complete: the system closes the connections of a gateway that is
+/// killed in the ordinary way.
+#[test]
+fn an_answer_without_length_is_broken_off_when_the_forwarding_gateway_is_lost() {
+    for line in ["POST /stream/", "GET /once/"] {
+        let cut = Cut::start(&[Step::Raw(UNFRAMED), Step::AwaitClose]);
+        let _running = cut.send_until_one_runs();
+        let before = cut.received();
+        let mut caller = cut.isolated.caller();
+        caller.send(line, &[("trefoildyke-request-id", "r1"), ("trefoildyke-key", "k1")], "");
+        TestGateway::wait_until("the request runs", || cut.received() > before);
+        // Lets the first part of the answer arrive.
+        std::thread::sleep(Duration::from_millis(100));
+        let Cut { isolated: _isolated, linked, .. } = cut;
+        drop(linked);
+        let reply = caller.read_reply().unwrap();
+        let is_success = reply.status == 200 && reply.is_complete;
+        assert!(!is_success, "{line}: {reply:?}");
+    }
+}
