gateway: keep callers' bodies within a part of the memory

Cause: each body was limited, and the number of connections, but not the sum of the bodies, which are kept until their answers have come. Joining the parts of a body also copied it.

One that states its length is read only once there is memory for it, into one buffer; one in chunks takes its part as it grows. It waits up to half a second or a fifth of its caller's wait, then its request is refused as not run. Bodies over 64 KiB may use three quarters, so that small requests are served meanwhile.

--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{StatusCode, body, body::Body as _, header};
+use http_body_util::Full;
+use hyper::{StatusCode, body, header};
 use trefoildyke_decide::gateway;
 use trefoildyke_types::{id, time::Timestamp};
 
@@ -21,6 +21,14 @@
 const TOO_LARGE: ingress::Reply =
     ingress::Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large").closing();
 
+/// The `Retry-After` if there is no memory for the body: its next connection reaches another host.
+const MEMORY_RETRY: time::Duration = time::Duration::from_millis(300);
+
+/// The share of the caller's wait for which its body waits for memory, and the longest such time. Callers give
+/// up on a host that has not read their request after a third of their wait or a second.
+const MEMORY_WAIT_SHARE: f64 = 0.2;
+const MAX_MEMORY_WAIT: time::Duration = time::Duration::from_millis(500);
+
 /// The deadline of a caller that sends none.
 const DEFAULT_DEADLINE: time::Duration = time::Duration::from_secs(60);
 
@@ -59,6 +67,8 @@
     pub(crate) expected: f64,
     /// The charge to the account's quota, until it is refunded.
     pub(crate) reservation: Option<charging::QuotaReservation>,
+    /// The memory for the body, until the request has been answered.
+    pub(crate) _memory: ingress::BodyReservation,
     /// The stream, if it may be resumed.
     pub(crate) stream: Option<ResumableStream>,
 }
@@ -96,7 +106,9 @@
         let id = access.id().to_owned();
         let wait_limit = names::number(&head.headers, &names.deadline);
         let wait_limit = wait_limit.map_or(DEFAULT_DEADLINE, time::Duration::from_millis);
-        let body = read_body(&admission, body).await?;
+        let patience = wait_limit.mul_f64(MEMORY_WAIT_SHARE).min(MAX_MEMORY_WAIT);
+        let ingress::KeptBody { bytes: body, reservation: memory } =
+            read_body(shared, &admission, body, patience).await?;
         let fingerprint = admission.fingerprint(head, &body);
         let tokens = parse_tokens(names::text(&head.headers, &names.tokens));
         let arrived = access.arrived();
@@ -162,6 +174,7 @@
             shared_parts,
             expected,
             reservation,
+            _memory: memory,
             stream,
         })
     }
@@ -239,19 +252,24 @@
 }
 
 async fn read_body(
+    shared: &state::Shared,
     admission: &Admission,
     body: &mut body::Incoming,
-) -> Result<Bytes, ingress::Reply> {
-    if body.size_hint().lower() > admission.body_limit as u64 {
-        return Err(TOO_LARGE);
-    }
-    let body = Limited::new(body, admission.body_limit).collect();
-    match tokio::time::timeout(admission.body_timeout, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(TOO_LARGE),
-        Ok(Err(_)) => Err(ingress::Reply::new(StatusCode::BAD_REQUEST, "body_broken").closing()),
-        Err(_) => Err(ingress::Reply::new(StatusCode::REQUEST_TIMEOUT, "body_slow").closing()),
-    }
+    patience: time::Duration,
+) -> Result<ingress::KeptBody, ingress::Reply> {
+    let body = shared.bodies.read(body, admission.body_limit, patience);
+    let body = tokio::time::timeout(admission.body_timeout, body).await;
+    let body =
+        body.map_err(|_| ingress::Reply::new(StatusCode::REQUEST_TIMEOUT, "body_slow").closing())?;
+    body.map_err(|error| match error {
+        ingress::BodyError::TooLong => TOO_LARGE,
+        ingress::BodyError::NoMemory => {
+            ingress::Reply::not_run("body_memory", MEMORY_RETRY).closing()
+        }
+        ingress::BodyError::Broken(_) => {
+            ingress::Reply::new(StatusCode::BAD_REQUEST, "body_broken").closing()
+        }
+    })
 }
 
 impl Admission {
--- a/crates/gateway/src/ingress/mod.rs
+++ b/crates/gateway/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod body;
+mod body_budget;
 mod call;
 mod caller_connection;
 mod connections;
@@ -16,6 +17,7 @@
 
 pub(crate) use access::AccessLogEntry;
 pub(crate) use body::{Aborted, Body, frames, full};
+pub(crate) use body_budget::{BodyBudget, BodyError, BodyReservation, KeptBody};
 pub(crate) use call::Call;
 pub(crate) use caller_connection::CallerConnection;
 pub(crate) use connections::{limits, serve};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -57,6 +57,8 @@
     pub connect_timeout: time::Duration,
     /// How often changes are sent to the other daemons; 50 ms.
     pub gossip_interval: time::Duration,
+    /// The memory for the bodies of callers' requests, in bytes; 32 MiB.
+    pub body_memory: usize,
     /// How long streams last at most, over all attempts of their callers; 60 s. A version may have begun
     /// streams for that long after its last endpoint is gone.
     pub stream_retention: time::Duration,
@@ -102,6 +104,7 @@
             stop_grace: time::Duration::from_secs(8),
             connect_timeout: time::Duration::from_millis(400),
             gossip_interval: time::Duration::from_millis(50),
+            body_memory: 32 << 20,
             stream_retention: time::Duration::from_secs(60),
             max_connections: 2_000,
         }
--- a/crates/gateway/src/state/shared.rs
+++ b/crates/gateway/src/state/shared.rs
@@ -9,7 +9,8 @@
 use trefoildyke_types::{id, time::Timestamp};
 
 use crate::{
-    charging, clock, config_transfer, metrics, query, record, settings, state, streams, upstream,
+    charging, clock, config_transfer, ingress, metrics, query, record, settings, state, streams,
+    upstream,
 };
 
 /// The share of an endpoint's permitted connections that may be idle; the rest is needed for requests.
@@ -27,6 +28,8 @@
     /// Counts the requests in progress.
     pub(crate) gate: kernel::Gate,
     pub(crate) connections: upstream::ConnectionPool,
+    /// The memory for the bodies of callers' requests.
+    pub(crate) bodies: ingress::BodyBudget,
     /// The answers that are being read as a whole.
     pub(crate) buffered: upstream::BufferedBytes,
     /// Queries to other daemons about the store.
@@ -59,8 +62,10 @@
     ) -> Self {
         let core = sync::Mutex::new(state::Core::new(&settings, rand::random()));
         let connections = upstream::ConnectionPool::new(settings.connect_timeout);
+        let bodies = ingress::BodyBudget::new(settings.body_memory);
         Self {
             settings,
+            bodies,
             clock: clock::Clock::start(),
             journal,
             metrics,
--- /dev/null
+++ b/crates/gateway/tests/testsuite/bodies.rs
@@ -0,0 +1,104 @@
+//! The memory for the bodies of callers' requests.
+
+use std::time::{Duration, Instant};
+
+use crate::harness::{Caller, Endpoint, Step, TestGateway};
+
+/// The memory for bodies, the largest body that is allowed, and one of which two do not fit.
+const MEMORY: usize = 256 << 10;
+const MAX_BODY: usize = 400 << 10;
+const LARGE: usize = 120 << 10;
+
+fn start(endpoint: &Endpoint) -> TestGateway {
+    let gateway = TestGateway::unconfigured(|settings| settings.body_memory = MEMORY);
+    gateway.configure(&[endpoint]);
+    gateway.reconfigure(2, |config| config.limits.body_bytes = MAX_BODY);
+    gateway
+}
+
+fn send(gateway: &TestGateway, id: &str, length: usize) -> Caller {
+    let mut caller = gateway.caller();
+    let headers = [
+        ("trefoildyke-request-id", id),
+        ("trefoildyke-key", "k1"),
+        ("trefoildyke-deadline-ms", "8000"),
+    ];
+    caller.send("POST /once/", &headers, &"x".repeat(length));
+    caller
+}
+
+/// Guards against bodies of the allowed length that together exceed the memory of a process.
+#[test]
+fn large_bodies_at_once_are_kept_within_the_memory_for_them() {
+    let endpoint = Endpoint::start(vec![vec![Step::Hold, Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let mut callers: Vec<_> =
+        (0..3).map(|number| send(&gateway, &format!("r{number}"), LARGE)).collect();
+    TestGateway::wait_until("one is sent", || endpoint.requests().len() == 1);
+    // Small requests are served meanwhile.
+    let mut small = send(&gateway, "small", 1_000);
+    TestGateway::wait_until("a small one is sent", || endpoint.requests().len() == 2);
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(endpoint.requests().len(), 2, "the others have no memory");
+    (0..2).for_each(|_| endpoint.release_one());
+    assert_eq!(small.read_reply().unwrap().status, 200);
+    let replies: Vec<_> = callers.iter_mut().map(|caller| caller.read_reply().unwrap()).collect();
+    let count = |status| replies.iter().filter(|reply| reply.status == status).count();
+    assert_eq!((count(200), count(503)), (1, 2), "{replies:?}");
+    let refused = replies.iter().find(|reply| reply.status == 503).unwrap();
+    assert!(refused.body.contains("body_memory") && refused.header("retry-after").is_some());
+    assert_eq!(endpoint.requests().len(), 2, "a refused request does not run");
+}
+
+/// Guards against refusing bodies although the memory is free a moment later.
+#[test]
+fn a_large_body_waits_for_memory() {
+    let endpoint =
+        Endpoint::start(vec![vec![Step::Pause(Duration::from_millis(100)), Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let mut callers: Vec<_> =
+        (0..3).map(|number| send(&gateway, &format!("r{number}"), LARGE)).collect();
+    let started = Instant::now();
+    for caller in &mut callers {
+        assert_eq!(caller.read_reply().unwrap().status, 200);
+    }
+    assert!(started.elapsed() >= Duration::from_millis(200), "one after the other");
+}
+
+/// Guards against a body that never fits because it is longer than all the memory for bodies.
+#[test]
+fn the_longest_body_is_served_alone() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    for id in ["r1", "r2"] {
+        assert_eq!(send(&gateway, id, MAX_BODY).read_reply().unwrap().status, 200);
+    }
+    assert_eq!(send(&gateway, "r3", MAX_BODY + 1).read_reply().unwrap().status, 413);
+}
+
+/// Guards against bodies without a stated length that take memory which is not counted.
+#[test]
+fn bodies_in_chunks_are_kept_within_the_memory_for_them() {
+    let endpoint = Endpoint::start(vec![vec![Step::Hold, Step::Answer("x")]]);
+    let gateway = start(&endpoint);
+    let chunk = format!("{:x}\r\n{}\r\n", LARGE, "x".repeat(LARGE));
+    let mut callers: Vec<_> = (0..3)
+        .map(|number| {
+            let mut caller = gateway.caller();
+            caller.write(&format!(
+                "POST /once/ HTTP/1.1\r\nHost: claims.example\r\ntrefoildyke-request-id: r{number}\r\n\
+                 trefoildyke-key: k1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}0\r\n\r\n"
+            ));
+            caller
+        })
+        .collect();
+    TestGateway::wait_until("one is sent", || endpoint.requests().len() == 1);
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(endpoint.requests().len(), 1, "the others have no memory");
+    endpoint.release_one();
+    let replies = callers.iter_mut().map(|caller| caller.read_reply().unwrap().status);
+    let mut statuses: Vec<_> = replies.collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 503, 503]);
+    assert!(endpoint.requests()[0].ends_with(&"x".repeat(LARGE)));
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 
 mod backoffs;
+mod bodies;
 mod callers;
 mod changes;
 mod crashes;
