tests: cut heads of answers at every byte

Another operator reported 200 with an empty or short body, framed as whole, after a worker had stopped in the middle of its answer's head and closed. That can not happen here: hyper fails a response whose head is incomplete.

--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod endless;
 mod failures;
 mod fuzz;
+mod heads;
 mod idle;
 mod keys;
 mod leaving;
--- a/crates/gateway/tests/testsuite/unreachable.rs
+++ b/crates/gateway/tests/testsuite/unreachable.rs
@@ -193,3 +193,22 @@
         assert!(!is_success, "{line}: {reply:?}");
     }
 }
+
+/// Guards against a head that breaks off behind a tunnel and is passed on as a whole answer.
+#[test]
+fn an_answer_whose_head_breaks_off_behind_a_tunnel_is_no_success() {
+    let head = UNFRAMED.find("\r\n\r\n").unwrap() + 4;
+    for length in [9, 17, 40, head - 4, head - 2, head - 1] {
+        for end in [Step::Close, Step::Reset] {
+            let cut = Cut::start(&[Step::Raw(&UNFRAMED[..length]), end]);
+            TestGateway::wait_until("a request runs behind a tunnel", || {
+                for line in ["GET /once/", "POST /stream/"] {
+                    let reply = cut.isolated.request(line);
+                    let is_success = reply.is_some_and(|reply| reply.status == 200);
+                    assert!(!is_success, "{line}: {length} bytes of the head");
+                }
+                cut.received() > 3
+            });
+        }
+    }
+}
