gateway: take answers with ambiguous framing for lost

Cause: a faulty endpoint stated a Content-Length beside its chunks. The HTTP library reads the chunks and leaves the length among the headers, which were passed on before the joined chunks. Related forms were passed on too.

Change: a length beside a transfer coding, any coding but a single chunked, and a length that is not one number make an answer lost, and its connection is closed (RFC 9112, section 6.3).

Both tests of ambiguous framings fail without the change.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod buffered_body;
 mod connection;
 mod dial;
+mod framing;
 mod framing_limit;
 mod notices;
 mod pool;
--- a/crates/gateway/src/upstream/send.rs
+++ b/crates/gateway/src/upstream/send.rs
@@ -126,6 +126,9 @@
     if echoed.is_some_and(|echoed| echoed != id) {
         return Err(SendError::lost("answer to another request"));
     }
+    if let Some(fault) = upstream::framing::fault(headers) {
+        return Err(SendError::lost(fault));
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(SendError::lost("encoded body that was not asked for"));
     }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod endings;
 mod endless;
 mod failures;
+mod framings;
 mod fuzz;
 mod heads;
 mod idle;
