--- a/crates/decide/src/gateway/streams/recent.rs
+++ b/crates/decide/src/gateway/streams/recent.rs
@@ -78,7 +78,7 @@
     /// Returns the versions of a service that may have begun a stream whose caller comes back now.
     pub fn possible(&self, now: Timestamp, service: &id::PoolName) -> PossibleVersions {
         let known = self.services.get(service).into_iter().flatten();
-        let recent = known.filter(|(_, presence)| !self.is_expired(now, **presence));
+        let recent = known.filter(|(_, presence)| !presence.is_over(now, self.retention));
         let is_complete = self.is_loaded
             || self.listed_since.is_some_and(|since| now.since(since) >= self.retention);
         PossibleVersions {
@@ -90,19 +90,15 @@
     fn expire(&mut self, now: Timestamp) {
         let retention = self.retention;
         for versions in self.services.values_mut() {
-            versions.retain(|_, presence| !presence.is_older(now, retention));
+            versions.retain(|_, presence| !presence.is_over(now, retention));
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
-
-    fn is_expired(&self, now: Timestamp, presence: Presence) -> bool {
-        presence.is_older(now, self.retention)
-    }
 }
 
 impl Presence {
-    /// Returns whether the version has been gone for `retention`.
-    fn is_older(self, now: Timestamp, retention: time::Duration) -> bool {
+    /// Returns whether the version has been gone for `retention`, so that no stream of it goes on.
+    fn is_over(self, now: Timestamp, retention: time::Duration) -> bool {
         matches!(self, Self::GoneSince(since) if now.since(since) >= retention)
     }
 }
--- a/crates/gateway/src/ingress/body_budget.rs
+++ b/crates/gateway/src/ingress/body_budget.rs
@@ -105,6 +105,9 @@
         patience: time::Duration,
     ) -> Result<(), BodyError> {
         let units = length.div_ceil(UNIT);
+        if units <= reservation.units {
+            return Ok(());
+        }
         let is_large = length > SMALL;
         let before = if reservation.is_large { reservation.units } else { 0 };
         let taking = async {
@@ -131,8 +134,7 @@
     async fn take(&self, from: usize, to: usize) -> Option<OwnedSemaphorePermit> {
         let missing = to.min(self.units).saturating_sub(from);
         let missing = u32::try_from(missing).unwrap_or(u32::MAX);
-        let free = sync::Arc::clone(&self.free);
         // The semaphore is never closed.
-        if missing == 0 { None } else { free.acquire_many_owned(missing).await.ok() }
+        sync::Arc::clone(&self.free).acquire_many_owned(missing).await.ok()
     }
 }
