tests: find the placing gateway once both have run for a while

A probe that printed both queues shows the request waiting at the gateway that did not place the first one: the placer changed about 2.5 s after the start, between the two checks.

--- a/crates/gateway/tests/testsuite/resumptions.rs
+++ b/crates/gateway/tests/testsuite/resumptions.rs
@@ -108,6 +108,9 @@
     placer.unwrap()
 }
 
+/// How long after its start a gateway is left out where another one can place requests.
+const NEW_AGE: Duration = Duration::from_millis(2_500);
+
 /// One of the two gateways gets its slots from the other one.
 #[test]
 fn a_stream_older_than_its_callers_patience_waits_at_the_daemon_that_places_it() {
@@ -115,6 +118,8 @@
     let gateways = [TestGateway::start(&[]), TestGateway::start(&[])];
     gateways.iter().for_each(configure);
     crate::peers::connect(&gateways);
+    // The gateway that places the requests may change until both have been running for a while.
+    thread::sleep(NEW_AGE);
     let _busy = occupy_second(&gateways, &first, &second);
     let placer = find_placer(&gateways);
     set_endpoints(&gateways, &list(&first, &second));
