--- a/crates/decide/src/gateway/pool/placement.rs
+++ b/crates/decide/src/gateway/pool/placement.rs
@@ -75,7 +75,7 @@
         class: usize,
         request: &PoolRequest,
     ) -> Option<&'a id::EndpointName> {
-        // The rest of a stream that the canary began is no further exposure of callers to it.
+        // A stream that the canary began can go on nowhere else.
         let may_use_canary = !view.canaries.is_empty()
             && (request.version.is_some() || self.versions.allows_canary(request.route));
         let canary = may_use_canary
--- a/crates/decide/src/gateway/rollout/mod.rs
+++ b/crates/decide/src/gateway/rollout/mod.rs
@@ -194,7 +194,7 @@
         let mut canary = None;
         match stage {
             Stage::Moving => return Gate { full: VersionSet::Only(to.clone()), canary },
-            // The old endpoints stop. Once the new ones are gone, too, the order is history.
+            // The old endpoints stop. Once the new ones are gone, too, the order applies no more.
             Stage::Complete if in_force == Some(to) => {
                 excluded.extend(from.iter().filter(|from| *from != to).cloned());
             }
