gateway: name the service in the lines of failed sends

The counts of the retry budget in these lines are by service, which the line did not name, so limits could not be added up over hosts and incarnations.

--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -101,6 +101,7 @@
         self.shared.journal.write(&record::Event::SendFailed {
             id: self.call.id.clone(),
             fingerprint: self.call.fingerprint,
+            service: self.call.service.clone(),
             endpoint: failed.send.grant.endpoint.clone(),
             after_ms: now.since(failed.send.sent_at).as_millis() as u64,
             failure: failed.failure,
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -264,6 +264,8 @@
         id: String,
         /// Identifies repeats of the same request.
         fingerprint: gateway::Fingerprint,
+        /// The service, whose retry budget the repeats are counted in.
+        service: id::PoolName,
         /// The endpoint.
         endpoint: id::EndpointName,
         /// The time since the send, in milliseconds.
@@ -281,7 +283,7 @@
         detail: String,
         /// What is done next.
         next: gateway::RetryAction,
-        /// Repeats this daemon counts for the service in the current retry budget window, including
+        /// Repeats this daemon has counted since its start in the current retry budget window, including
         /// any granted for this failure.
         repeats: usize,
         /// Maximum number of repeats the retry budget allows this daemon in that window.
