tests: retry budgets of several daemons add up to more than the shared one

Callers see nothing of it; endpoints that fail get more repeats than all requests together pay for. The reference counts as the users do: requests of the window, of the one before it, or of the one half a window before it.

--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
 use trefoildyke_decide::gateway::{Mesh, RetryBudget, RetryUsage};
 use trefoildyke_types::time::Timestamp;
 
@@ -191,3 +192,150 @@
     assert!(budget.take(now, 1.0));
     assert!(!budget.take(now, 1.0));
 }
+
+/// All requests and retries of a service, as the users count them.
+#[derive(Default)]
+struct Arrivals {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl Arrivals {
+    const WINDOW_MS: u64 = WINDOW.as_millis() as u64;
+
+    fn count(times: &[u64], from: u64, to: u64) -> usize {
+        times.iter().filter(|at| (from..=to).contains(*at)).count()
+    }
+
+    /// Returns the largest fraction of the limit that the retries of a window use. The requests are counted in
+    /// the window, the one before it, or the one half a window before it, whichever has most.
+    fn max_use(&self, ratio: f64, fixed: f64) -> f64 {
+        let used = self.retries.iter().map(|start| {
+            let window = |shift: u64| {
+                let from = start.saturating_sub(shift);
+                Self::count(&self.requests, from, (start + Self::WINDOW_MS).saturating_sub(shift))
+            };
+            let shifts = [0, Self::WINDOW_MS / 2, Self::WINDOW_MS];
+            let requests = shifts.into_iter().map(window).max().unwrap_or(0);
+            let retries = Self::count(&self.retries, *start, start + Self::WINDOW_MS);
+            retries as f64 / (ratio * requests as f64 + fixed)
+        });
+        used.fold(0.0, f64::max)
+    }
+}
+
+/// Daemons whose requests to one service all fail and are retried as often as the budgets allow.
+struct Failing {
+    budgets: Vec<RetryBudget>,
+    ratio: f64,
+    fixed: f64,
+    arrivals: Arrivals,
+}
+
+impl Failing {
+    fn new(daemons: usize, ratio: f64, fixed: f64) -> Self {
+        let budget = budget_started_at_zero(ratio, fixed);
+        Self { budgets: vec![budget; daemons], ratio, fixed, arrivals: Arrivals::default() }
+    }
+
+    /// A daemon gets requests that do not fail.
+    fn serve(&mut self, ms: u64, daemon: usize, requests: usize) {
+        for _ in 0..requests {
+            self.budgets[daemon].request(Timestamp::from_millis(ms));
+            self.arrivals.requests.push(ms);
+        }
+    }
+
+    /// A daemon gets requests that fail, each up to three times.
+    fn fail(&mut self, ms: u64, daemon: usize, requests: usize) {
+        let (now, share) = (Timestamp::from_millis(ms), 1.0 / self.budgets.len() as f64);
+        self.serve(ms, daemon, requests);
+        for _ in 0..3 * requests {
+            if take_and_send(&mut self.budgets[daemon], now, share) {
+                self.arrivals.retries.push(ms);
+            }
+        }
+    }
+
+    /// A daemon is killed and starts again.
+    fn restart(&mut self, ms: u64, daemon: usize) {
+        let now = Timestamp::from_millis(ms);
+        self.budgets[daemon] = RetryBudget::new(now, WINDOW, self.ratio, self.fixed);
+    }
+
+    fn assert_within_limit(&self) {
+        let used = self.arrivals.max_use(self.ratio, self.fixed);
+        assert!(used <= 1.0, "{used:.2} of the limit is used");
+    }
+}
+
+// Guards against a restart that forgets the retries of a window and lets the next requests pay for more.
+#[test]
+fn retries_stay_within_the_budget_when_all_daemons_are_killed() {
+    for killed_at in (20_100..30_000).step_by(900) {
+        let mut failing = Failing::new(7, 0.2, 54.0);
+        for ms in (0..40_000).step_by(35) {
+            let daemon = (ms / 35) as usize % 7;
+            if ms < 20_000 {
+                failing.serve(ms, daemon, 7);
+            } else {
+                failing.fail(ms, daemon, 7);
+            }
+            if (killed_at..killed_at + 35).contains(&ms) {
+                (0..7).for_each(|daemon| failing.restart(ms, daemon));
+            }
+        }
+        failing.assert_within_limit();
+    }
+}
+
+// Guards against daemons spending in one window what traffic has paid for that has moved on meanwhile.
+#[test]
+fn retries_stay_within_the_budget_when_traffic_moves_between_daemons() {
+    let mut failing = Failing::new(7, 0.2, 54.0);
+    for ms in (0..80_000).step_by(35) {
+        let daemon = (ms / 8_000) as usize % 7;
+        if ms % 8_000 < 7_000 {
+            failing.serve(ms, daemon, 7);
+        } else {
+            failing.fail(ms, daemon, 7);
+        }
+    }
+    failing.assert_within_limit();
+}
+
+/// A step of one daemon.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Serve(usize),
+    Fail(usize),
+    Restart,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u64, usize, Step)>> {
+    let step = prop_oneof![
+        4 => (1_usize..150).prop_map(Step::Serve),
+        4 => (1_usize..60).prop_map(Step::Fail),
+        1 => Just(Step::Restart),
+    ];
+    prop::collection::vec((0_u64..2_500, 0_usize..4, step), 1..80)
+}
+
+proptest! {
+    // Guards against any sequence of restarts and any assignment of requests to daemons by which their budgets
+    // add up to more than the shared one.
+    #[test]
+    fn retries_stay_within_the_budget_over_any_assignment_of_requests_and_restarts(steps in steps()) {
+        let mut failing = Failing::new(4, 0.2, 30.0);
+        let mut ms = 0;
+        for (pause, daemon, step) in steps {
+            ms += pause;
+            match step {
+                Step::Serve(requests) => failing.serve(ms, daemon, requests),
+                Step::Fail(requests) => failing.fail(ms, daemon, requests),
+                Step::Restart => failing.restart(ms, daemon),
+            }
+        }
+        failing.assert_within_limit();
+    }
+}
