decide: limit retries by the requests of two windows

Each daemon let the requests of the last window pay for retries at any moment. A daemon that was killed had spent that, its successor spent the requests that came next, and both fell into one window. The same happens without any kill when traffic moves between daemons. An allowance was earned in one window and spent in another, with nobody who counted both.

A daemon's retries in any window are now limited by the mean of its requests in that window and in the one before it. The mean of two sums is at most the larger one, which is what the shared limit counts, so the limits of all daemons add up to it whatever moves or restarts, without messages. In the first window after a start only the half that is earned since then counts.

--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -9,11 +9,19 @@
 /// Limits the number of retries, that is, sends after the first send of each request, from one
 /// daemon to one service.
 ///
-/// The limit shared by all daemons is a ratio of the requests plus a fixed number in any window. If
-/// each daemon applies the ratio to its own requests, the ratio holds for the sum. The fixed number
-/// is divided among the members, so daemons need not exchange messages. The counts are kept in
-/// memory and lost in a restart, so a daemon has no share of the fixed number in the first window
-/// after its start.
+/// The limit shared by all daemons is a ratio of the requests plus a fixed number in any window. The
+/// requests are those of the window or of the one before it, whichever has more. Daemons exchange no
+/// messages about it, so the limits of all daemons have to add up to the shared one, however requests
+/// move between daemons and whichever daemons restart:
+///
+/// - In any window, a daemon's retries are limited by the mean of its requests in the window and in the
+///   one before it. The sum of the means of all daemons is at most the larger sum. A limit by the
+///   requests of the last window alone would let two daemons use the same part of the shared limit one
+///   after the other.
+/// - The requests before the start of a daemon do not count, as the process before it may have used
+///   them. In the first window after its start, half of the requests count.
+/// - The fixed number is divided among the members. A daemon has no share of it in the first window
+///   after its start.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     /// The start of the daemon, which may be earlier than the creation of the budget.
@@ -21,13 +29,24 @@
     window: time::Duration,
     ratio: f64,
     fixed: f64,
+    /// The times of the requests in the current window.
     requests: collections::VecDeque<Timestamp>,
-    /// The send times of the retries in the current window.
-    retries: collections::VecDeque<Timestamp>,
+    /// The number of all requests.
+    request_count: usize,
+    /// The retries that were sent in the current window.
+    retries: collections::VecDeque<SentRetry>,
     /// The number of retries that were taken but neither sent nor given back.
     reserved: usize,
 }
 
+/// A retry that was sent.
+#[derive(Clone, Copy, Debug)]
+struct SentRetry {
+    at: Timestamp,
+    /// The number of requests until one window before the retry.
+    requests_before: usize,
+}
+
 /// The fraction of the shared limit that is used; the rest covers members that were not counted
 /// yet.
 const USED_FRACTION: f64 = 0.8;
@@ -36,13 +55,22 @@
     /// Creates a budget of `ratio` of the requests in `window` plus `fixed` over all daemons, for a
     /// daemon that started at `started`.
     pub fn new(started: Timestamp, window: time::Duration, ratio: f64, fixed: f64) -> Self {
-        let (requests, retries) = Default::default();
-        Self { started, window, ratio, fixed, requests, retries, reserved: 0 }
+        Self {
+            started,
+            window,
+            ratio,
+            fixed,
+            requests: collections::VecDeque::new(),
+            request_count: 0,
+            retries: collections::VecDeque::new(),
+            reserved: 0,
+        }
     }
 
     /// Counts the first send of a request.
     pub fn request(&mut self, now: Timestamp) {
         self.requests.push_back(now);
+        self.request_count += 1;
         self.expire(now);
     }
 
@@ -61,7 +89,9 @@
     /// Records that a reserved retry is sent at `now`.
     pub fn retry_sent(&mut self, now: Timestamp) {
         self.reserved = self.reserved.saturating_sub(1);
-        self.retries.push_back(now);
+        self.expire(now);
+        let requests_before = self.request_count - self.requests.len();
+        self.retries.push_back(SentRetry { at: now, requests_before });
     }
 
     /// Gives back a reserved retry that will not be sent.
@@ -69,22 +99,35 @@
         self.reserved = self.reserved.saturating_sub(1);
     }
 
-    /// Returns the retries in the window and their limit, for a daemon that holds `share` of the
-    /// fixed number.
+    /// Returns the retries and their limit in the window that allows the fewest more, for a daemon
+    /// that holds `share` of the fixed number.
+    ///
+    /// The limit holds in every window, so it is checked in those that start now or with one of the
+    /// retries that were sent.
     pub fn usage(&mut self, now: Timestamp, share: f64) -> gateway::RetryUsage {
         self.expire(now);
+        let fixed = self.fixed * share;
+        let sent = self.retries.len();
+        let starts = self.retries.iter().enumerate();
+        let starts = starts.map(|(index, first)| (sent - index, first.requests_before, fixed));
+        let now_start = (0, self.request_count - self.requests.len(), fixed);
         let in_first_window = now.since(self.started) < self.window;
-        let fixed = if in_first_window { 0.0 } else { self.fixed * share };
-        let limit = USED_FRACTION * (self.ratio * self.requests.len() as f64 + fixed);
-        let retries = self.retries.len() + self.reserved;
-        gateway::RetryUsage { retries, limit: limit as usize }
+        let own_start = in_first_window.then_some((sent, 0, 0.0));
+        let usages = starts.chain([now_start]).chain(own_start).map(|(sent, before, fixed)| {
+            let requests = (self.request_count - before) as f64 / 2.0;
+            let limit = USED_FRACTION * (self.ratio * requests + fixed);
+            gateway::RetryUsage { retries: sent + self.reserved, limit: limit as usize }
+        });
+        usages.min_by_key(gateway::RetryUsage::available).unwrap_or_default()
     }
 
     fn expire(&mut self, now: Timestamp) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|first| now.since(*first) > self.window) {
-                times.pop_front();
-            }
+        let is_over = |at: Timestamp| now.since(at) > self.window;
+        while self.requests.front().is_some_and(|at| is_over(*at)) {
+            self.requests.pop_front();
+        }
+        while self.retries.front().is_some_and(|first| is_over(first.at)) {
+            self.retries.pop_front();
         }
     }
 }
--- a/crates/decide/src/gateway/retry_usage.rs
+++ b/crates/decide/src/gateway/retry_usage.rs
@@ -3,8 +3,15 @@
 /// Snapshot of one daemon's retry budget for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryUsage {
-    /// The retries counted in the current window.
+    /// The retries counted in a window.
     pub retries: usize,
-    /// The maximum number of retries in the current window, rounded down.
+    /// The maximum number of retries in that window, rounded down.
     pub limit: usize,
 }
+
+impl RetryUsage {
+    /// Returns how many more retries the window allows.
+    pub const fn available(&self) -> usize {
+        self.limit.saturating_sub(self.retries)
+    }
+}
