gateway: resume unknown streams by a list that is newer than the request

Streams were joined from two software versions at a host that had missed that a version joined. A stream that nobody knows went on at the only version in the host's list if that list was less than 1.6 s old, and, if any other host replied, whatever its age. A version that joined since the query of the list may have begun the stream, and hosts that are out of step alike confirm each other.

The host now waits for the answer to a query that was sent after the caller came back, its own or its reader's, for at most the age that a list may have; otherwise the request is refused as not run. Lists carry the time of their query. After a gap in the list a host no longer counts as knowing all versions.

Two tests of the gateway fail without it (200 for 503, the rest of the stream came from the old version), and one of decide. The test of a stream that goes on reads the list again meanwhile, as hosts do.

--- a/crates/decide/src/gateway/message/store_view.rs
+++ b/crates/decide/src/gateway/message/store_view.rs
@@ -13,6 +13,8 @@
     pub roster: u64,
     /// The time since the list was read.
     pub read: u32,
+    /// The time since the query was sent that returned the list, if it is known.
+    pub queried: Option<u32>,
     /// How long the source of the list has answered without a failure.
     pub steady: u32,
 }
--- a/crates/decide/src/gateway/roster.rs
+++ b/crates/decide/src/gateway/roster.rs
@@ -54,6 +54,8 @@
     answered_at: Option<Timestamp>,
     /// The time at which the list was last read.
     read_at: Option<Timestamp>,
+    /// When the query was sent that returned this list: all entries of that time are known.
+    queried_at: Option<Timestamp>,
     /// Whether the list may hold entries of endpoints that are gone, because its reader had not
     /// settled when it read the list.
     may_hold_gone_entries: bool,
@@ -95,6 +97,7 @@
             available_since: None,
             answered_at: None,
             read_at: None,
+            queried_at: None,
             may_hold_gone_entries: false,
             hash: EMPTY_HASH,
             updates: collections::VecDeque::new(),
@@ -206,6 +209,18 @@
         self.read_at
     }
 
+    /// Records that this list is the answer to a query that was sent at `queried_at`.
+    pub fn record_query(&mut self, queried_at: Timestamp) {
+        self.queried_at = self.queried_at.max(Some(queried_at));
+    }
+
+    /// Returns when the query was sent that returned this list.
+    ///
+    /// That time may lie long before [`Self::read`]: the answer may have been slow, or the host suspended.
+    pub const fn queried(&self) -> Option<Timestamp> {
+        self.queried_at
+    }
+
     /// Returns a hash of the list; equal lists have equal hashes.
     pub const fn hash(&self) -> u64 {
         self.hash
--- a/crates/decide/src/gateway/streams/recent.rs
+++ b/crates/decide/src/gateway/streams/recent.rs
@@ -14,11 +14,15 @@
 pub struct RecentVersions {
     /// How long streams last at most.
     retention: time::Duration,
+    /// The time between two queries of the list after which a version may have come and gone unseen.
+    max_gap: time::Duration,
     services: collections::BTreeMap<id::PoolName, collections::BTreeMap<id::VersionName, Presence>>,
     /// Since when this daemon has followed the list of endpoints.
     listed_since: Option<Timestamp>,
-    /// Whether the stored set was read.
+    /// Whether the stored set was read, and the list has been followed without a gap since.
     is_loaded: bool,
+    /// When the query was sent that returned the last list.
+    queried_at: Option<Timestamp>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,10 +33,31 @@
 }
 
 impl RecentVersions {
-    /// Creates an empty set; streams last for `retention` at most.
-    pub const fn new(retention: time::Duration) -> Self {
+    /// Creates an empty set. Streams last for `retention` at most; the list of endpoints is queried again within
+    /// `max_gap`.
+    pub const fn new(retention: time::Duration, max_gap: time::Duration) -> Self {
         let services = collections::BTreeMap::new();
-        Self { retention, services, listed_since: None, is_loaded: false }
+        Self {
+            retention,
+            max_gap,
+            services,
+            listed_since: None,
+            is_loaded: false,
+            queried_at: None,
+        }
+    }
+
+    /// Records that the list is the answer to a query that was sent at `queried_at`.
+    ///
+    /// After a gap the set counts as incomplete, as if this daemon had just begun to follow the list.
+    pub fn note_query(&mut self, queried_at: Timestamp) {
+        let last = self
+            .queried_at
+            .replace(self.queried_at.map_or(queried_at, |last| last.max(queried_at)));
+        if last.is_some_and(|last| queried_at.since(last) > self.max_gap) {
+            self.listed_since = Some(queried_at);
+            self.is_loaded = false;
+        }
     }
 
     /// Updates the set from the list of all endpoints.
@@ -79,11 +104,12 @@
     pub fn possible(&self, now: Timestamp, service: &id::PoolName) -> PossibleVersions {
         let known = self.services.get(service).into_iter().flatten();
         let recent = known.filter(|(_, presence)| !presence.is_over(now, self.retention));
-        let is_complete = self.is_loaded
+        let is_followed = self.queried_at.is_some_and(|at| now.since(at) <= self.max_gap);
+        let is_known = self.is_loaded
             || self.listed_since.is_some_and(|since| now.since(since) >= self.retention);
         PossibleVersions {
             versions: recent.map(|(version, _)| version.clone()).collect(),
-            is_complete,
+            is_complete: is_followed && is_known,
         }
     }
 
--- a/crates/decide/tests/testsuite/gateway/streams.rs
+++ b/crates/decide/tests/testsuite/gateway/streams.rs
@@ -10,6 +10,7 @@
 use super::support::{at, entry, granted, request};
 
 const RETENTION: Duration = Duration::from_secs(60);
+const MAX_GAP: Duration = Duration::from_millis(1_600);
 
 fn of_version(name: &str, version: &str) -> RosterEntry {
     RosterEntry { version: version.into(), ..entry(name) }
@@ -20,13 +21,18 @@
 }
 
 fn recent(entries: &[RosterEntry]) -> RecentVersions {
-    let mut recent = RecentVersions::new(RETENTION);
+    let mut recent = RecentVersions::new(RETENTION, MAX_GAP);
     recent.load(at(0), &VersionsByService::new());
     recent.note_listed(at(0), entries.iter());
     recent
 }
 
+/// Returns what a daemon that has followed the list all the time says of a stream.
 fn possible(recent: &RecentVersions, ms: u64) -> Origin {
+    let mut recent = recent.clone();
+    for queried_at in (0..ms).step_by(1_000) {
+        recent.note_query(at(queried_at));
+    }
     Origin::Unknown(recent.possible(at(ms), &"assistant".into()))
 }
 
@@ -93,7 +99,7 @@
 #[test]
 fn a_daemon_that_has_just_started_knows_only_versions_that_were_stored() {
     let entries = [of_version("b", "v2")];
-    let mut fresh = RecentVersions::new(RETENTION);
+    let mut fresh = RecentVersions::new(RETENTION, MAX_GAP);
     fresh.note_listed(at(0), entries.iter());
     assert_eq!(conclude(&[possible(&fresh, 100)]), None);
     assert_eq!(conclude(&[possible(&fresh, 60_000)]), Some("v2".into()));
@@ -102,6 +108,23 @@
     assert_eq!(conclude(&[possible(&fresh, 200)]), None);
 }
 
+/// Guards against joined versions at a daemon that was out of step while a version came and went again.
+#[test]
+fn a_daemon_that_did_not_follow_the_list_does_not_know_all_versions() {
+    let mut recent = recent(&[of_version("a", "v1")]);
+    let origin = |recent: &RecentVersions, ms| {
+        conclude(&[Origin::Unknown(recent.possible(at(ms), &"assistant".into()))])
+    };
+    recent.note_query(at(1_000));
+    assert_eq!(origin(&recent, 2_600), Some("v1".into()));
+    assert_eq!(origin(&recent, 2_601), None);
+    for queried_at in (5_000..=65_000).step_by(1_000) {
+        recent.note_query(at(queried_at));
+        let expected = (queried_at >= 65_000).then(|| "v1".into());
+        assert_eq!(origin(&recent, queried_at), expected, "{queried_at}");
+    }
+}
+
 /// Guards against joined versions at a daemon whose list is out of date.
 #[test]
 fn a_version_that_only_a_keeper_has_seen_counts() {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -80,6 +80,11 @@
 
     /// Replaces the list of endpoints by one that was read now.
     pub fn set_endpoints(&self, list: Vec<gateway::RosterEntry>) {
+        self.set_queried_endpoints(self.now(), list);
+    }
+
+    /// Replaces the list of endpoints by the answer to a query that was sent at `queried_at`.
+    pub fn set_queried_endpoints(&self, queried_at: Timestamp, list: Vec<gateway::RosterEntry>) {
         let now = self.now();
         self.shared.update_availability("own read", None, |roster| {
             if roster.available_since().is_none() {
@@ -87,6 +92,7 @@
             }
         });
         self.change_endpoints(now, |roster| roster.replace(now, list));
+        self.shared.core().record_list_query(queried_at);
     }
 
     /// Applies the changes between the list with the hash `from` and one that was read at `read`.
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -286,7 +286,11 @@
         if let Some(changes) = reply.changes {
             self.apply_changes(read_at, since, roster, changes);
         }
-        self.shared.core().roster.record_other_list(view.roster, read_at);
+        let mut core = self.shared.core();
+        if let Some(age_ms) = view.queried.filter(|_| core.roster.hash() == view.roster) {
+            core.record_list_query(before(sent_at, age_ms));
+        }
+        core.roster.record_other_list(view.roster, read_at);
         true
     }
 }
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -101,7 +101,10 @@
             part_quarantine: gateway::PartQuarantine::new(settings.part_quarantine),
             rollouts: gateway::Rollouts::default(),
             begun_streams: gateway::BegunStreams::default(),
-            recent_versions: gateway::RecentVersions::new(settings.stream_retention),
+            recent_versions: gateway::RecentVersions::new(
+                settings.stream_retention,
+                settings.max_list_age,
+            ),
             canary_share: settings.canary_share,
             started: Timestamp::ZERO,
             rejoined: None,
@@ -170,6 +173,7 @@
             confirmed: ms(self.freshness.age(now)?),
             roster: self.roster.hash(),
             read: since(self.roster.read())?,
+            queried: since(self.roster.queried()),
             steady: since(self.roster.available_since()).unwrap_or(0),
         };
         let changes = self.roster.changes_since(roster);
@@ -178,6 +182,12 @@
         Some(gateway::Message::Reply { stamp, view, answered, watches, changes })
     }
 
+    /// Records that the list of endpoints is the answer to a query that was sent at `queried_at`.
+    pub(crate) fn record_list_query(&mut self, queried_at: Timestamp) {
+        self.roster.record_query(queried_at);
+        self.recent_versions.note_query(queried_at);
+    }
+
     /// Applies the changes of the list of endpoints.
     pub(crate) fn apply_roster_changes(
         &mut self,
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -6,7 +6,7 @@
 use std::{net, sync::atomic, time};
 
 use trefoildyke_decide::gateway;
-use trefoildyke_types::id;
+use trefoildyke_types::{id, time::Timestamp};
 
 use crate::{feed, pending_replies, record, state};
 
@@ -22,6 +22,9 @@
 /// for some tens of milliseconds.
 const REPLY_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 
+/// The period at which a request that waits for a newer list of endpoints looks for it.
+const LIST_CHECK_PERIOD: time::Duration = time::Duration::from_millis(20);
+
 /// How often the keepers are asked.
 const MAX_ROUNDS: usize = 2;
 
@@ -119,15 +122,19 @@
                 break;
             }
         }
-        let is_alone = origins.len() == 1 && !keepers.is_empty();
-        let version =
-            if is_alone && !self.knows_list() { None } else { gateway::conclude(&origins) };
+        let replies = origins.len() - 1;
+        let mut version = gateway::conclude(&origins);
+        if version.is_some() && !origins.iter().any(is_known) {
+            let is_current = self.await_list(started).await;
+            origins[0] = self.own_origin(service, stream);
+            version = is_current.then(|| gateway::conclude(&origins)).flatten();
+        }
         self.metrics.stream_resumed(version.is_some());
         self.journal.write(&record::Event::StreamOrigin {
             id: id.to_owned(),
             version: version.clone(),
             is_recorded: origins.iter().any(is_known),
-            replies: origins.len() - 1,
+            replies,
             after_ms: self.now().since(started).as_millis() as u64,
         });
         version
@@ -141,10 +148,19 @@
         }
     }
 
-    /// Returns whether the list of endpoints is recent, so that no version can have come that is not known
-    /// here.
-    fn knows_list(&self) -> bool {
-        self.core().roster.is_current(self.now(), self.settings.max_list_age)
+    /// Waits until the list of endpoints is the answer to a query that was sent after `time`; returns whether
+    /// it is.
+    ///
+    /// A version that came after an earlier query may have begun a stream at other daemons, and those that this
+    /// one asks may have missed it, too.
+    async fn await_list(&self, time: Timestamp) -> bool {
+        while self.core().roster.queried() < Some(time) {
+            if self.now().since(time) > self.settings.max_list_age {
+                return false;
+            }
+            tokio::time::sleep(LIST_CHECK_PERIOD).await;
+        }
+        true
     }
 
     /// Asks the keepers at once, and returns the replies: all, or those up to the first that knows the version.
--- a/crates/gateway/tests/testsuite/versions.rs
+++ b/crates/gateway/tests/testsuite/versions.rs
@@ -1,6 +1,6 @@
 //! Services whose endpoints run several versions of their software.
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use trefoildyke_decide::gateway::RosterEntry;
 
@@ -151,14 +151,58 @@
     assert_eq!((first.requests().len(), second.requests().len()), (0, 0));
 }
 
+/// Resumes a stream while the list of endpoints is read again and again, as `listed`.
+fn resume_while_listed(gateway: &TestGateway, first: &str, listed: &[RosterEntry]) -> Reply {
+    thread::scope(|scope| {
+        let reply = scope.spawn(|| resume(gateway, first));
+        while !reply.is_finished() {
+            thread::sleep(Duration::from_millis(50));
+            gateway.feed.set_endpoints(listed.to_vec());
+        }
+        reply.join().unwrap()
+    })
+}
+
 #[test]
 fn a_stream_that_nobody_knows_goes_on_if_one_version_can_have_begun_it() {
     let endpoint = Endpoint::start(vec![REST.to_vec()]);
     let gateway = start(&[&endpoint]);
-    let reply = resume(&gateway, "r1");
+    let reply = resume_while_listed(&gateway, "r1", &list(&[(&endpoint, "v1")]));
     assert_eq!((reply.status, reply.body.as_str()), (200, "id: 2\n\n"));
 }
 
+/// Guards against a host that hears no other one and guesses the version of a stream from a list that is older
+/// than the stream.
+#[test]
+fn a_stream_of_a_version_that_has_just_joined_is_not_resumed_at_the_old_one() {
+    let (old, new) = (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![BROKEN.to_vec()]));
+    let (other, isolated) = (start(&[]), start(&[&old]));
+    let listed = list(&[(&old, "v1"), (&new, "v2")]);
+    other.feed.set_endpoints(listed[1..].to_vec());
+    begin(&other);
+    let reply = resume_while_listed(&isolated, "r1", &listed);
+    assert_eq!(reply.status, 503);
+    assert!(reply.body.contains("version_unknown"), "{}", reply.body);
+    assert!(old.requests().is_empty(), "the other version got the rest of the stream");
+}
+
+/// Guards against two hosts that are out of step alike and confirm each other's old list.
+#[test]
+fn hosts_with_the_same_old_list_do_not_agree_on_the_version_of_a_stream() {
+    let (old, new) = (Endpoint::start(vec![REST.to_vec()]), Endpoint::start(vec![BROKEN.to_vec()]));
+    let other = start(&[]);
+    let pair = start_pair();
+    for gateway in &pair {
+        gateway.feed.set_endpoints(list(&[(&old, "v1")]));
+    }
+    other.feed.set_endpoints(list(&[(&old, "v1"), (&new, "v2")])[1..].to_vec());
+    begin(&other);
+    for gateway in &pair {
+        assert_eq!(resume(gateway, "r1").status, 503);
+    }
+    assert!(old.requests().is_empty(), "the other version got the rest of the stream");
+}
+
 /// Guards against waiting in vain for a version that has left.
 #[test]
 fn a_stream_whose_version_is_gone_is_refused_at_once() {
