gateway: check the retry budget again when a slot is free

A retry is taken from the budget when a send fails and may then wait for a slot for seconds. The budget is checked again at the send; a retry that it no longer allows is given back, and the request ends as one that got no slot (retry_budget in resend_refused).

--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -77,7 +77,7 @@
     /// Takes one retry from the budget of a daemon that holds `share` of the fixed number.
     ///
     /// Returns whether a retry was available. A taken retry is reserved, and counts towards the
-    /// limit, until [`Self::retry_sent`] starts its window or [`Self::give_back`] releases it. The
+    /// limit, until [`Self::send`] starts its window or [`Self::give_back`] releases it. The
     /// window starts at the send because a retry may have to wait for a free slot first.
     pub fn take(&mut self, now: Timestamp, share: f64) -> bool {
         let usage = self.usage(now, share);
@@ -86,12 +86,17 @@
         fits
     }
 
-    /// Records that a reserved retry is sent at `now`.
-    pub fn retry_sent(&mut self, now: Timestamp) {
-        self.reserved = self.reserved.saturating_sub(1);
+    /// Sends a reserved retry at `now`, unless the limit has fallen since it was taken, as it does
+    /// when requests move to other daemons. Returns whether it may be sent; if not, it is given back.
+    pub fn send(&mut self, now: Timestamp, share: f64) -> bool {
+        self.give_back();
         self.expire(now);
-        let requests_before = self.request_count - self.requests.len();
-        self.retries.push_back(SentRetry { at: now, requests_before });
+        let is_available = self.tightest(now, share, 0).available() > 0;
+        if is_available {
+            let requests_before = self.request_count - self.requests.len();
+            self.retries.push_back(SentRetry { at: now, requests_before });
+        }
+        is_available
     }
 
     /// Gives back a reserved retry that will not be sent.
@@ -101,11 +106,17 @@
 
     /// Returns the retries and their limit in the window that allows the fewest more, for a daemon
     /// that holds `share` of the fixed number.
+    pub fn usage(&mut self, now: Timestamp, share: f64) -> gateway::RetryUsage {
+        self.expire(now);
+        self.tightest(now, share, self.reserved)
+    }
+
+    /// Returns the usage of the window that allows the fewest more retries, if `reserved` are still to
+    /// be sent.
     ///
     /// The limit holds in every window, so it is checked in those that start now or with one of the
     /// retries that were sent.
-    pub fn usage(&mut self, now: Timestamp, share: f64) -> gateway::RetryUsage {
-        self.expire(now);
+    fn tightest(&self, now: Timestamp, share: f64, reserved: usize) -> gateway::RetryUsage {
         let fixed = self.fixed * share;
         let sent = self.retries.len();
         let starts = self.retries.iter().enumerate();
@@ -116,7 +127,7 @@
         let usages = starts.chain([now_start]).chain(own_start).map(|(sent, before, fixed)| {
             let requests = (self.request_count - before) as f64 / 2.0;
             let limit = USED_FRACTION * (self.ratio * requests + fixed);
-            gateway::RetryUsage { retries: sent + self.reserved, limit: limit as usize }
+            gateway::RetryUsage { retries: sent + reserved, limit: limit as usize }
         });
         usages.min_by_key(gateway::RetryUsage::available).unwrap_or_default()
     }
--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -6,7 +6,10 @@
 use trefoildyke_decide::gateway::{Mesh, RetryBudget, RetryUsage};
 use trefoildyke_types::time::Timestamp;
 
-use super::mesh::{mesh_of, peers};
+use super::{
+    mesh::{mesh_of, peers},
+    support::at,
+};
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -20,11 +23,7 @@
 
 /// Takes a retry and sends it at once. Returns whether one was available.
 fn take_and_send(budget: &mut RetryBudget, now: Timestamp, share: f64) -> bool {
-    let is_taken = budget.take(now, share);
-    if is_taken {
-        budget.retry_sent(now);
-    }
-    is_taken
+    budget.take(now, share) && budget.send(now, share)
 }
 
 #[test]
@@ -171,7 +170,7 @@
         let taken = (0..20).filter(|_| budget.take(now, 1.0)).count();
         for _ in 0..taken {
             let sent_at = now + Duration::from_millis(wait_ms);
-            budget.retry_sent(sent_at);
+            assert!(budget.send(sent_at, 1.0));
             sent.push(sent_at);
         }
     }
@@ -227,6 +226,8 @@
 /// Daemons whose requests to one service all fail and are retried as often as the budgets allow.
 struct Failing {
     budgets: Vec<RetryBudget>,
+    /// The number of retries of each daemon that wait for a slot.
+    waiting: Vec<usize>,
     ratio: f64,
     fixed: f64,
     arrivals: Arrivals,
@@ -235,32 +236,51 @@
 impl Failing {
     fn new(daemons: usize, ratio: f64, fixed: f64) -> Self {
         let budget = budget_started_at_zero(ratio, fixed);
-        Self { budgets: vec![budget; daemons], ratio, fixed, arrivals: Arrivals::default() }
+        Self {
+            budgets: vec![budget; daemons],
+            waiting: vec![0; daemons],
+            ratio,
+            fixed,
+            arrivals: Arrivals::default(),
+        }
     }
 
     /// A daemon gets requests that do not fail.
     fn serve(&mut self, ms: u64, daemon: usize, requests: usize) {
         for _ in 0..requests {
-            self.budgets[daemon].request(Timestamp::from_millis(ms));
+            self.budgets[daemon].request(at(ms));
             self.arrivals.requests.push(ms);
         }
     }
 
     /// A daemon gets requests that fail, each up to three times.
     fn fail(&mut self, ms: u64, daemon: usize, requests: usize) {
-        let (now, share) = (Timestamp::from_millis(ms), 1.0 / self.budgets.len() as f64);
+        self.fail_and_wait(ms, daemon, requests);
+        self.send_waiting(ms, daemon);
+    }
+
+    /// A daemon gets requests that fail, and waits for slots for their retries.
+    fn fail_and_wait(&mut self, ms: u64, daemon: usize, requests: usize) {
         self.serve(ms, daemon, requests);
-        for _ in 0..3 * requests {
-            if take_and_send(&mut self.budgets[daemon], now, share) {
-                self.arrivals.retries.push(ms);
-            }
-        }
+        let budget = &mut self.budgets[daemon];
+        let share = 1.0 / self.waiting.len() as f64;
+        let taken = (0..3 * requests).filter(|_| budget.take(at(ms), share)).count();
+        self.waiting[daemon] += taken;
+    }
+
+    /// A daemon gets slots for the retries that wait.
+    fn send_waiting(&mut self, ms: u64, daemon: usize) {
+        let budget = &mut self.budgets[daemon];
+        let share = 1.0 / self.waiting.len() as f64;
+        let waiting = std::mem::take(&mut self.waiting[daemon]);
+        let sent = (0..waiting).filter(|_| budget.send(at(ms), share)).count();
+        self.arrivals.retries.extend(std::iter::repeat_n(ms, sent));
     }
 
     /// A daemon is killed and starts again.
     fn restart(&mut self, ms: u64, daemon: usize) {
-        let now = Timestamp::from_millis(ms);
-        self.budgets[daemon] = RetryBudget::new(now, WINDOW, self.ratio, self.fixed);
+        self.budgets[daemon] = RetryBudget::new(at(ms), WINDOW, self.ratio, self.fixed);
+        self.waiting[daemon] = 0;
     }
 
     fn assert_within_limit(&self) {
@@ -325,11 +345,34 @@
     }
 }
 
+// Guards against retries that wait until the requests that paid for them have moved to another daemon, which
+// spends the same part of the shared limit.
+#[test]
+fn retries_that_waited_stay_within_the_budget_when_traffic_moves() {
+    let mut failing = Failing::new(2, 0.2, 0.0);
+    for ms in (0..10_000).step_by(5) {
+        failing.serve(ms, 0, 1);
+    }
+    failing.fail_and_wait(10_000, 0, 100);
+    // 0.8 * 0.2 * 2,100 requests / 2
+    assert_eq!(failing.waiting[0], 168);
+    for ms in (10_000..20_000).step_by(5) {
+        failing.serve(ms, 1, 1);
+    }
+    failing.send_waiting(20_000, 0);
+    for ms in (20_000..30_000).step_by(5) {
+        failing.fail(ms, 1, 1);
+    }
+    failing.assert_within_limit();
+}
+
 /// A step of one daemon.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Serve(usize),
     Fail(usize),
+    FailAndWait(usize),
+    SendWaiting,
     Restart,
 }
 
@@ -337,6 +380,8 @@
     let step = prop_oneof![
         4 => (1_usize..150).prop_map(Step::Serve),
         4 => (1_usize..60).prop_map(Step::Fail),
+        2 => (1_usize..60).prop_map(Step::FailAndWait),
+        2 => Just(Step::SendWaiting),
         1 => Just(Step::Restart),
     ];
     prop::collection::vec((0_u64..2_500, 0_usize..4, step), 1..80)
@@ -354,6 +399,8 @@
             match step {
                 Step::Serve(requests) => failing.serve(ms, daemon, requests),
                 Step::Fail(requests) => failing.fail(ms, daemon, requests),
+                Step::FailAndWait(requests) => failing.fail_and_wait(ms, daemon, requests),
+                Step::SendWaiting => failing.send_waiting(ms, daemon),
                 Step::Restart => failing.restart(ms, daemon),
             }
         }
--- a/crates/gateway/src/ingress/driver/end.rs
+++ b/crates/gateway/src/ingress/driver/end.rs
@@ -150,6 +150,7 @@
         let reply = match no_slot {
             NoSlot::Overload(wait) => ingress::Reply::not_run("overload", wait.max(self.jitter())),
             NoSlot::Quarantined(after) => ingress::Reply::not_run(ingress::QUARANTINED, after),
+            NoSlot::NoRetry(after) => ingress::Reply::not_run("not_sent", after),
         };
         refuse(self.access, reply)
     }
--- a/crates/gateway/src/ingress/driver/mod.rs
+++ b/crates/gateway/src/ingress/driver/mod.rs
@@ -105,6 +105,8 @@
     Overload(time::Duration),
     /// The request crashes endpoints.
     Quarantined(time::Duration),
+    /// The retry budget has shrunk while the request waited.
+    NoRetry(time::Duration),
 }
 
 /// Answers one request. The body is read only as far as the answer depends on it.
@@ -220,6 +222,7 @@
         let (reason, after) = match no_slot {
             NoSlot::Overload(after) => ("overload", after),
             NoSlot::Quarantined(after) => (ingress::QUARANTINED, after),
+            NoSlot::NoRetry(after) => ("retry_budget", after),
         };
         self.shared.journal.write(&record::Event::ResendRefused {
             id: self.call.id.clone(),
@@ -243,9 +246,6 @@
     fn record_send(&mut self, slot: &state::Slot, asked: Timestamp) {
         let grant = slot.grant();
         self.attempt.sent();
-        if let Some(retry_reservation) = self.retry_reservation.take() {
-            retry_reservation.mark_sent();
-        }
         self.access.record_send(&grant.endpoint);
         self.tried.push(grant.endpoint.clone());
         let waited = slot.send().sent_at.since(asked).as_millis() as u64;
@@ -324,6 +324,11 @@
         self.retry_reservation.is_some()
     }
 
+    /// Redeems the retry that is reserved, if any; returns whether the request may still be sent.
+    pub(super) fn redeem_retry(&mut self) -> bool {
+        self.retry_reservation.take().is_none_or(state::RetryReservation::redeem)
+    }
+
     pub(super) fn retry_usage(&self) -> gateway::RetryUsage {
         let now = self.shared.now();
         let mut core = self.shared.core();
--- a/crates/gateway/src/ingress/driver/slots.rs
+++ b/crates/gateway/src/ingress/driver/slots.rs
@@ -34,6 +34,10 @@
             slot.set_outcome(gateway::Outcome::Unused);
             return Err(no_slot);
         }
+        if !self.redeem_retry() {
+            slot.set_outcome(gateway::Outcome::Unused);
+            return Err(NoSlot::NoRetry(self.retry_hint()));
+        }
         self.record_send(&slot, now);
         Ok(slot)
     }
--- a/crates/gateway/src/state/retry_reservation.rs
+++ b/crates/gateway/src/state/retry_reservation.rs
@@ -10,7 +10,7 @@
 pub(crate) struct RetryReservation {
     shared: sync::Arc<state::Shared>,
     service: id::PoolName,
-    is_sent: bool,
+    is_settled: bool,
 }
 
 impl RetryReservation {
@@ -24,21 +24,23 @@
         is_taken.then(|| Self {
             shared: sync::Arc::clone(shared),
             service: service.clone(),
-            is_sent: false,
+            is_settled: false,
         })
     }
 
-    /// Records that the retry is sent now.
-    pub(crate) fn mark_sent(mut self) {
-        self.is_sent = true;
+    /// Records that the retry is sent now; returns whether the budget still allows it.
+    pub(crate) fn redeem(mut self) -> bool {
+        self.is_settled = true;
         let now = self.shared.now();
-        self.shared.core().service(&self.service).budget.retry_sent(now);
+        let mut core = self.shared.core();
+        let share = core.mesh.equal_share(now);
+        core.service(&self.service).budget.send(now, share)
     }
 }
 
 impl Drop for RetryReservation {
     fn drop(&mut self) {
-        if !self.is_sent {
+        if !self.is_settled {
             self.shared.core().service(&self.service).budget.give_back();
         }
     }
