upstream: discard the rest of a request that was given up

A request that a held-up path had kept in the send buffer arrived whole once the path was free again, after its caller had been told that there is no answer and it may have been sent to another endpoint. Closing a connection leaves the kernel to deliver what was written; so does the end of a killed process.

Connections that carry requests, to endpoints and through other daemons, are reset when they are closed, which discards what was not sent. The test (an endpoint that reads only after the gateway has answered 504) fails without it: the whole request arrived.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -133,6 +133,9 @@
 }
 
 /// Sets the options of a connection that carries requests.
+///
+/// Closing it discards what was not sent yet. The end of this process does, too. A request that was given up
+/// would otherwise arrive as soon as the path to the endpoint is free again.
 pub(crate) fn configure(stream: &tokio::net::TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
@@ -140,6 +143,7 @@
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
         .with_retries(2);
+    socket.set_linger(Some(time::Duration::ZERO))?;
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod harness;
 
+mod abandoned;
 mod backoffs;
 mod bodies;
 mod callers;
