--- a/crates/decide/src/gateway/budget.rs
+++ b/crates/decide/src/gateway/budget.rs
@@ -117,18 +117,19 @@
     /// The limit holds in every window, so it is checked in those that start now or with one of the
     /// retries that were sent.
     fn tightest(&self, now: Timestamp, share: f64, reserved: usize) -> gateway::RetryUsage {
-        let fixed = self.fixed * share;
-        let sent = self.retries.len();
-        let starts = self.retries.iter().enumerate();
-        let starts = starts.map(|(index, first)| (sent - index, first.requests_before, fixed));
-        let now_start = (0, self.request_count - self.requests.len(), fixed);
-        let in_first_window = now.since(self.started) < self.window;
-        let own_start = in_first_window.then_some((sent, 0, 0.0));
-        let usages = starts.chain([now_start]).chain(own_start).map(|(sent, before, fixed)| {
-            let requests = (self.request_count - before) as f64 / 2.0;
+        let usage = |sent: usize, requests_before: usize, fixed: f64| {
+            let requests = (self.request_count - requests_before) as f64 / 2.0;
             let limit = USED_FRACTION * (self.ratio * requests + fixed);
             gateway::RetryUsage { retries: sent + reserved, limit: limit as usize }
-        });
+        };
+        let (sent, fixed) = (self.retries.len(), self.fixed * share);
+        let from_retries = self.retries.iter().enumerate();
+        let from_retries =
+            from_retries.map(|(index, first)| usage(sent - index, first.requests_before, fixed));
+        let from_now = usage(0, self.request_count - self.requests.len(), fixed);
+        let in_first_window = now.since(self.started) < self.window;
+        let from_start = in_first_window.then(|| usage(sent, 0, 0.0));
+        let usages = from_retries.chain([from_now]).chain(from_start);
         usages.min_by_key(gateway::RetryUsage::available).unwrap_or_default()
     }
 
--- a/crates/decide/src/gateway/streams/recent.rs
+++ b/crates/decide/src/gateway/streams/recent.rs
@@ -51,9 +51,8 @@
     ///
     /// After a gap the set counts as incomplete, as if this daemon had just begun to follow the list.
     pub fn note_query(&mut self, queried_at: Timestamp) {
-        let last = self
-            .queried_at
-            .replace(self.queried_at.map_or(queried_at, |last| last.max(queried_at)));
+        let last = self.queried_at;
+        self.queried_at = last.max(Some(queried_at));
         if last.is_some_and(|last| queried_at.since(last) > self.max_gap) {
             self.listed_since = Some(queried_at);
             self.is_loaded = false;
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -283,8 +283,8 @@
         detail: String,
         /// What is done next.
         next: gateway::RetryAction,
-        /// Repeats this daemon has counted since its start in the current retry budget window, including
-        /// any granted for this failure.
+        /// Repeats this daemon has counted since its start in the window that allows the fewest more,
+        /// including any granted for this failure.
         repeats: usize,
         /// Maximum number of repeats the retry budget allows this daemon in that window.
         repeat_limit: usize,
