--- a/crates/decide/tests/testsuite/gateway/budget.rs
+++ b/crates/decide/tests/testsuite/gateway/budget.rs
@@ -259,6 +259,15 @@
         self.send_waiting(ms, daemon);
     }
 
+    /// A daemon gets seven requests, which all fail or all do not.
+    fn serve_or_fail(&mut self, ms: u64, daemon: usize, is_failing: bool) {
+        if is_failing {
+            self.fail(ms, daemon, 7);
+        } else {
+            self.serve(ms, daemon, 7);
+        }
+    }
+
     /// A daemon gets requests that fail, and waits for slots for their retries.
     fn fail_and_wait(&mut self, ms: u64, daemon: usize, requests: usize) {
         self.serve(ms, daemon, requests);
@@ -296,11 +305,7 @@
         let mut failing = Failing::new(7, 0.2, 54.0);
         for ms in (0..40_000).step_by(35) {
             let daemon = (ms / 35) as usize % 7;
-            if ms < 20_000 {
-                failing.serve(ms, daemon, 7);
-            } else {
-                failing.fail(ms, daemon, 7);
-            }
+            failing.serve_or_fail(ms, daemon, ms >= 20_000);
             if (killed_at..killed_at + 35).contains(&ms) {
                 (0..7).for_each(|daemon| failing.restart(ms, daemon));
             }
@@ -315,11 +320,7 @@
     let mut failing = Failing::new(7, 0.2, 54.0);
     for ms in (0..80_000).step_by(35) {
         let daemon = (ms / 8_000) as usize % 7;
-        if ms % 8_000 < 7_000 {
-            failing.serve(ms, daemon, 7);
-        } else {
-            failing.fail(ms, daemon, 7);
-        }
+        failing.serve_or_fail(ms, daemon, ms % 8_000 >= 7_000);
     }
     failing.assert_within_limit();
 }
@@ -330,11 +331,7 @@
     let mut failing = Failing::new(7, 0.2, 54.0);
     for ms in (0..60_000).step_by(35) {
         let daemon = (ms / 35) as usize % 7;
-        if ms < 20_000 {
-            failing.serve(ms, daemon, 7);
-        } else {
-            failing.fail(ms, daemon, 7);
-        }
+        failing.serve_or_fail(ms, daemon, ms >= 20_000);
     }
     failing.assert_within_limit();
     for start in [20_000, 30_000, 40_000] {
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -134,8 +134,7 @@
 
 /// Sets the options of a connection that carries requests.
 ///
-/// Closing it discards what was not sent yet. The end of this process does, too. A request that was given up
-/// would otherwise arrive as soon as the path to the endpoint is free again.
+/// Closing it discards what was not sent yet, so that a request that was given up does not arrive later.
 pub(crate) fn configure(stream: &tokio::net::TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
