gateway: an empty list of client accounts admits no key

Cause: the decoder read a missing list as an empty one, and Table::admit took an empty list for "no request needs a key".

Change: Config::keyless tells a missing list from an empty one, from the decoder to the patches between hosts, their hash and the line `configured`. With an empty list no key is valid. Without a list, requests that send no key are admitted and a key that is sent has to be valid, unless the settings say that client accounts are not in use. The default configuration needs keys. Patches of builds that lack the field are not decoded; those hosts read the store.

Why this holds: what opens a route that is not public is now a field of its own that only a document without the list sets; everything that is absent, empty or not found keeps it closed.

--- a/crates/decide/src/gateway/config/mod.rs
+++ b/crates/decide/src/gateway/config/mod.rs
@@ -25,8 +25,11 @@
     pub routes: Vec<Route>,
     /// The services that are targets of routes.
     pub services: Vec<Service>,
-    /// The client accounts; if there are none, no request needs an API key.
+    /// The client accounts; with an empty list, no API key is valid.
     pub accounts: Vec<Account>,
+    /// Whether requests need no API key, as the operators have configured no list of accounts. There are no
+    /// accounts then.
+    pub keyless: bool,
     /// Limits on the requests of callers.
     pub limits: Limits,
 }
--- a/crates/decide/src/gateway/config/patch.rs
+++ b/crates/decide/src/gateway/config/patch.rs
@@ -18,6 +18,9 @@
     services: Vec<Segment<gateway::Service>>,
     accounts: Vec<Segment<gateway::Account>>,
     limits: gateway::Limits,
+    /// Builds without this field take an empty list of accounts for a missing one. Patches between them and this
+    /// build cannot be decoded, so the daemons read the store instead.
+    keyless: bool,
     /// The hash of the resulting configuration.
     hash: u64,
 }
@@ -55,6 +58,7 @@
             services: segments(&old.services, &config.services, |service| service.name.as_str()),
             accounts: segments(&old.accounts, &config.accounts, |account| account.name.as_str()),
             limits: config.limits.clone(),
+            keyless: config.keyless,
             hash: config.content_hash(),
         }
     }
@@ -79,6 +83,7 @@
             services: join(&old.services, self.services).ok_or(PatchError::WrongResult)?,
             accounts: join(&old.accounts, self.accounts).ok_or(PatchError::WrongResult)?,
             limits: self.limits,
+            keyless: self.keyless,
         };
         if config.content_hash() == self.hash { Ok(config) } else { Err(PatchError::WrongResult) }
     }
--- a/crates/decide/src/gateway/config/table.rs
+++ b/crates/decide/src/gateway/config/table.rs
@@ -13,10 +13,12 @@
     /// The indices of the routes of each host, the longest prefix first.
     hosts: collections::HashMap<String, Vec<usize>>,
     /// The index of the account of each API key.
-    keys: collections::HashMap<String, usize>,
+    keys: collections::HashMap<Vec<u8>, usize>,
     /// The index of the account of each name.
     accounts: collections::HashMap<id::AccountName, usize>,
     services: collections::HashMap<id::PoolName, usize>,
+    /// Whether the keys of requests play no part.
+    ignores_keys: bool,
 }
 
 /// The route and client account of a request.
@@ -24,7 +26,7 @@
 pub struct Admitted<'a> {
     /// The route.
     pub route: &'a gateway::Route,
-    /// The client account; `None` on public routes and where no accounts are configured.
+    /// The client account; `None` on public routes and where no key is needed.
     pub account: Option<&'a gateway::Account>,
 }
 
@@ -49,13 +51,20 @@
         }
         let mut keys = collections::HashMap::new();
         for (index, account) in config.accounts.iter().enumerate() {
-            keys.extend(account.keys.iter().map(|key| (key.clone(), index)));
+            keys.extend(account.keys.iter().map(|key| (key.clone().into_bytes(), index)));
         }
         let names = config.accounts.iter().enumerate();
         let accounts = names.map(|(index, account)| (account.name.clone(), index)).collect();
         let named = |(index, service): (usize, &gateway::Service)| (service.name.clone(), index);
         let services = config.services.iter().enumerate().map(named).collect();
-        Self { config, hosts, keys, accounts, services }
+        Self { config, hosts, keys, accounts, services, ignores_keys: false }
+    }
+
+    /// Ignores the keys of requests while the configuration has no list of accounts, for deployments that do not
+    /// use client accounts.
+    pub fn with_unused_keys(mut self) -> Self {
+        self.ignores_keys = self.config.keyless;
+        self
     }
 
     /// Returns the account with this name.
@@ -77,10 +86,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if no route matches, or if the route needs an API key and `key` belongs to no account.
-    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted<'_>, Denied> {
+    /// Fails if no route matches, if the request needs an API key, or if `key` belongs to no account.
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&[u8]>,
+    ) -> Result<Admitted<'_>, Denied> {
         let route = self.route(host, path).ok_or(Denied::NoRoute)?;
-        if route.public || self.config.accounts.is_empty() {
+        if route.public || self.ignores_keys || (self.config.keyless && key.is_none()) {
             return Ok(Admitted { route, account: None });
         }
         let index = key.and_then(|key| self.keys.get(key)).ok_or(Denied::NoKey)?;
--- a/crates/decide/tests/testsuite/gateway/patches.rs
+++ b/crates/decide/tests/testsuite/gateway/patches.rs
@@ -85,6 +85,36 @@
     assert_eq!(patch.apply(Some(&too_short)), Err(PatchError::WrongResult));
 }
 
+/// Guards against a daemon that takes an empty list of accounts for a missing one, or the other way round.
+#[test]
+fn patches_and_hashes_tell_an_empty_list_of_accounts_from_a_missing_one() {
+    let listed = config(1, vec![route(1, 1_000)]);
+    let empty = |version| Config { version, accounts: Vec::new(), ..listed.clone() };
+    let missing = |version| Config { keyless: true, ..empty(version) };
+    assert_ne!(empty(2).content_hash(), missing(2).content_hash());
+    for (old, new) in [
+        (listed.clone(), empty(2)),
+        (listed.clone(), missing(2)),
+        (empty(1), missing(2)),
+        (missing(1), empty(2)),
+        (missing(1), config(2, Vec::new())),
+    ] {
+        assert_eq!(ConfigPatch::between(Some(&old), &new).apply(Some(&old)), Ok(new.clone()));
+        assert_eq!(ConfigPatch::between(None, &new).apply(None), Ok(new));
+    }
+    let patch = ConfigPatch::between(Some(&empty(1)), &empty(2));
+    assert_eq!(patch.apply(Some(&missing(1))), Ok(empty(2)));
+}
+
+/// Guards against a patch of a build that does not tell an empty list of accounts from a missing one.
+#[test]
+fn a_patch_without_the_form_of_the_list_of_accounts_is_not_decoded() {
+    let mut patch =
+        serde_json::to_value(ConfigPatch::between(None, &config(1, Vec::new()))).unwrap();
+    assert!(patch.as_object_mut().unwrap().remove("keyless").is_some());
+    assert!(serde_json::from_value::<ConfigPatch>(patch).is_err());
+}
+
 proptest! {
     #[test]
     fn patches_between_random_versions_apply(
--- a/crates/decide/tests/testsuite/gateway/table.rs
+++ b/crates/decide/tests/testsuite/gateway/table.rs
@@ -21,7 +21,7 @@
     }
 }
 
-fn table() -> Table {
+fn config() -> Config {
     let account = Account {
         name: "cascadia".into(),
         keys: vec!["k1".to_owned(), "k2".to_owned()],
@@ -31,11 +31,15 @@
         unit: AccountUnit::Requests,
     };
     let routes = vec![route("short", "/a/"), route("long", "/a/b/"), route("open", "/open/")];
-    Table::new(Config { version: 3, routes, accounts: vec![account], ..Config::default() })
+    Config { version: 3, routes, accounts: vec![account], ..Config::default() }
+}
+
+fn table() -> Table {
+    Table::new(config())
 }
 
 fn found(host: &str, path: &str, key: Option<&str>) -> Result<String, Denied> {
-    table().admit(host, path, key).map(|admitted| admitted.route.name.clone())
+    table().admit(host, path, key.map(str::as_bytes)).map(|admitted| admitted.route.name.clone())
 }
 
 #[test]
@@ -59,6 +63,39 @@
     assert_eq!(found("claims.example", "/open/", None).as_deref(), Ok("open"));
 }
 
+/// Returns what becomes of requests with a key that accounts had, with an empty one, and without one, on a route
+/// that is not public; `None` if they are admitted.
+fn denials(table: &Table) -> [Option<Denied>; 3] {
+    let keys = [Some(b"k1".as_slice()), Some(b"".as_slice()), None];
+    keys.map(|key| table.admit("claims.example", "/a/", key).err())
+}
+
+/// Guards against admitting every request once the last account is removed.
+#[test]
+fn an_empty_list_of_accounts_admits_no_key() {
+    let denied = Some(Denied::NoKey);
+    let table = Table::new(Config { accounts: Vec::new(), ..config() });
+    assert_eq!(denials(&table), [denied; 3]);
+    assert!(table.admit("claims.example", "/open/", None).is_ok());
+    assert_eq!(denials(&table.with_unused_keys()), [denied; 3]);
+}
+
+/// Guards against keys that stay valid, or were never valid, at a version without a list of accounts.
+#[test]
+fn a_missing_list_of_accounts_admits_requests_without_a_key() {
+    let config = Config { accounts: Vec::new(), keyless: true, ..config() };
+    let table = Table::new(config.clone());
+    assert_eq!(denials(&table), [Some(Denied::NoKey), Some(Denied::NoKey), None]);
+    assert_eq!(denials(&Table::new(config).with_unused_keys()), [None; 3]);
+}
+
+#[test]
+fn a_configuration_needs_keys_by_default() {
+    let routes = config().routes;
+    let table = Table::new(Config { routes, ..Config::default() });
+    assert_eq!(denials(&table), [Some(Denied::NoKey); 3]);
+}
+
 #[test]
 fn a_split_follows_the_weights() {
     let mut split = route("split", "/s/");
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -35,6 +35,7 @@
             version: config.version,
             routes: config.routes.len(),
             accounts: config.accounts.len(),
+            keyless: config.keyless,
             age_ms: as_of.map(|as_of| now.since(as_of).as_millis() as u64),
         };
         let mut core = self.shared.core();
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -237,7 +237,7 @@
     let names = &shared.settings.names;
     let host = names::text(&head.headers, &header::HOST);
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let key = names::text(&head.headers, &names.key);
+    let key = names::key(&head.headers, &names.key);
     table.admit(host, head.uri.path(), key).map_err(|denied| match denied {
         _ if !accepts_keys => ingress::Reply::not_run("unconfirmed", KEY_RETRY).closing(),
         gateway::Denied::NoRoute => ingress::Reply::new(StatusCode::NOT_FOUND, "no_route"),
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -68,6 +68,12 @@
     headers.get(name).map(HeaderValue::to_str).and_then(Result::ok).map(str::trim)
 }
 
+/// Reads an API key; `None` if the header is missing or empty.
+pub(crate) fn key<'a>(headers: &'a hyper::HeaderMap, name: &HeaderName) -> Option<&'a [u8]> {
+    let key = headers.get(name)?.as_bytes().trim_ascii();
+    (!key.is_empty()).then_some(key)
+}
+
 /// Reads a header as a number; `None` if it is missing or not a number.
 pub(crate) fn number(headers: &hyper::HeaderMap, name: &HeaderName) -> Option<u64> {
     text(headers, name)?.parse().ok()
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -120,6 +120,8 @@
         routes: usize,
         /// The number of client accounts.
         accounts: usize,
+        /// Whether requests need no API key, as there is no list of accounts.
+        keyless: bool,
         /// The age of the version's confirmation, in milliseconds; `None` if it came without one.
         age_ms: Option<u64>,
     },
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,9 @@
     pub pool: gateway::PoolParams,
     /// How long keys stay valid after the last confirmation of the configuration; 3.5 s.
     pub max_key_age: time::Duration,
+    /// Whether client accounts are in use; true. If not, the keys that callers send play no part while the
+    /// configuration has no list of accounts.
+    pub uses_accounts: bool,
     /// The age of the last confirmation from which on the gateway reports that it is not ready; 2.5 s.
     pub max_ready_age: time::Duration,
     /// How long requests are still handled by an older version of the configuration after this daemon has
@@ -93,6 +96,7 @@
             strength: gateway::Strength::UNKNOWN,
             pool: gateway::PoolParams::default(),
             max_key_age: time::Duration::from_millis(3_500),
+            uses_accounts: true,
             max_ready_age: time::Duration::from_millis(2_500),
             max_version_lag: time::Duration::from_millis(1_000),
             max_list_age: time::Duration::from_millis(1_600),
--- a/crates/gateway/src/state/core.rs
+++ b/crates/gateway/src/state/core.rs
@@ -14,6 +14,7 @@
 /// The state of one daemon. Its methods take the time as an argument and do no I/O.
 pub(crate) struct Core {
     pool_params: gateway::PoolParams,
+    uses_accounts: bool,
     retry: (std::time::Duration, f64, f64),
     pub(crate) table: Option<sync::Arc<gateway::Table>>,
     /// The previous versions, newest first, with the times at which they were replaced.
@@ -88,6 +89,7 @@
     pub(crate) fn new(settings: &settings::Settings, incarnation: u64) -> Self {
         Self {
             pool_params: settings.pool.clone(),
+            uses_accounts: settings.uses_accounts,
             retry: (settings.retry_window, settings.retry_ratio, settings.retry_allowance),
             table: None,
             previous: collections::VecDeque::new(),
@@ -138,7 +140,9 @@
         for service in &config.services {
             self.service(&service.name).pool.set_event_tokens(service.event_tokens);
         }
-        let replaced = self.table.replace(sync::Arc::new(gateway::Table::new(config)));
+        let table = gateway::Table::new(config);
+        let table = if self.uses_accounts { table } else { table.with_unused_keys() };
+        let replaced = self.table.replace(sync::Arc::new(table));
         if let Some(replaced) = replaced {
             self.previous.push_front((now, replaced));
             self.previous.truncate(MAX_PREVIOUS);
