gateway: what is admitted without an account needs a confirmed version

What callers saw: where no key was needed, a host without a way to the store went on admitting everything for good, also after keys had come into use or a route had ceased to be public.

Cause: the age of the last confirmation was checked after the lookups, once for requests with an account and once for those that are denied; what was admitted without an account passed between the two.

Change: Table::admit gets whether the version is confirmed and refuses (503, not run) whatever is not public before it looks at keys.

Why this holds: there is one check, on the path of every request, and only the route's lookup comes before it.

--- a/crates/decide/src/gateway/config/table.rs
+++ b/crates/decide/src/gateway/config/table.rs
@@ -17,7 +17,7 @@
     /// The index of the account of each name.
     accounts: collections::HashMap<id::AccountName, usize>,
     services: collections::HashMap<id::PoolName, usize>,
-    /// Whether the keys of requests play no part.
+    /// Whether neither the keys of requests nor the age of the configuration play a part.
     ignores_keys: bool,
 }
 
@@ -37,6 +37,9 @@
     NoRoute,
     /// The API key is missing or belongs to no account.
     NoKey,
+    /// The configuration is not known to be in force: keys may have been revoked or come into use, and the route
+    /// may need one.
+    Unconfirmed,
 }
 
 impl Table {
@@ -60,8 +63,8 @@
         Self { config, hosts, keys, accounts, services, ignores_keys: false }
     }
 
-    /// Ignores the keys of requests while the configuration has no list of accounts, for deployments that do not
-    /// use client accounts.
+    /// Ignores the keys of requests and the age of the configuration while it has no list of accounts, for
+    /// deployments that do not use client accounts.
     pub fn with_unused_keys(mut self) -> Self {
         self.ignores_keys = self.config.keyless;
         self
@@ -82,26 +85,37 @@
         self.services.get(name).map(|index| &self.config.services[*index])
     }
 
-    /// Returns the route and the client account of a request.
+    /// Returns the client account of a request to `route`, which is `None` if no route matches.
+    ///
+    /// Only requests to public routes are admitted or denied by a version that is not `confirmed`, whatever the
+    /// other lookups would find.
     ///
     /// # Errors
     ///
-    /// Fails if no route matches, if the request needs an API key, or if `key` belongs to no account.
-    pub fn admit(
-        &self,
-        host: &str,
-        path: &str,
+    /// Fails if no route matches, if the request needs an API key, if `key` belongs to no account, or if that
+    /// cannot be told.
+    pub fn admit<'a>(
+        &'a self,
+        route: Option<&'a gateway::Route>,
         key: Option<&[u8]>,
-    ) -> Result<Admitted<'_>, Denied> {
-        let route = self.route(host, path).ok_or(Denied::NoRoute)?;
-        if route.public || self.ignores_keys || (self.config.keyless && key.is_none()) {
+        confirmed: bool,
+    ) -> Result<Admitted<'a>, Denied> {
+        if let Some(route) = route.filter(|route| route.public || self.ignores_keys) {
+            return Ok(Admitted { route, account: None });
+        }
+        if !confirmed {
+            return Err(Denied::Unconfirmed);
+        }
+        let route = route.ok_or(Denied::NoRoute)?;
+        if self.config.keyless && key.is_none() {
             return Ok(Admitted { route, account: None });
         }
         let index = key.and_then(|key| self.keys.get(key)).ok_or(Denied::NoKey)?;
         Ok(Admitted { route, account: Some(&self.config.accounts[*index]) })
     }
 
-    fn route(&self, host: &str, path: &str) -> Option<&gateway::Route> {
+    /// Returns the route with the longest prefix that matches a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&gateway::Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let routes = self.hosts.get(name).or_else(|| self.hosts.get(&name.to_ascii_lowercase()))?;
         let mut routes = routes.iter().map(|index| &self.config.routes[*index]);
--- a/crates/decide/src/gateway/freshness.rs
+++ b/crates/decide/src/gateway/freshness.rs
@@ -4,10 +4,10 @@
 
 use trefoildyke_types::time::Timestamp;
 
-/// Decides whether API keys may still be accepted.
+/// Decides whether requests may still be admitted by the version in force at this daemon.
 ///
-/// A revoked key must stop working even at a daemon that cannot read its configuration, so keys are
-/// accepted only until the last confirmation reaches a fixed age. Times are from a clock that
+/// A revoked key must stop working even at a daemon that cannot read its configuration, so the version counts
+/// as confirmed only until the last confirmation reaches a fixed age. Times are from a clock that
 /// continues while the host is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
@@ -16,8 +16,7 @@
 }
 
 impl Freshness {
-    /// Creates the state of a daemon that has no confirmation yet; keys are accepted for `max_age`
-    /// after a confirmation.
+    /// Creates the state of a daemon that has no confirmation yet; one is valid for `max_age`.
     pub const fn new(max_age: time::Duration) -> Self {
         Self { max_age, confirmed: None }
     }
@@ -33,8 +32,8 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
-    /// Returns whether keys are accepted at `now`.
-    pub fn accepts_keys(&self, now: Timestamp) -> bool {
+    /// Returns whether the version in force here is confirmed at `now`.
+    pub fn is_confirmed(&self, now: Timestamp) -> bool {
         self.age(now).is_some_and(|age| age < self.max_age)
     }
 
--- a/crates/decide/tests/testsuite/gateway/freshness.rs
+++ b/crates/decide/tests/testsuite/gateway/freshness.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn keys_are_rejected_before_the_first_confirmation() {
-    assert!(!Freshness::new(Duration::from_secs(4)).accepts_keys(Timestamp::ZERO));
+    assert!(!Freshness::new(Duration::from_secs(4)).is_confirmed(Timestamp::ZERO));
 }
 
 #[test]
@@ -15,6 +15,6 @@
     let mut freshness = Freshness::new(Duration::from_millis(3_900));
     freshness.confirm(Timestamp::from_millis(1_000));
     freshness.confirm(Timestamp::from_millis(500));
-    assert!(freshness.accepts_keys(Timestamp::from_millis(4_899)));
-    assert!(!freshness.accepts_keys(Timestamp::from_millis(4_900)));
+    assert!(freshness.is_confirmed(Timestamp::from_millis(4_899)));
+    assert!(!freshness.is_confirmed(Timestamp::from_millis(4_900)));
 }
--- a/crates/decide/tests/testsuite/gateway/table.rs
+++ b/crates/decide/tests/testsuite/gateway/table.rs
@@ -39,7 +39,9 @@
 }
 
 fn found(host: &str, path: &str, key: Option<&str>) -> Result<String, Denied> {
-    table().admit(host, path, key.map(str::as_bytes)).map(|admitted| admitted.route.name.clone())
+    let table = table();
+    let admitted = table.admit(table.route(host, path), key.map(str::as_bytes), true);
+    admitted.map(|admitted| admitted.route.name.clone())
 }
 
 #[test]
@@ -66,8 +68,12 @@
 /// Returns what becomes of requests with a key that accounts had, with an empty one, and without one, on a route
 /// that is not public; `None` if they are admitted.
 fn denials(table: &Table) -> [Option<Denied>; 3] {
+    denials_on(table, "/a/", true)
+}
+
+fn denials_on(table: &Table, path: &str, confirmed: bool) -> [Option<Denied>; 3] {
     let keys = [Some(b"k1".as_slice()), Some(b"".as_slice()), None];
-    keys.map(|key| table.admit("claims.example", "/a/", key).err())
+    keys.map(|key| table.admit(table.route("claims.example", path), key, confirmed).err())
 }
 
 /// Guards against admitting every request once the last account is removed.
@@ -76,7 +82,7 @@
     let denied = Some(Denied::NoKey);
     let table = Table::new(Config { accounts: Vec::new(), ..config() });
     assert_eq!(denials(&table), [denied; 3]);
-    assert!(table.admit("claims.example", "/open/", None).is_ok());
+    assert_eq!(denials_on(&table, "/open/", true), [None; 3]);
     assert_eq!(denials(&table.with_unused_keys()), [denied; 3]);
 }
 
@@ -96,6 +102,24 @@
     assert_eq!(denials(&table), [Some(Denied::NoKey); 3]);
 }
 
+/// Guards against what an outdated version admits or denies without having found an account.
+#[test]
+fn an_unconfirmed_version_admits_only_requests_to_public_routes() {
+    let unconfirmed = [Some(Denied::Unconfirmed); 3];
+    let empty = Config { accounts: Vec::new(), ..config() };
+    let keyless = Config { keyless: true, ..empty.clone() };
+    for config in [config(), empty, keyless.clone()] {
+        let table = Table::new(config);
+        assert_eq!(denials_on(&table, "/a/", false), unconfirmed);
+        assert_eq!(denials_on(&table, "/none/", false), unconfirmed);
+        assert_eq!(denials_on(&table, "/open/", false), [None; 3]);
+    }
+    let table = Table::new(keyless).with_unused_keys();
+    assert_eq!(denials_on(&table, "/a/", false), [None; 3]);
+    assert_eq!(denials_on(&table, "/none/", false), unconfirmed);
+    assert_eq!(denials_on(&Table::new(config()).with_unused_keys(), "/a/", false), unconfirmed);
+}
+
 #[test]
 fn a_split_follows_the_weights() {
     let mut split = route("split", "/s/");
--- a/crates/gateway/src/ingress/access.rs
+++ b/crates/gateway/src/ingress/access.rs
@@ -94,8 +94,12 @@
         self.version = version;
     }
 
-    pub(crate) fn set_route(&mut self, route: &gateway::Route, account: Option<&gateway::Account>) {
-        self.route.clone_from(&route.name);
+    pub(crate) fn set_route(
+        &mut self,
+        route: Option<&gateway::Route>,
+        account: Option<&gateway::Account>,
+    ) {
+        self.route = route.map_or_else(String::new, |route| route.name.clone());
         self.account = account.map(|account| account.name.clone());
     }
 
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -195,10 +195,10 @@
     access: &mut ingress::AccessLogEntry,
     head: &http::request::Parts,
 ) -> Result<Admission, ingress::Reply> {
-    let (table, accepts_keys, is_overdue) = {
+    let (table, is_confirmed, is_overdue) = {
         let (now, core) = (shared.now(), shared.core());
-        let accepts_keys = core.freshness.accepts_keys(now);
-        (core.table.clone(), accepts_keys, core.version_lag.is_overdue(now))
+        let is_confirmed = core.freshness.is_confirmed(now);
+        (core.table.clone(), is_confirmed, core.version_lag.is_overdue(now))
     };
     let Some(table) = table else {
         return Err(ingress::Reply::not_run("starting", STARTUP_RETRY));
@@ -208,11 +208,13 @@
     if is_overdue {
         return Err(ingress::Reply::not_run("outdated", KEY_RETRY).closing());
     }
-    let admitted = find_route(shared, &table, head, accepts_keys)?;
-    access.set_route(admitted.route, admitted.account);
-    if admitted.account.is_some() && !accepts_keys {
-        return Err(ingress::Reply::not_run("unconfirmed", KEY_RETRY).closing());
-    }
+    let names = &shared.settings.names;
+    let route = find_route(&table, head);
+    let key = names::key(&head.headers, &names.key);
+    let admitted = table.admit(route, key, is_confirmed);
+    let account = admitted.ok().and_then(|admitted| admitted.account);
+    access.set_route(route, account);
+    let admitted = admitted.map_err(denial)?;
     if access.id().is_empty() {
         return Err(ingress::Reply::new(StatusCode::BAD_REQUEST, "request_id_missing"));
     }
@@ -227,22 +229,21 @@
     })
 }
 
-/// Finds the route and the account; denies a request only if the configuration is known to be in force.
 fn find_route<'a>(
-    shared: &state::Shared,
     table: &'a gateway::Table,
     head: &http::request::Parts,
-    accepts_keys: bool,
-) -> Result<gateway::Admitted<'a>, ingress::Reply> {
-    let names = &shared.settings.names;
+) -> Option<&'a gateway::Route> {
     let host = names::text(&head.headers, &header::HOST);
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let key = names::key(&head.headers, &names.key);
-    table.admit(host, head.uri.path(), key).map_err(|denied| match denied {
-        _ if !accepts_keys => ingress::Reply::not_run("unconfirmed", KEY_RETRY).closing(),
+    table.route(host, head.uri.path())
+}
+
+fn denial(denied: gateway::Denied) -> ingress::Reply {
+    match denied {
         gateway::Denied::NoRoute => ingress::Reply::new(StatusCode::NOT_FOUND, "no_route"),
         gateway::Denied::NoKey => ingress::Reply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
-    })
+        gateway::Denied::Unconfirmed => ingress::Reply::not_run("unconfirmed", KEY_RETRY).closing(),
+    }
 }
 
 /// Makes the connection of a refused request close if its caller waits before it sends the body, as that
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,10 +22,11 @@
     pub strength: gateway::Strength,
     /// The parameters of the endpoint pools.
     pub pool: gateway::PoolParams,
-    /// How long keys stay valid after the last confirmation of the configuration; 3.5 s.
+    /// How long the configuration counts as in force after its last confirmation; 3.5 s. After that, only requests
+    /// to public routes are admitted, and requests without a key if client accounts are not in use.
     pub max_key_age: time::Duration,
-    /// Whether client accounts are in use; true. If not, the keys that callers send play no part while the
-    /// configuration has no list of accounts.
+    /// Whether client accounts are in use; true. If not, the keys that callers send and the age of the last
+    /// confirmation play no part while the configuration has no list of accounts.
     pub uses_accounts: bool,
     /// The age of the last confirmation from which on the gateway reports that it is not ready; 2.5 s.
     pub max_ready_age: time::Duration,
--- a/crates/gateway/tests/testsuite/keys.rs
+++ b/crates/gateway/tests/testsuite/keys.rs
@@ -70,3 +70,30 @@
     gateway.feed.confirm(asked);
     assert_eq!(status(&gateway, "GET /once/"), 503);
 }
+
+/// Guards against a gateway without a way to the store that lets callers in for good without a key, though keys may
+/// have come into use.
+#[test]
+fn an_unconfirmed_version_without_accounts_admits_only_requests_to_public_routes() {
+    let endpoint = endpoint();
+    let gateway =
+        TestGateway::unconfigured(|settings| settings.max_key_age = Duration::from_millis(400));
+    gateway.configure(&[&endpoint]);
+    gateway.reconfigure(2, |config| {
+        config.accounts = Vec::new();
+        config.keyless = true;
+    });
+    let status = |line| {
+        let mut caller = gateway.caller();
+        caller.send(line, &[("trefoildyke-request-id", "r1")], "");
+        caller.read_reply().unwrap().status
+    };
+    assert_eq!(status("GET /once/"), 200);
+    std::thread::sleep(Duration::from_millis(450));
+    assert_eq!(status("GET /once/"), 503);
+    assert_eq!(status("GET /nowhere/"), 503);
+    assert_eq!(status("GET /open/"), 200);
+    assert_eq!(endpoint.requests().len(), 2);
+    gateway.feed.confirm(gateway.feed.now());
+    assert_eq!(status("GET /once/"), 200);
+}
--- a/crates/spec/src/belief.rs
+++ b/crates/spec/src/belief.rs
@@ -38,7 +38,7 @@
         if let Some(confirmed) = self.confirmed {
             freshness.confirm(timestamp(confirmed));
         }
-        self.known && freshness.accepts_keys(timestamp(self.clock))
+        self.known && freshness.is_confirmed(timestamp(self.clock))
     }
 }
 
