gateway: an account that is listed twice has one quota

What callers saw: with two entries of one client account, of which one had no limit, the requests with that entry's key were not charged, so the account used more than its other entry allows (QUOTA); otherwise hosts and keepers charged by different entries. A key of two accounts belonged to the last one without a word. An empty key in the list let in callers that send the header without a value.

Cause: keys, names and quotas of several entries overwrote each other by their position in the list, each lookup by itself.

Change: one account for each name, with the keys of all entries and the tightest quota, at every lookup; a key of several accounts belongs to the first; an empty key, or an empty header, is none; keys are compared as bytes.

Why this holds: the index of the keys is built from that of the names, so no lookup finds an entry that another one passes over.

--- a/crates/decide/src/gateway/config/account.rs
+++ b/crates/decide/src/gateway/config/account.rs
@@ -5,9 +5,11 @@
 /// A client account.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Account {
-    /// The account's name, which is passed to endpoints.
+    /// The account's name, which is passed to endpoints. Of several entries with one name, the one with the
+    /// tightest quota counts, for the keys of all of them.
     pub name: id::AccountName,
-    /// The API keys that callers may present.
+    /// The API keys that callers may present. A key of several accounts belongs to the first one; an empty key
+    /// belongs to none.
     #[serde(default)]
     pub keys: Vec<String>,
     /// The account's priority, 0 the most urgent; takes precedence over the priority of the route.
@@ -39,6 +41,15 @@
 }
 
 impl Account {
+    /// Returns whether the quota is lower than that of `other`.
+    pub fn is_tighter_than(&self, other: &Self) -> bool {
+        let limits = |account: &Self| match account.rate > 0.0 {
+            true => (account.rate, account.burst),
+            false => (f64::INFINITY, 0.0),
+        };
+        limits(self) < limits(other)
+    }
+
     /// Returns the cost of a request with `declared` tokens against the quota.
     pub fn cost(&self, declared: Option<u32>) -> f64 {
         match self.unit {
--- a/crates/decide/src/gateway/config/mod.rs
+++ b/crates/decide/src/gateway/config/mod.rs
@@ -1,5 +1,7 @@
 //! The configuration of a gateway and lookups in it.
 
+use std::collections;
+
 mod account;
 mod limits;
 mod patch;
@@ -33,3 +35,14 @@
     /// Limits on the requests of callers.
     pub limits: Limits,
 }
+
+impl Config {
+    /// Returns how many names and keys of accounts are listed more than once.
+    pub fn duplicates(&self) -> usize {
+        let mut seen = collections::HashSet::new();
+        let names = self.accounts.iter().map(|account| (true, account.name.as_str()));
+        let keys = self.accounts.iter().flat_map(|account| &account.keys);
+        let keys = keys.map(|key| (false, key.as_str()));
+        names.chain(keys).filter(|item| !seen.insert(*item)).count()
+    }
+}
--- a/crates/decide/src/gateway/config/table.rs
+++ b/crates/decide/src/gateway/config/table.rs
@@ -52,12 +52,8 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
         }
-        let mut keys = collections::HashMap::new();
-        for (index, account) in config.accounts.iter().enumerate() {
-            keys.extend(account.keys.iter().map(|key| (key.clone().into_bytes(), index)));
-        }
-        let names = config.accounts.iter().enumerate();
-        let accounts = names.map(|(index, account)| (account.name.clone(), index)).collect();
+        let accounts = index_names(&config.accounts);
+        let keys = index_keys(&config.accounts, &accounts);
         let named = |(index, service): (usize, &gateway::Service)| (service.name.clone(), index);
         let services = config.services.iter().enumerate().map(named).collect();
         Self { config, hosts, keys, accounts, services, ignores_keys: false }
@@ -122,3 +118,29 @@
         routes.find(|route| path.starts_with(&route.prefix))
     }
 }
+
+/// Returns the index of the account of each name, that with the tightest quota if there are several.
+fn index_names(accounts: &[gateway::Account]) -> collections::HashMap<id::AccountName, usize> {
+    let mut names: collections::HashMap<id::AccountName, usize> = collections::HashMap::new();
+    for (index, account) in accounts.iter().enumerate() {
+        let tightest = names.entry(account.name.clone()).or_insert(index);
+        if account.is_tighter_than(&accounts[*tightest]) {
+            *tightest = index;
+        }
+    }
+    names
+}
+
+/// Returns the index of the account of each key, which is the first account with that key.
+fn index_keys(
+    accounts: &[gateway::Account],
+    names: &collections::HashMap<id::AccountName, usize>,
+) -> collections::HashMap<Vec<u8>, usize> {
+    let mut keys = collections::HashMap::new();
+    for account in accounts {
+        for key in account.keys.iter().filter(|key| !key.is_empty()) {
+            keys.entry(key.clone().into_bytes()).or_insert(names[&account.name]);
+        }
+    }
+    keys
+}
--- a/crates/decide/tests/testsuite/gateway/table.rs
+++ b/crates/decide/tests/testsuite/gateway/table.rs
@@ -120,6 +120,57 @@
     assert_eq!(denials_on(&Table::new(config()).with_unused_keys(), "/a/", false), unconfirmed);
 }
 
+fn account(name: &str, keys: &[&str], rate: f64) -> Account {
+    Account {
+        name: name.into(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        rate,
+        ..config().accounts.remove(0)
+    }
+}
+
+/// Returns the name and the rate of the account to which a key belongs.
+fn owner(table: &Table, key: &str) -> Option<(String, f64)> {
+    let admitted = table.admit(table.route("claims.example", "/a/"), Some(key.as_bytes()), true);
+    admitted.ok()?.account.map(|account| (account.name.as_str().to_owned(), account.rate))
+}
+
+/// Guards against two quotas, or none, for one account that is listed twice.
+#[test]
+fn accounts_of_one_name_share_the_tightest_quota() {
+    let rates = [[0.0, 5.0, 9.0], [9.0, 0.0, 5.0], [5.0, 9.0, 0.0]];
+    for rates in rates {
+        let accounts = [("k1", rates[0]), ("k2", rates[1]), ("k3", rates[2])];
+        let accounts = accounts.map(|(key, rate)| account("cascadia", &[key], rate)).to_vec();
+        let config = Config { accounts, ..config() };
+        assert_eq!(config.duplicates(), 2);
+        let table = Table::new(config);
+        assert_eq!(table.account(&"cascadia".into()).unwrap().rate, 5.0);
+        for key in ["k1", "k2", "k3"] {
+            assert_eq!(owner(&table, key), Some(("cascadia".to_owned(), 5.0)));
+        }
+    }
+}
+
+#[test]
+fn a_key_of_two_accounts_belongs_to_the_first() {
+    let accounts = vec![account("cascadia", &["k1"], 1.0), account("agec", &["k1", "k2"], 2.0)];
+    let config = Config { accounts, ..config() };
+    assert_eq!(config.duplicates(), 1);
+    let table = Table::new(config);
+    assert_eq!(owner(&table, "k1"), Some(("cascadia".to_owned(), 1.0)));
+    assert_eq!(owner(&table, "k2"), Some(("agec".to_owned(), 2.0)));
+}
+
+/// Guards against admitting callers that send the header of the key without a value.
+#[test]
+fn an_empty_key_belongs_to_no_account() {
+    let accounts = vec![account("cascadia", &["", "k1"], 1.0)];
+    let table = Table::new(Config { accounts, ..config() });
+    assert_eq!(owner(&table, ""), None);
+    assert_eq!(owner(&table, "k1"), Some(("cascadia".to_owned(), 1.0)));
+}
+
 #[test]
 fn a_split_follows_the_weights() {
     let mut split = route("split", "/s/");
--- a/crates/gateway/tests/testsuite/keys.rs
+++ b/crates/gateway/tests/testsuite/keys.rs
@@ -97,3 +97,28 @@
     gateway.feed.confirm(gateway.feed.now());
     assert_eq!(status("GET /once/"), 200);
 }
+
+/// Guards against admitting callers that send the header of the key without a value, or with bytes that are no text.
+#[test]
+fn a_header_without_a_valid_key_admits_nobody() {
+    let endpoint = endpoint();
+    let gateway = TestGateway::start(&[&endpoint]);
+    let status = |key: &str| {
+        let mut caller = gateway.caller();
+        let headers = [("trefoildyke-request-id", "r1"), ("trefoildyke-key", key)];
+        caller.send("GET /once/", &headers, "");
+        caller.read_reply().unwrap().status
+    };
+    gateway.reconfigure(2, |config| config.accounts = vec![account(""), account("schl\u{fc}ssel")]);
+    for key in ["", " ", "\t", "\u{fc}", "k1"] {
+        assert_eq!(status(key), 401, "{key:?}");
+    }
+    assert_eq!(status("schl\u{fc}ssel"), 200);
+    gateway.reconfigure(3, |config| {
+        config.accounts = Vec::new();
+        config.keyless = true;
+    });
+    for (key, expected) in [("", 200), (" ", 200), ("\u{fc}", 401), ("k1", 401)] {
+        assert_eq!(status(key), expected, "{key:?}");
+    }
+}
--- a/crates/gateway/tests/testsuite/quotas.rs
+++ b/crates/gateway/tests/testsuite/quotas.rs
@@ -1,8 +1,8 @@
 //! Quotas of client accounts.
 
-use trefoildyke_decide::gateway::{AccountUnit, Peer, Strength};
+use trefoildyke_decide::gateway::{Account, AccountUnit, Peer, Strength};
 
-use crate::harness::{Endpoint, Step, TestGateway};
+use crate::harness::{Endpoint, Step, TestGateway, account};
 
 #[test]
 fn requests_over_the_quota_are_refused_with_retry_after_and_do_not_run() {
@@ -23,6 +23,24 @@
     assert_eq!(endpoint.requests().len(), 1);
 }
 
+/// Guards against a second quota, or none, for an account that is listed twice.
+#[test]
+fn an_account_that_is_listed_twice_has_one_quota() {
+    let endpoint = Endpoint::start(vec![vec![Step::Answer("x")]]);
+    let gateway = TestGateway::start(&[&endpoint]);
+    gateway.reconfigure(2, |config| {
+        config.accounts = vec![account("k1"), Account { rate: 0.5, ..account("k2") }];
+    });
+    let status = |key| {
+        let mut caller = gateway.caller();
+        let headers = [("trefoildyke-request-id", "r1"), ("trefoildyke-key", key)];
+        caller.send("GET /once/", &headers, "");
+        caller.read_reply().unwrap().status
+    };
+    assert_eq!([status("k1"), status("k2"), status("k1")], [200, 429, 429]);
+    assert_eq!(endpoint.requests().len(), 1);
+}
+
 // Guards against members that stay in the lists of some daemons. When the list of members lacked two hosts,
 // each daemon kept them for as long as it believed that the store had answered for less than four seconds.
 // The lists differed for seconds, no daemon granted some shares of the quotas, and callers within their
