platform: one client account that cannot be read does not stop all requests

What callers saw: with a null in one entry of the list of client accounts, all hosts refused all requests (503 outdated) and were not ready until the next version.

Cause: the version was read as a whole or not at all, though an entry concerns its own account only; a rate that is not above 0 means no limit.

One that cannot be read is left out, counted (Config::unreadable, in patches and in the line configured) and logged with its field and the reason; while there is one, a key that no other account has gets 503 (account_unreadable), as it may be one of theirs.

Why this holds: nothing of such an entry is used, so it neither admits anybody nor lifts a limit, and no caller is denied for good for it.

--- a/crates/decide/src/gateway/config/mod.rs
+++ b/crates/decide/src/gateway/config/mod.rs
@@ -32,6 +32,8 @@
     /// Whether requests need no API key, as the operators have configured no list of accounts. There are no
     /// accounts then.
     pub keyless: bool,
+    /// The number of accounts that could not be read. A key that no other account has may belong to one of them.
+    pub unreadable: usize,
     /// Limits on the requests of callers.
     pub limits: Limits,
 }
--- a/crates/decide/src/gateway/config/patch.rs
+++ b/crates/decide/src/gateway/config/patch.rs
@@ -21,6 +21,7 @@
     /// Builds without this field take an empty list of accounts for a missing one. Patches between them and this
     /// build cannot be decoded, so the daemons read the store instead.
     keyless: bool,
+    unreadable: usize,
     /// The hash of the resulting configuration.
     hash: u64,
 }
@@ -59,6 +60,7 @@
             accounts: segments(&old.accounts, &config.accounts, |account| account.name.as_str()),
             limits: config.limits.clone(),
             keyless: config.keyless,
+            unreadable: config.unreadable,
             hash: config.content_hash(),
         }
     }
@@ -84,6 +86,7 @@
             accounts: join(&old.accounts, self.accounts).ok_or(PatchError::WrongResult)?,
             limits: self.limits,
             keyless: self.keyless,
+            unreadable: self.unreadable,
         };
         if config.content_hash() == self.hash { Ok(config) } else { Err(PatchError::WrongResult) }
     }
--- a/crates/decide/src/gateway/config/table.rs
+++ b/crates/decide/src/gateway/config/table.rs
@@ -37,6 +37,8 @@
     NoRoute,
     /// The API key is missing or belongs to no account.
     NoKey,
+    /// The API key belongs to no account that could be read, and there are others.
+    Unreadable,
     /// The configuration is not known to be in force: keys may have been revoked or come into use, and the route
     /// may need one.
     Unconfirmed,
@@ -106,7 +108,9 @@
         if self.config.keyless && key.is_none() {
             return Ok(Admitted { route, account: None });
         }
-        let index = key.and_then(|key| self.keys.get(key)).ok_or(Denied::NoKey)?;
+        let key = key.ok_or(Denied::NoKey)?;
+        let unknown = if self.config.unreadable > 0 { Denied::Unreadable } else { Denied::NoKey };
+        let index = self.keys.get(key).ok_or(unknown)?;
         Ok(Admitted { route, account: Some(&self.config.accounts[*index]) })
     }
 
--- a/crates/decide/tests/testsuite/gateway/patches.rs
+++ b/crates/decide/tests/testsuite/gateway/patches.rs
@@ -104,6 +104,11 @@
     }
     let patch = ConfigPatch::between(Some(&empty(1)), &empty(2));
     assert_eq!(patch.apply(Some(&missing(1))), Ok(empty(2)));
+    let unreadable = Config { unreadable: 1, ..empty(2) };
+    assert_eq!(
+        ConfigPatch::between(Some(&listed), &unreadable).apply(Some(&listed)),
+        Ok(unreadable)
+    );
 }
 
 /// Guards against a patch of a build that does not tell an empty list of accounts from a missing one.
--- a/crates/decide/tests/testsuite/gateway/table.rs
+++ b/crates/decide/tests/testsuite/gateway/table.rs
@@ -171,6 +171,16 @@
     assert_eq!(owner(&table, "k1"), Some(("cascadia".to_owned(), 1.0)));
 }
 
+/// Guards against a caller that is denied for good, or admitted, because its account could not be read.
+#[test]
+fn a_key_that_may_belong_to_an_unreadable_account_is_neither_admitted_nor_denied() {
+    let table = Table::new(Config { unreadable: 1, ..config() });
+    assert_eq!(denials(&table), [None, Some(Denied::Unreadable), Some(Denied::NoKey)]);
+    let table = Table::new(Config { unreadable: 1, accounts: Vec::new(), ..config() });
+    let unreadable = Some(Denied::Unreadable);
+    assert_eq!(denials(&table), [unreadable, unreadable, Some(Denied::NoKey)]);
+}
+
 #[test]
 fn a_split_follows_the_weights() {
     let mut split = route("split", "/s/");
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -36,6 +36,7 @@
             routes: config.routes.len(),
             accounts: config.accounts.len(),
             keyless: config.keyless,
+            unreadable: config.unreadable,
             duplicates: config.duplicates(),
             age_ms: as_of.map(|as_of| now.since(as_of).as_millis() as u64),
         };
--- a/crates/gateway/src/ingress/call.rs
+++ b/crates/gateway/src/ingress/call.rs
@@ -17,6 +17,9 @@
 /// which most likely can check it.
 const KEY_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// The `Retry-After` for a caller whose client account may be one that could not be read, here or at other hosts.
+const ACCOUNT_RETRY: time::Duration = time::Duration::from_secs(1);
+
 /// The answer to a request whose body is over the limit.
 const TOO_LARGE: ingress::Reply =
     ingress::Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large").closing();
@@ -242,6 +245,7 @@
     match denied {
         gateway::Denied::NoRoute => ingress::Reply::new(StatusCode::NOT_FOUND, "no_route"),
         gateway::Denied::NoKey => ingress::Reply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
+        gateway::Denied::Unreadable => ingress::Reply::not_run("account_unreadable", ACCOUNT_RETRY),
         gateway::Denied::Unconfirmed => ingress::Reply::not_run("unconfirmed", KEY_RETRY).closing(),
     }
 }
--- a/crates/gateway/src/record/event.rs
+++ b/crates/gateway/src/record/event.rs
@@ -122,6 +122,8 @@
         accounts: usize,
         /// Whether requests need no API key, as there is no list of accounts.
         keyless: bool,
+        /// The number of client accounts that could not be read.
+        unreadable: usize,
         /// The number of names and keys of accounts that are listed more than once.
         duplicates: usize,
         /// The age of the version's confirmation, in milliseconds; `None` if it came without one.
--- a/crates/gateway/tests/testsuite/harness/test_gateway.rs
+++ b/crates/gateway/tests/testsuite/harness/test_gateway.rs
@@ -216,6 +216,7 @@
         services: vec![Service { name: "svc".into(), connections: 100, event_tokens: 4 }],
         accounts: vec![account("k1")],
         keyless: false,
+        unreadable: 0,
         limits: Limits { body_bytes: 1_000, ..Limits::default() },
     }
 }
