gateway: watch a connection for a reset after the end of an answer

What callers saw: an endpoint that answers a long request early without a length, ends its side and resets the connection a moment later had a part of its answer passed on as the whole (MIXED), if the buffers of the connection had taken the whole request, on all routes.

Cause: a request that was handed to the kernel as a whole counted as read. The reset that shows otherwise comes after the end of the endpoint's side, and nothing waited for it.

Change: after a request longer than 64 KiB, the end of the endpoint's side shows only once the connection was watched for a reset for 250 ms, at the host that sent the request and at one that forwards its connection. Such a connection is not used again meanwhile.

--- a/crates/gateway/src/tunnel/frames.rs
+++ b/crates/gateway/src/tunnel/frames.rs
@@ -22,12 +22,12 @@
 ///
 /// # Errors
 ///
-/// Fails without an empty frame if a connection fails, or if the endpoint's ends while `is_sent` returns that the
-/// endpoint has not been sent all that the daemon has sent.
+/// Fails without an empty frame if a connection fails, or if `check_end`, which is awaited at the end of the
+/// endpoint's side, does.
 pub(super) async fn write_frames(
     mut endpoint: impl AsyncRead + Unpin,
     daemon: impl AsyncWrite + Unpin,
-    is_sent: impl Fn() -> bool,
+    check_end: impl Future<Output = io::Result<()>>,
 ) -> io::Result<()> {
     let mut frames = codec::FramedWrite::new(daemon, codec());
     let mut buffer = BytesMut::new();
@@ -36,14 +36,11 @@
         let mut part = (&mut endpoint).take(MAX_FRAME as u64);
         part.read_buf(&mut buffer).await?;
         let part = buffer.split().freeze();
-        let is_end = part.is_empty();
-        if is_end && !is_sent() {
-            return Err(io::Error::new(io::ErrorKind::BrokenPipe, "the request was not sent"));
+        if part.is_empty() {
+            check_end.await?;
+            return frames.send(part).await;
         }
         frames.send(part).await?;
-        if is_end {
-            return Ok(());
-        }
     }
 }
 
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -91,9 +91,9 @@
 /// Copies bytes between a daemon and an endpoint, those of the endpoint in frames; `first` are bytes of the
 /// daemon that were already read.
 ///
-/// The daemon's connection is reset if that of the endpoint fails, or ends before the endpoint was sent all that the
-/// daemon has sent: an answer without a length would otherwise look complete. The endpoint's connection is closed
-/// as soon as the daemon disconnects, which cancels its request.
+/// The daemon's connection is reset if that of the endpoint fails, also soon after the end of a long request's answer,
+/// or ends before the endpoint was sent all that the daemon has sent: an answer without a length would otherwise look
+/// complete. The endpoint's connection is closed as soon as the daemon disconnects, which cancels its request.
 async fn copy(
     mut daemon: tokio::net::TcpStream,
     mut endpoint: tokio::net::TcpStream,
@@ -103,15 +103,22 @@
     endpoint.write_all(first).await?;
     let ended = {
         let (from_daemon, mut to_daemon) = daemon.split();
-        let (mut from_endpoint, mut to_endpoint) = endpoint.split();
-        let is_writing = atomic::AtomicBool::new(false);
-        let is_sent = || {
+        let (mut from_endpoint, to_endpoint) = endpoint.split();
+        let progress = Progress::default();
+        progress.sent.store(first.len(), atomic::Ordering::Relaxed);
+        let check_end = async {
             let is_unread = matches!(from_daemon.try_read(&mut [0]), Ok(1..));
-            !is_writing.load(atomic::Ordering::Relaxed) && !is_unread
+            if is_unread || progress.is_writing.load(atomic::Ordering::Relaxed) {
+                return Err(io::Error::new(io::ErrorKind::BrokenPipe, "the request was not sent"));
+            }
+            if progress.sent.load(atomic::Ordering::Relaxed) < upstream::LONG_REQUEST {
+                return Ok(());
+            }
+            upstream::watch_for_reset(|| to_endpoint.as_ref().take_error()).await
         };
         tokio::select! {
-            sent = forward(&from_daemon, &mut to_endpoint, &is_writing) => sent,
-            answered = frames::write_frames(&mut from_endpoint, &mut to_daemon, is_sent) => answered,
+            sent = forward(&from_daemon, &to_endpoint, &progress) => sent,
+            answered = frames::write_frames(&mut from_endpoint, &mut to_daemon, check_end) => answered,
         }
     };
     match ended {
@@ -123,12 +130,20 @@
     }
 }
 
-/// Copies the bytes of a daemon to an endpoint until the daemon ends its side. `is_writing` is set while bytes that
-/// were read are not written.
+/// How far the bytes of a daemon have been sent to an endpoint.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Set while bytes that were read are not written.
+    is_writing: atomic::AtomicBool,
+    /// The number of bytes that were written.
+    sent: atomic::AtomicUsize,
+}
+
+/// Copies the bytes of a daemon to an endpoint until the daemon ends its side.
 async fn forward(
     daemon: &tcp::ReadHalf<'_>,
-    endpoint: &mut tcp::WriteHalf<'_>,
-    is_writing: &atomic::AtomicBool,
+    endpoint: &tcp::WriteHalf<'_>,
+    progress: &Progress,
 ) -> io::Result<()> {
     let mut buffer = vec![0; FORWARD_BUFFER];
     loop {
@@ -139,8 +154,21 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
             Err(error) => return Err(error),
         };
-        is_writing.store(true, atomic::Ordering::Relaxed);
-        endpoint.write_all(&buffer[..length]).await?;
-        is_writing.store(false, atomic::Ordering::Relaxed);
+        progress.is_writing.store(true, atomic::Ordering::Relaxed);
+        write_all(endpoint, &buffer[..length]).await?;
+        progress.sent.fetch_add(length, atomic::Ordering::Relaxed);
+        progress.is_writing.store(false, atomic::Ordering::Relaxed);
+    }
+}
+
+async fn write_all(endpoint: &tcp::WriteHalf<'_>, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        endpoint.writable().await?;
+        match endpoint.try_write(bytes) {
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
     }
+    Ok(())
 }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to an endpoint.
 
-use std::{net, time};
+use std::{net, sync, sync::atomic, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
@@ -12,7 +12,10 @@
 
 use crate::{
     tunnel, upstream,
-    upstream::framing_limit::{AnswerBody, FramingCount, LimitedStream, SentCount},
+    upstream::{
+        framing_limit::{AnswerBody, FramingCount, LimitedStream, SentCount, TakeError},
+        reset_watch,
+    },
 };
 
 /// The idle time before the first keep-alive probe, and the interval between probes. A connection whose
@@ -31,6 +34,8 @@
     driver: task::AbortHandle,
     framing: FramingCount,
     sent: SentCount,
+    /// Whether the endpoint has ended its side.
+    has_ended: sync::Arc<atomic::AtomicBool>,
     /// The length of the last request's body, in bytes.
     body_length: usize,
     /// When the connection was open.
@@ -44,15 +49,25 @@
 }
 
 impl Connection {
-    /// Begins HTTP on a byte stream that was open at `opened_at`.
-    pub(super) async fn begin(
+    /// Begins HTTP on a byte stream that was open at `opened_at`. With `take_error`, the stream is watched for a
+    /// reset after its end.
+    pub(super) async fn begin<S: io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static>(
         pool: &upstream::ConnectionPool,
         opened_at: Timestamp,
-        stream: impl io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static,
+        stream: S,
+        take_error: Option<TakeError<S>>,
     ) -> std::io::Result<Self> {
         let framing = FramingCount::default();
         let sent = SentCount::default();
-        let stream = LimitedStream { stream, count: framing.clone(), sent: sent.clone() };
+        let has_ended = sync::Arc::new(atomic::AtomicBool::new(false));
+        let stream = LimitedStream {
+            stream,
+            count: framing.clone(),
+            sent: sent.clone(),
+            take_error,
+            watch: reset_watch::ResetWatch::default(),
+            has_ended: sync::Arc::clone(&has_ended),
+        };
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD).handshake(rt::TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
@@ -65,6 +80,7 @@
             driver,
             framing,
             sent,
+            has_ended,
             body_length: 0,
             opened_at,
             reusable: true,
@@ -104,7 +120,8 @@
     }
 
     pub(super) fn is_usable(&self) -> bool {
-        self.reusable && self.sender.is_ready()
+        let has_ended = self.has_ended.load(atomic::Ordering::Relaxed);
+        self.reusable && !has_ended && self.sender.is_ready()
     }
 
     pub(super) const fn is_reusable(&self) -> bool {
--- a/crates/gateway/src/upstream/dial.rs
+++ b/crates/gateway/src/upstream/dial.rs
@@ -29,7 +29,7 @@
     let stream = tunnel::open(shared, id, &grant.endpoint).await?;
     let opened_at = shared.now();
     let mut connection =
-        upstream::Connection::begin(&shared.connections, opened_at, stream).await?;
+        upstream::Connection::begin(&shared.connections, opened_at, stream, None).await?;
     // The other daemon counts a tunnel as a request in progress.
     connection.forbid_reuse();
     Ok(connection)
@@ -40,7 +40,8 @@
     grant: &gateway::Grant,
 ) -> io::Result<upstream::Connection> {
     let stream = upstream::connect(grant.address, shared.settings.connect_timeout).await?;
-    upstream::Connection::begin(&shared.connections, shared.now(), stream).await
+    let take_error = Some(tokio::net::TcpStream::take_error as _);
+    upstream::Connection::begin(&shared.connections, shared.now(), stream, take_error).await
 }
 
 /// Tries to reach an endpoint directly, apart from any request, as the attempt may take long.
--- a/crates/gateway/src/upstream/framing_limit.rs
+++ b/crates/gateway/src/upstream/framing_limit.rs
@@ -6,7 +6,7 @@
 use hyper::body;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::upstream;
+use crate::{upstream, upstream::reset_watch};
 
 /// The largest number of bytes that may arrive without any of a body among them: interim answers, a head,
 /// or the framing between two parts of a body. It covers what is read ahead of the part that is passed on.
@@ -55,6 +55,12 @@
             && self.bytes.load(atomic::Ordering::Relaxed) > length
     }
 
+    /// Returns whether the request is long and no part of it waits to be written.
+    fn is_long(&self) -> bool {
+        !self.is_blocked.load(atomic::Ordering::Relaxed)
+            && self.bytes.load(atomic::Ordering::Relaxed) >= reset_watch::LONG_REQUEST
+    }
+
     /// Records the result of a write of `length` bytes.
     fn record(&self, length: usize, result: &task::Poll<io::Result<usize>>) {
         let written = match result {
@@ -66,12 +72,33 @@
     }
 }
 
+/// Returns the pending error of a byte stream.
+pub(super) type TakeError<S> = fn(&S) -> io::Result<Option<io::Error>>;
+
 /// A byte stream whose reads fail when too many bytes have arrived without any of a body, and which counts what
 /// is written.
+///
+/// Its end after a long request shows only once the stream was watched for a reset.
 pub(super) struct LimitedStream<S> {
     pub(super) stream: S,
     pub(super) count: FramingCount,
     pub(super) sent: SentCount,
+    /// `None` if the stream is not watched.
+    pub(super) take_error: Option<TakeError<S>>,
+    pub(super) watch: reset_watch::ResetWatch,
+    /// Set when the endpoint has ended its side.
+    pub(super) has_ended: sync::Arc<atomic::AtomicBool>,
+}
+
+impl<S> LimitedStream<S> {
+    /// Handles the end of the endpoint's side.
+    fn poll_end(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        self.has_ended.store(true, atomic::Ordering::Relaxed);
+        match self.take_error.filter(|_| self.sent.is_long()) {
+            Some(take_error) => self.watch.poll(context, || take_error(&self.stream)),
+            None => task::Poll::Ready(Ok(())),
+        }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
@@ -82,7 +109,11 @@
     ) -> task::Poll<io::Result<()>> {
         let before = buffer.filled().len();
         task::ready!(pin::Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        task::Poll::Ready(self.count.add(buffer.filled().len() - before))
+        let length = buffer.filled().len() - before;
+        if length == 0 && buffer.remaining() > 0 {
+            return self.poll_end(context);
+        }
+        task::Poll::Ready(self.count.add(length))
     }
 }
 
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod framing_limit;
 mod notices;
 mod pool;
+mod reset_watch;
 mod send;
 
 pub(crate) use answer_memory::{AnswerMemory, AnswerReservation, BufferError};
@@ -15,4 +16,5 @@
 pub(crate) use framing_limit::AnswerBody;
 pub(crate) use notices::Notices;
 pub(crate) use pool::ConnectionPool;
+pub(crate) use reset_watch::{LONG_REQUEST, watch_for_reset};
 pub(crate) use send::{Answer, SendError, send};
